--- /dev/null
+++ b/benchmarks/placement/fake_fleet.h
@@ -0,0 +1,118 @@
+#ifndef PAPAYADRIFT_BENCHMARKS_PLACEMENT_FAKE_FLEET_H_
+#define PAPAYADRIFT_BENCHMARKS_PLACEMENT_FAKE_FLEET_H_
+
+#include <map>
+#include <optional>
+#include <pcg_random.hpp>
+#include <set>
+#include <vector>
+
+#include "measures.h"
+#include "placement/scheduler.h"
+#include "scenario.h"
+#include "truth.h"
+
+namespace papayadrift::placement {
+
+// A worker as it really is.
+struct FakeWorker {
+  WorkerId id;
+  Incarnation incarnation{1};
+  int rack = 0;
+  bool is_up = true;
+  bool fails_everything = false;
+  double load = 0;  // Of its runner, 0 to 1.
+};
+
+// An attempt as it really runs.
+struct FakeAttempt {
+  TaskId task;
+  Attempt attempt;
+  size_t worker = 0;
+  const KindTruth* kind = nullptr;
+  Resources grant;
+  std::optional<Resources> next_grant;  // Enforced with the next step.
+  double cores = 0;                     // Wanted by this task.
+  double memory_mebibytes = 0;          // At its highest.
+  double run_seconds = 0;
+  double done = 0;     // Part of the work, 0 to 1.
+  double resumed = 0;  // Part that was done before this attempt.
+  Instant started_at;
+  std::optional<Instant> stops_at;
+};
+
+// Workers that run what the scheduler claims, and report late.
+class FakeFleet {
+ public:
+  FakeFleet(const CustomerTruth& truth,
+            const Scenario& scenario,
+            uint64_t seed,
+            bool reports_at_once);
+
+  // Time passes on all workers; returns what they say at the end of it.
+  std::vector<Event> Step(Instant now, microseconds step);
+  // Does what a scheduler asks for; returns the answers.
+  std::vector<Event> Obey(Instant now, const Action& action);
+  void SetLoad(size_t worker, double load) { workers_[worker].load = load; }
+  void SetFailing(size_t worker, bool fails);
+  // The workers of a rack vanish, or come back as new incarnations.
+  std::vector<Event> LoseRack(int rack);
+  std::vector<Event> ReturnRack(int rack);
+  WorkerUp Announcement(size_t worker) const;
+
+  // Grants that were ordered and are not enforced yet never will be.
+  void DropOrders();
+  // Forgets what was measured so far.
+  void MeasureAnew();
+
+  const std::vector<FakeWorker>& workers() const { return workers_; }
+  LatencySample& latencies() { return latencies_; }
+  double finished_core_seconds() const { return finished_core_seconds_; }
+  double lost_core_seconds() const { return lost_core_seconds_; }
+  uint64_t evictions() const { return evictions_; }
+  uint64_t violations() const { return violations_; }
+
+ private:
+  struct Delayed {
+    Instant due;
+    Event event;
+  };
+
+  std::vector<Event> Obey(Instant now, const Claim& claim);
+  std::vector<Event> Obey(Instant now, const ChangeGrant& change);
+  std::vector<Event> Obey(Instant now, const Evict& evict);
+  std::vector<Event> Obey(Instant now, const RefuseJob& refusal);
+  std::vector<Event> Obey(Instant now, const Quarantine& quarantine);
+  std::vector<Event> Obey(Instant now, const Release& release);
+
+  // Returns the end of the attempt, if it ends in this step.
+  std::optional<TaskEnded> Run(FakeAttempt& attempt,
+                               Instant now,
+                               microseconds step);
+  TaskEnded End(FakeAttempt& attempt, records::TaskEnding ending);
+  void ReportUse(const FakeAttempt& attempt, Instant now);
+  void ReportLatency(size_t worker, Instant now, microseconds step);
+  void Delay(Instant now, Event event);
+  double Harm(size_t worker) const;
+  void CheckSums(size_t worker);
+  double Noise(double deviation);
+
+  const CustomerTruth& truth_;
+  const Scenario& scenario_;
+  const bool reports_at_once_;
+  pcg64 random_;
+  std::vector<FakeWorker> workers_;
+  std::map<TaskId, FakeAttempt> attempts_;
+  std::map<TaskId, double> checkpoints_;  // Part of the work done.
+  std::vector<Delayed> delayed_;
+  LatencySample latencies_;
+  double finished_core_seconds_ = 0;
+  double lost_core_seconds_ = 0;
+  uint64_t evictions_ = 0;
+  uint64_t violations_ = 0;
+  uint64_t steps_ = 0;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_BENCHMARKS_PLACEMENT_FAKE_FLEET_H_
--- /dev/null
+++ b/benchmarks/placement/knowledge_benchmark.cpp
@@ -0,0 +1,182 @@
+// What placement is worth in the hour after all entries were replaced at once,
+// with what they had learned kept in the log and without; and what the notes
+// cost the log. By a manual clock; every figure is the same in each run.
+
+#include <fmt/core.h>
+
+#include <array>
+#include <future>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "bounds.h"
+#include "large_fleet.h"
+#include "replayed.h"
+#include "run.h"
+
+namespace papayadrift::placement {
+
+namespace {
+
+constexpr std::array<uint64_t, 2> kTrainingSeeds = {11, 12};
+constexpr std::array<uint64_t, 2> kHeldOutSeeds = {901, 902};
+// Of the way from best fit to the oracle, on the customer's first measure.
+constexpr double kLeastPartOfWay = 0.8;
+constexpr Scenario kKept = {.name = "entries_replaced",
+                            .replaces_entries = true};
+constexpr Scenario kLost = {.name = "entries_replaced_forgetting",
+                            .replaces_entries = true,
+                            .keeps_knowledge = false};
+
+struct Results {
+  Measures kept;
+  Measures lost;
+  Measures best_fit;
+  Measures blind;
+  Measures oracle;
+};
+
+struct Case {
+  std::string name;
+  CustomerTruth (*make)(uint64_t, double) = nullptr;
+  std::span<const uint64_t> seeds;
+  Results results;
+};
+
+Measures MeanOver(const Case& it,
+                  Contender contender,
+                  const Scenario& scenario) {
+  std::vector<Measures> runs;
+  for (const uint64_t seed : it.seeds) {
+    runs.push_back(Run(contender, it.make(seed, scenario.declared_spread),
+                       scenario, seed));
+  }
+  return MeanOf(runs);
+}
+
+void RunCase(Case& it) {
+  it.results = {MeanOver(it, Contender::kLearning, kKept),
+                MeanOver(it, Contender::kLearning, kLost),
+                MeanOver(it, Contender::kBestFit, kKept),
+                MeanOver(it, Contender::kBlind, kKept),
+                MeanOver(it, Contender::kOracle, kKept)};
+}
+
+void PrintFigures(const std::string& name,
+                  const char* contender,
+                  const Measures& it) {
+  fmt::print("# {:50} {:9} p99 {:5.2f} core-h/h {:6.2f} evictions/h {:4.1f}\n",
+             name, contender, it.p99_slowdown, it.core_hours_per_hour,
+             it.evictions_per_hour);
+}
+
+double FirstMeasure(const Case& it, const Measures& own) {
+  const Results& all = it.results;
+  return it.make == &RetornoBarril
+             ? PartOfWay(all.best_fit.p99_slowdown, all.oracle.p99_slowdown,
+                         own.p99_slowdown, false)
+             : PartOfWay(all.best_fit.core_hours_per_hour,
+                         all.oracle.core_hours_per_hour,
+                         own.core_hours_per_hour, true);
+}
+
+void CheckCase(const Case& it, Bounds& bounds) {
+  const Results& all = it.results;
+  PrintFigures(it.name, "kept", all.kept);
+  PrintFigures(it.name, "lost", all.lost);
+  PrintFigures(it.name, "best_fit", all.best_fit);
+  PrintFigures(it.name, "blind", all.blind);
+  PrintFigures(it.name, "oracle", all.oracle);
+  fmt::print("# {:50} part of the way when lost {:.3f}\n", it.name,
+             FirstMeasure(it, all.lost));
+  bounds.AtLeast(it.name + ".first_measure", FirstMeasure(it, all.kept),
+                 "part_of_way", kLeastPartOfWay);
+  bounds.Below(it.name + ".evictions", all.kept.evictions_per_hour, "per_h",
+               all.blind.evictions_per_hour);
+  bounds.AtMost(it.name + ".overcommitted",
+                static_cast<double>(all.kept.violations), "times", 0);
+}
+
+// The notes of one region of letter 1, as if one entry were home of all, in the
+// ten minutes in which all is new, the first refresh among them; and what they
+// add to a snapshot.
+void CheckCost(Bounds& bounds) {
+  constexpr size_t kWorkers = 320;
+  constexpr size_t kEndsPerStep = 5;  // 48 starts a second.
+  constexpr int kStepsPerMinute = 600;
+  constexpr int kMinutes = 10;
+  constexpr double kSeconds = 600;
+  constexpr double kEntries = 3;  // Each may find the same to be new.
+  // 20 KB/s for control on a node; all entries read every note.
+  constexpr double kMostBytes = 20'000;
+  // A region's fifth of 100 appends a second, and of that a hundredth.
+  constexpr double kMostAppends = 0.2;
+  LargeFleet fleet(kWorkers, 77);
+  fleet.Fill();
+  Replayed replayed;
+  const size_t empty = replayed.snapshot_bytes();
+  size_t before_refresh = 0;
+  for (int i = 1; i <= kMinutes; ++i) {
+    fleet.Churn(kStepsPerMinute, kEndsPerStep);
+    before_refresh = replayed.knowledge_bytes();
+    replayed.NoteKnowledge(fleet.scheduler(), i == kMinutes);
+  }
+  const KnowledgeNoted all = replayed.Knowledge();
+  const auto bytes = static_cast<double>(replayed.knowledge_bytes());
+  const auto snapshot = static_cast<double>(replayed.snapshot_bytes() - empty);
+  fmt::print(
+      "# kept: {} kinds, {} services; {} records, {:.0f} B in all, {} B "
+      "at the refresh, {:.0f} B of a snapshot\n",
+      all.kinds.size(), all.services.size(), replayed.knowledge_records(),
+      bytes, replayed.knowledge_bytes() - before_refresh, snapshot);
+  bounds.AtMost("placement.knowledge.bytes",
+                (kEntries * bytes + snapshot) / kSeconds, "B/s", kMostBytes);
+  bounds.AtMost(
+      "placement.knowledge.appends",
+      kEntries * static_cast<double>(replayed.knowledge_appends()) / kSeconds,
+      "1/s", kMostAppends);
+}
+
+std::vector<Case> AllCases() {
+  return {{"placement.entries_replaced.retorno_barril.training",
+           &RetornoBarril,
+           kTrainingSeeds,
+           {}},
+          {"placement.entries_replaced.banverksgrus.training",
+           &Banverksgrus,
+           kTrainingSeeds,
+           {}},
+          {"placement.entries_replaced.retorno_barril.held_out",
+           &RetornoBarril,
+           kHeldOutSeeds,
+           {}},
+          {"placement.entries_replaced.banverksgrus.held_out",
+           &Banverksgrus,
+           kHeldOutSeeds,
+           {}}};
+}
+
+}  // namespace
+
+}  // namespace papayadrift::placement
+
+int main() {
+  using papayadrift::placement::Case;
+  std::vector<Case> cases = papayadrift::placement::AllCases();
+  std::vector<std::future<void>> threads;
+  for (Case& it : cases) {
+    threads.push_back(std::async(
+        std::launch::async, [&it] { papayadrift::placement::RunCase(it); }));
+  }
+  for (const auto& thread : threads) {
+    thread.wait();
+  }
+  papayadrift::Bounds bounds;
+  for (const Case& it : cases) {
+    papayadrift::placement::CheckCase(it, bounds);
+  }
+  papayadrift::placement::CheckCost(bounds);
+  return bounds.has_failed() ? 1 : 0;
+}
--- /dev/null
+++ b/benchmarks/placement/large_fleet.h
@@ -0,0 +1,68 @@
+#ifndef PAPAYADRIFT_BENCHMARKS_PLACEMENT_LARGE_FLEET_H_
+#define PAPAYADRIFT_BENCHMARKS_PLACEMENT_LARGE_FLEET_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <vector>
+
+#include "placement/scheduler.h"
+
+namespace papayadrift::placement {
+
+// Many workers that obey at once or after a stated time, to measure what
+// decisions cost. It runs no work and models no interference.
+class LargeFleet {
+ public:
+  LargeFleet(size_t workers, uint64_t seed);
+
+  // Fills the fleet: each worker has runners and about 11 batch tasks.
+  void Fill();
+  // Time passes in steps of 100 ms; in each, tasks end and others are started,
+  // and reports come in at the usual rate.
+  void Churn(int steps, size_t ends_per_step);
+  // As much work as to leave no room anywhere.
+  void Saturate();
+  // Submits one urgent task per step of 100 ms; returns the waits in seconds.
+  std::vector<double> Urgent(int steps);
+
+  // Ends the scheduler; nothing else may be called after it.
+  void DropScheduler() { scheduler_.reset(); }
+
+  const Scheduler& scheduler() const { return *scheduler_; }
+  size_t running() const { return running_.size(); }
+
+ private:
+  struct Running {
+    TaskId task;
+    Attempt attempt;
+    Resources grant;
+  };
+  struct Delayed {
+    Instant due;
+    Event event;
+  };
+
+  void Tell(const Event& event);
+  void Obey(const Action& action);
+  void Submit(uint32_t tasks, bool is_urgent, const Resources& declared);
+  void EndOne();
+  void Report();
+  void Advance();
+
+  pcg64 random_;
+  const size_t workers_;
+  Instant now_{seconds(1)};
+  std::unique_ptr<Scheduler> scheduler_;
+  std::vector<Running> running_;
+  std::map<TaskId, size_t> positions_;
+  std::deque<Delayed> delayed_;
+  std::map<JobId, Instant> urgent_since_;
+  std::vector<double> urgent_waits_;
+  size_t next_job_ = 0;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_BENCHMARKS_PLACEMENT_LARGE_FLEET_H_
--- /dev/null
+++ b/benchmarks/placement/replayed.h
@@ -0,0 +1,54 @@
+#ifndef PAPAYADRIFT_BENCHMARKS_PLACEMENT_REPLAYED_H_
+#define PAPAYADRIFT_BENCHMARKS_PLACEMENT_REPLAYED_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "placement/scheduler.h"
+#include "replay/decision_state.h"
+
+namespace papayadrift::placement {
+
+// What the decision stream would hold of a run, for a scheduler that takes the
+// place of another.
+class Replayed {
+ public:
+  Replayed();
+
+  void Note(const Event& event);
+  // Notes what the scheduler has learned that is news; counts what it costs.
+  void NoteKnowledge(const Scheduler& scheduler, bool is_refresh);
+
+  // Returns what a scheduler that starts is told, workers aside.
+  std::vector<Event> Jobs() const;
+  KnowledgeNoted Knowledge() const { return state_.knowledge().All(); }
+  // Returns the claim with the attempt and the checkpoint that are next, or
+  // nothing if the task has ended.
+  std::optional<Claim> Corrected(const Claim& claim) const;
+
+  size_t knowledge_records() const { return records_; }
+  size_t knowledge_bytes() const { return bytes_; }
+  size_t knowledge_appends() const { return appends_; }
+  size_t snapshot_bytes() const { return state_.Snapshot().size(); }
+
+ private:
+  void Note(const TaskEnded& ended);
+  void Append(std::vector<records::Record> records);
+
+  std::map<JobId, JobSubmitted> jobs_;
+  std::map<TaskId, ClaimAccepted> live_;
+  std::map<TaskId, Attempt> attempts_;
+  std::map<TaskId, CheckpointId> checkpoints_;
+  std::set<TaskId> ended_;
+  replay::DecisionState state_;
+  uint64_t sequence_ = 0;
+  size_t records_ = 0;
+  size_t appends_ = 0;
+  size_t bytes_ = 0;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_BENCHMARKS_PLACEMENT_REPLAYED_H_
--- /dev/null
+++ b/src/libs/logging/event.cpp
@@ -0,0 +1,91 @@
+#include "logging/event.h"
+
+#include <array>
+
+namespace papayadrift::logging {
+
+namespace {
+
+using enum Level;
+
+constexpr auto kEvents = std::to_array<EventDescription>({
+    {Event::kAccessDenied, kWarning, "access.denied",
+     "A caller or operator came without a valid token."},
+    {Event::kAppendUnanswered, kWarning, "append.unanswered",
+     "The platform's log did not answer an append, which may have happened."},
+    {Event::kConfigurationInForce, kInfo, "configuration.in_force",
+     "A new version of the configuration took effect in this process."},
+    {Event::kConfigurationRefused, kWarning, "configuration.refused",
+     "A change of the configuration was refused as a whole."},
+    {Event::kEntryJoined, kInfo, "entry.joined",
+     "Another entry became a member."},
+    {Event::kEntryRemoved, kInfo, "entry.removed",
+     "An entry is no longer a member."},
+    {Event::kEntrySuspected, kWarning, "entry.suspected",
+     "An entry has not been heard of for too long."},
+    {Event::kJobRefused, kWarning, "job.refused",
+     "A job was refused, since it can't run or failed everywhere."},
+    {Event::kLeaseLapsed, kWarning, "lease.lapsed",
+     "The lease of a worker lapsed."},
+    {Event::kLogOutageBegan, kError, "log.outage_began",
+     "The platform's log can't be reached."},
+    {Event::kLogOutageEnded, kInfo, "log.outage_ended",
+     "The platform's log can be reached again."},
+    {Event::kLogTooOld, kError, "log.too_old",
+     "Records that this process has not read are no longer kept."},
+    {Event::kOutcomesGap, kError, "outcomes.gap",
+     "Outcomes of an interval are missing from the record."},
+    {Event::kProcessStarted, kInfo, "process.started", "The process serves."},
+    {Event::kProcessStopped, kInfo, "process.stopped",
+     "The process finished every request in flight and exits."},
+    {Event::kProcessStopping, kInfo, "process.stopping",
+     "The process was asked to stop and takes nothing new."},
+    {Event::kRecordRejected, kWarning, "record.rejected",
+     "A record that this process wrote was rejected at its offset."},
+    {Event::kServerFailed, kError, "server.failed",
+     "An address can't be listened on."},
+    {Event::kSettingsRefused, kError, "settings.refused",
+     "The settings of the process are invalid."},
+    {Event::kSnapshotWritten, kInfo, "snapshot.written",
+     "A complete snapshot is in the platform's log."},
+    {Event::kStreamConnected, kInfo, "stream.connected",
+     "A stream to another process is open."},
+    {Event::kStreamLost, kWarning, "stream.lost",
+     "A stream to another process broke; it is opened again."},
+    {Event::kTaskEnded, kInfo, "task.ended",
+     "The end of a task's attempt is recorded."},
+    {Event::kTaskEvicted, kInfo, "task.evicted",
+     "A task was ordered to give way to another one."},
+    {Event::kTaskStarted, kInfo, "task.started",
+     "A worker was ordered to start a task."},
+    {Event::kWorkerAnnounced, kInfo, "worker.announced",
+     "A worker announced itself."},
+    {Event::kWorkerDraining, kInfo, "worker.draining",
+     "A worker takes no new work."},
+    {Event::kWorkerQuarantined, kWarning, "worker.quarantined",
+     "A worker fails what others run and gets probes only."},
+    {Event::kWorkerReleased, kInfo, "worker.released",
+     "A worker passed its probes and gets work again."},
+});
+
+}  // namespace
+
+std::span<const EventDescription> AllEvents() {
+  return kEvents;
+}
+
+const EventDescription& Describe(Event event) {
+  return kEvents[static_cast<size_t>(event)];
+}
+
+std::string_view ToText(Event event) {
+  return Describe(event).name;
+}
+
+std::string_view ToText(Level level) {
+  constexpr std::array<std::string_view, 4> kNames = {"debug", "info",
+                                                      "warning", "error"};
+  return kNames[static_cast<size_t>(level)];
+}
+
+}  // namespace papayadrift::logging
--- /dev/null
+++ b/src/libs/placement/candidate_index_p.h
@@ -0,0 +1,54 @@
+#ifndef PAPAYADRIFT_PLACEMENT_CANDIDATE_INDEX_P_H_
+#define PAPAYADRIFT_PLACEMENT_CANDIDATE_INDEX_P_H_
+
+#include <array>
+#include <cstdint>
+#include <pcg_random.hpp>
+#include <vector>
+
+#include "base/resources.h"
+
+namespace papayadrift::placement {
+
+// Workers by free processors, so that those with room for a task are drawn
+// without looking at all. Workers with accelerators are kept apart, so that
+// work that needs none leaves them alone as long as others have room.
+class CandidateIndex {
+ public:
+  explicit CandidateIndex(uint64_t seed);
+
+  // Enters or moves a worker. Workers are numbered from 0.
+  void Put(uint32_t worker, int64_t free_millicores, bool has_accelerators);
+  void Remove(uint32_t worker);
+  // Returns up to `count` different workers, drawn at random from those that
+  // have about the needed processors free.
+  std::vector<uint32_t> Draw(const Resources& need, size_t count);
+  // As Draw(), but without regard to what is free.
+  std::vector<uint32_t> DrawAny(bool with_accelerators, size_t count);
+
+ private:
+  static constexpr int64_t kMillicoresPerBucket = 500;
+  static constexpr size_t kBuckets = 129;
+
+  struct Place {
+    bool is_entered = false;
+    bool has_accelerators = false;
+    uint32_t bucket = 0;
+    uint32_t position = 0;
+  };
+  using Group = std::array<std::vector<uint32_t>, kBuckets>;
+
+  static uint32_t BucketOf(int64_t millicores);
+  void DrawFrom(const Group& group,
+                uint32_t lowest,
+                size_t count,
+                std::vector<uint32_t>& drawn);
+
+  pcg64 random_;
+  std::array<Group, 2> groups_;  // Without and with accelerators.
+  std::vector<Place> places_;    // By worker.
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_CANDIDATE_INDEX_P_H_
--- /dev/null
+++ b/src/libs/placement/decision.cpp
@@ -0,0 +1,140 @@
+#include "placement/decision.h"
+
+#include <fmt/format.h>
+
+namespace papayadrift::placement {
+
+namespace {
+
+std::string_view SentenceOf(WaitReason reason) {
+  switch (reason) {
+    case WaitReason::kNotTriedYet:
+      return "It waits for its turn.";
+    case WaitReason::kNoWorkerFits:
+      return "It waits because no examined worker has room for it.";
+    case WaitReason::kServicesNearTarget:
+      return "It waits because there is room only beside services that are "
+             "close to their latency target.";
+    case WaitReason::kTeamOverQuota:
+      return "It waits because its team has used up its quota.";
+    case WaitReason::kClaimRejected:
+      return "It waits because its last claim was rejected.";
+    case WaitReason::kRoomReserved:
+      return "It waits for tasks to end on a worker where the room that they "
+             "leave is kept for it.";
+    case WaitReason::kMakingRoom:
+      return "It waits for other tasks to stop and make room for it.";
+    case WaitReason::kWaitingAfterFailure:
+      return "It waits a while because its last attempt failed.";
+    case WaitReason::kHarmsServices:
+      return "It waits because there is room only where it would slow services "
+             "by more than its work is worth to their customers.";
+    case WaitReason::kDomainsFull:
+      return "It waits because there is room only in racks or availability "
+             "zones that run as many tasks of its job as it allows.";
+    case WaitReason::kKindsApart:
+      return "It waits because there is room only on workers with kinds of "
+             "tasks that it must be apart from.";
+  }
+  return "It waits.";
+}
+
+std::string_view ClauseOf(PlacementReason reason) {
+  switch (reason) {
+    case PlacementReason::kLeastCost:
+      return "it had the least expected cost";
+    case PlacementReason::kTightestFit:
+      return "it left the least room over";
+    case PlacementReason::kUrgent:
+      return "the task is urgent and it had room first";
+    case PlacementReason::kProbe:
+      return "the task probes whether the quarantined worker works again";
+    case PlacementReason::kReserved:
+      return "the room was kept for it while others ended";
+    case PlacementReason::kMoved:
+      return "a service at its last place was above its latency target";
+  }
+  return "it was chosen";
+}
+
+std::string_view ClauseOf(EvictionReason reason) {
+  switch (reason) {
+    case EvictionReason::kServiceAboveTarget:
+      return "a service there was above its latency target";
+    case EvictionReason::kUrgentWork:
+      return "urgent work needed its room";
+    case EvictionReason::kQuotaReclaimed:
+      return "its team had borrowed room that another team is owed";
+    case EvictionReason::kRunnerNeedsRoom:
+      return "a backend server needed its room";
+    case EvictionReason::kJobCancelled:
+      return "its job was cancelled";
+    case EvictionReason::kJobRefused:
+      return "its job was refused";
+  }
+  return "it was told to stop";
+}
+
+std::string_view ClauseOf(GrantReason reason) {
+  switch (reason) {
+    case GrantReason::kUsesLess:
+      return "it uses less";
+    case GrantReason::kUsesMore:
+      return "the old grant held it back";
+    case GrantReason::kServiceAboveTarget:
+      return "a service there is above its latency target";
+    case GrantReason::kServiceRecovered:
+      return "the services there have recovered";
+    case GrantReason::kUrgentWork:
+      return "urgent work needs room";
+  }
+  return "its use changed";
+}
+
+struct Describe {
+  std::string operator()(const NotDecided& /*unused*/) const {
+    return "Nothing is known of it.";
+  }
+  std::string operator()(const Waits& waits) const {
+    return std::string(SentenceOf(waits.reason));
+  }
+  std::string operator()(const Placed& placed) const {
+    return fmt::format(
+        "It was placed on worker {} with {} because {} of {} examined; the "
+        "highest expected p99 there is {:.2f} of its target.",
+        placed.worker.text(), papayadrift::ToText(placed.grant),
+        ClauseOf(placed.reason), placed.examined, placed.pressure);
+  }
+  std::string operator()(const Regranted& regranted) const {
+    return fmt::format("Its grant on worker {} was changed to {} because {}.",
+                       regranted.worker.text(),
+                       papayadrift::ToText(regranted.grant),
+                       ClauseOf(regranted.reason));
+  }
+  std::string operator()(const Evicted& evicted) const {
+    constexpr double kMicrosecondsPerSecond = 1e6;
+    const std::string place =
+        evicted.moves_to.is_empty()
+            ? ""
+            : fmt::format(" Room is kept for it on worker {}.",
+                          evicted.moves_to.text());
+    return fmt::format(
+        "It was stopped on worker {} because {}; {:.0f} s of its work are "
+        "done again.{}",
+        evicted.worker.text(), ClauseOf(evicted.reason),
+        static_cast<double>(evicted.lost.count()) / kMicrosecondsPerSecond,
+        place);
+  }
+  std::string operator()(const Refused& refused) const {
+    return fmt::format("Its job was refused: {}.",
+                       papayadrift::ToText(refused.reason));
+  }
+};
+
+}  // namespace
+
+std::string ToText(const Decision& decision) {
+  return std::visit(Describe(), decision);
+}
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/src/libs/placement/event_handler.cpp
@@ -0,0 +1,389 @@
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+#include "placement/event_handler_p.h"
+#include "placement/knowledge_p.h"
+
+namespace papayadrift::placement {
+
+namespace {
+
+// A runner that says nothing for this long has no load to speak of.
+constexpr microseconds kFirstReportWithin = seconds(60);
+
+}  // namespace
+
+EventHandler::EventHandler(Core& core)
+    : core_(core),
+      rooms_(core),
+      room_maker_(core, rooms_),
+      reservations_(core, rooms_),
+      placer_(core, room_maker_, reservations_),
+      quarantines_(core),
+      remedies_(core, rooms_),
+      regrants_(core) {}
+
+void EventHandler::Handle(const Event& event) {
+  const Effect effect =
+      std::visit([this](const auto& held) { return Take(held); }, event);
+  if (effect == Effect::kPass) {
+    quarantines_.SendProbes();
+    rooms_.ClaimReady();
+    placer_.Pass();
+  }
+}
+
+EventHandler::Effect EventHandler::Take(const Tick& /*event*/) {
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const PolicyChanged& event) {
+  core_.policy.Set(event.policy);
+  core_.teams.SetPolicy(event.policy.teams);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const WorkerUp& event) {
+  const WorkerState* known = core_.fleet.Find(event.worker);
+  const bool is_old =
+      known != nullptr && (event.incarnation < known->incarnation ||
+                           (event.incarnation == known->incarnation &&
+                            known->phase == WorkerPhase::kFreed));
+  const bool is_sound = IsNonNegative(event.capacity) &&
+                        std::ranges::all_of(event.runners, [](const auto& it) {
+                          return IsNonNegative(it.reserved);
+                        });
+  if (is_old || !is_sound) {
+    return Effect::kNone;
+  }
+  // Its tasks count in the rack that it is in from now on.
+  if (known != nullptr) {
+    std::ranges::for_each(known->tasks, [](const TaskState* task) {
+      SeparationRules::Discount(*task);
+    });
+  }
+  const bool is_new_life =
+      known != nullptr && known->incarnation < event.incarnation;
+  WorkerState& worker = core_.fleet.Announce(event);
+  std::ranges::for_each(worker.tasks, [](const TaskState* task) {
+    SeparationRules::Count(*task);
+  });
+  core_.teams.SetTotal(core_.fleet.total());
+  if (is_new_life) {
+    quarantines_.KeepFor(worker);
+  }
+  for (RunnerState& runner : worker.runners) {
+    if (runner.first_report_by == Instant()) {
+      runner.first_report_by = core_.now + kFirstReportWithin;
+    }
+  }
+  core_.NoteLoads(worker);
+  MakeRoomForRunners(worker);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const WorkerAssigned& event) {
+  WorkerState* worker = core_.fleet.Find(event.worker);
+  if (worker == nullptr) {
+    return Effect::kNone;
+  }
+  core_.fleet.SetAssigned(*worker, event.is_assigned);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const WorkerDraining& event) {
+  WorkerState* worker = core_.fleet.Find(event.worker);
+  if (worker != nullptr && worker->incarnation == event.incarnation &&
+      worker->phase == WorkerPhase::kUp) {
+    core_.fleet.SetPhase(*worker, WorkerPhase::kDraining);
+    core_.teams.SetTotal(core_.fleet.total());
+  }
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const WorkerLapsed& event) {
+  WorkerState* worker = core_.fleet.Find(event.worker);
+  if (worker != nullptr && worker->incarnation == event.incarnation &&
+      worker->phase != WorkerPhase::kFreed) {
+    core_.fleet.SetPhase(*worker, WorkerPhase::kLapsed);
+    core_.teams.SetTotal(core_.fleet.total());
+  }
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const WorkerFreed& event) {
+  WorkerState* worker = core_.fleet.Find(event.worker);
+  if (worker == nullptr) {
+    return Effect::kNone;
+  }
+  if (worker->incarnation <= event.incarnation) {
+    core_.fleet.SetPhase(*worker, WorkerPhase::kFreed);
+    core_.teams.SetTotal(core_.fleet.total());
+  }
+  std::vector<TaskState*> ended;
+  std::ranges::copy_if(worker->tasks, std::back_inserter(ended),
+                       [&](const TaskState* task) {
+                         return task->incarnation <= event.incarnation;
+                       });
+  for (TaskState* task : ended) {
+    if (task->job->is_closed) {
+      core_.FinishTask(*task);
+    } else {
+      core_.EndAttempt(*task);
+    }
+  }
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const WorkerQuarantined& event) {
+  WorkerState* worker = core_.fleet.Find(event.worker);
+  if (worker == nullptr || worker->incarnation != event.incarnation) {
+    return Effect::kNone;
+  }
+  quarantines_.TakeRecord(*worker, event.is_quarantined);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const JobSubmitted& event) {
+  if (event.tasks == 0 || !IsNonNegative(event.declared)) {
+    return Effect::kNone;
+  }
+  JobState* job = core_.jobs.Add(event.job);
+  if (job == nullptr) {
+    return Effect::kNone;
+  }
+  job->customer = event.customer;
+  job->team = core_.teams.NumberOf(event.team);
+  job->shape = {core_.NumberOf(event.kind), event.declared, event.declared_run};
+  job->priority = event.priority;
+  job->is_urgent = event.is_urgent;
+  job->is_checkpointable = event.is_checkpointable;
+  job->deadline = event.deadline;
+  job->separation = event.separation;
+  std::ranges::transform(
+      event.separation.apart_from, std::back_inserter(job->apart_from),
+      [this](const KindId& it) { return core_.NumberOf(it); });
+  core_.separations.Enter(*job);
+  job->submitted_at = core_.now;
+  job->begun.assign(event.tasks, false);
+  job->unfinished = event.tasks;
+  job->waits = {WaitReason::kNotTriedYet, core_.now};
+  for (const uint32_t index : event.ended) {
+    if (index < event.tasks && !job->begun[index] && job->unfinished > 1) {
+      core_.FinishTask(core_.jobs.Begin(*job, index));
+    }
+  }
+  core_.Requeue(*job);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const JobCancelled& event) {
+  JobState* job = core_.jobs.Find(event.job);
+  if (job == nullptr) {
+    core_.jobs.NoteEnded(event.job);
+    return Effect::kNone;
+  }
+  core_.CloseJob(*job, Refused{RefusalReason::kJobCancelled},
+                 EvictionReason::kJobCancelled);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const JobRefused& event) {
+  JobState* job = core_.jobs.Find(event.job);
+  if (job == nullptr) {
+    core_.jobs.NoteEnded(event.job);
+    return Effect::kNone;
+  }
+  core_.CloseJob(*job, Refused{event.reason}, EvictionReason::kJobRefused);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const ClaimAccepted& event) {
+  JobState* job = core_.jobs.Find(event.task.job);
+  WorkerState* worker = core_.fleet.Find(event.worker);
+  if (job == nullptr || worker == nullptr ||
+      event.task.index >= job->begun.size() || !IsNonNegative(event.grant)) {
+    return Effect::kNone;
+  }
+  TaskState* known = core_.jobs.Find(event.task);
+  const bool was_finished = known == nullptr && job->begun[event.task.index];
+  if (was_finished || event.incarnation < worker->incarnation ||
+      worker->phase == WorkerPhase::kFreed) {
+    return Effect::kNone;
+  }
+  TaskState& task = core_.jobs.Begin(*job, event.task.index);
+  const bool is_own = task.is_in_flight && task.attempt == event.attempt &&
+                      task.worker == worker;
+  if (is_own) {
+    core_.Land(task);
+    if (task.phase == TaskPhase::kClaiming) {
+      task.phase = TaskPhase::kClaimed;
+    }
+    return Effect::kNone;
+  }
+  if (event.attempt < task.attempt ||
+      (event.attempt == task.attempt && !task.is_in_flight)) {
+    return Effect::kNone;
+  }
+  core_.Adopt(task, *worker, event.attempt, event.grant);
+  if (job->is_closed) {
+    core_.Evict(task, EvictionReason::kJobCancelled);
+  }
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const ClaimRejected& event) {
+  TaskState* task = FindLive(event.task, event.attempt);
+  if (task == nullptr || !task->is_in_flight) {
+    return Effect::kNone;
+  }
+  ++core_.counters.claims_rejected;
+  JobState& job = *task->job;
+  if (event.reason == ClaimRejection::kWorkerGone ||
+      event.reason == ClaimRejection::kNoCapacity) {
+    task->worker->claim_again_at = core_.now + core_.settings.rejected_pause;
+  }
+  if (job.is_closed || event.reason == ClaimRejection::kTaskEnded) {
+    core_.FinishTask(*task);
+    return Effect::kPass;
+  }
+  task->attempt = Attempt(task->attempt.value() - 1);
+  core_.EndAttempt(*task);
+  job.waits = {WaitReason::kClaimRejected, core_.now};
+  job.try_at = core_.now + core_.settings.rejected_pause;
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const TaskStarted& event) {
+  TaskState* task = FindLive(event.task, event.attempt);
+  if (task != nullptr && (task->phase == TaskPhase::kClaimed ||
+                          task->phase == TaskPhase::kClaiming)) {
+    core_.Land(*task);
+    task->phase = TaskPhase::kRunning;
+    task->started_at = core_.now;
+  }
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const TaskEnded& event) {
+  TaskState* task = FindLive(event.task, event.attempt);
+  if (task == nullptr) {
+    return Effect::kNone;
+  }
+  core_.Land(*task);
+  const bool has_failed = event.ending == records::TaskEnding::kFailed;
+  if (has_failed || event.ending == records::TaskEnding::kFinished) {
+    quarantines_.TakeEnd(*task, has_failed);
+  }
+  if (event.ending == records::TaskEnding::kFinished || task->job->is_closed) {
+    EndForGood(*task, event);
+    return Effect::kPass;
+  }
+  if (event.ending == records::TaskEnding::kCheckpointed) {
+    task->checkpoint = event.checkpoint;
+    task->checkpoint_permille = task->progress_permille;
+  }
+  task->progress_permille = task->checkpoint_permille;
+  core_.EndAttempt(*task);
+  if (has_failed) {
+    quarantines_.RefuseIfHopeless(*task);
+  }
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const GrantConfirmed& event) {
+  TaskState* task = FindLive(event.task, event.attempt);
+  if (task == nullptr || task->wanted == task->grant ||
+      task->wanted != event.grant) {
+    return Effect::kNone;
+  }
+  core_.SettleGrant(*task, true);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const GrantRecorded& event) {
+  TaskState* task = FindLive(event.task, event.attempt);
+  if (task == nullptr || task->grant == event.grant ||
+      !IsNonNegative(event.grant)) {
+    return Effect::kNone;
+  }
+  core_.TakeGrant(*task, event.grant);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const GrantRefused& event) {
+  TaskState* task = FindLive(event.task, event.attempt);
+  if (task == nullptr || task->wanted == task->grant ||
+      task->wanted != event.grant) {
+    return Effect::kNone;
+  }
+  core_.SettleGrant(*task, false);
+  return Effect::kPass;
+}
+
+EventHandler::Effect EventHandler::Take(const UsageReported& event) {
+  regrants_.TakeReport(event);
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const LatencyReported& event) {
+  remedies_.TakeReport(event);
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const KnowledgeNoted& event) {
+  TakeUp(core_, event);
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const RegionCutOff& /*event*/) {
+  core_.is_cut_off = true;
+  return Effect::kNone;
+}
+
+EventHandler::Effect EventHandler::Take(const RegionRejoined& /*event*/) {
+  core_.is_cut_off = false;
+  return Effect::kPass;
+}
+
+TaskState* EventHandler::FindLive(const TaskId& id, Attempt attempt) {
+  TaskState* task = core_.jobs.Find(id);
+  const bool is_last =
+      task != nullptr && IsLive(*task) && task->attempt == attempt;
+  return is_last ? task : nullptr;
+}
+
+void EventHandler::MakeRoomForRunners(WorkerState& worker) {
+  std::vector<TaskState*> victims = worker.tasks;
+  std::ranges::sort(victims, {}, [this](const TaskState* task) {
+    return core_.LostWork(*task);
+  });
+  Resources left = worker.capacity - worker.reserved;
+  for (const TaskState* task : worker.tasks) {
+    if (task->phase != TaskPhase::kStopping) {
+      left = left - task->committed;
+    }
+  }
+  for (TaskState* task : victims) {
+    if (IsNonNegative(left)) {
+      return;
+    }
+    if (task->phase != TaskPhase::kStopping) {
+      left = left + task->committed;
+      core_.Evict(*task, EvictionReason::kRunnerNeedsRoom);
+    }
+  }
+}
+
+void EventHandler::EndForGood(TaskState& task, const TaskEnded& event) {
+  const bool is_whole = task.has_full_grant && task.checkpoint.is_empty();
+  if (event.ending == records::TaskEnding::kFinished && is_whole) {
+    core_.usage.ObserveRun(task.job->shape, core_.now - task.started_at);
+  }
+  // The next task of the job fits where this one was.
+  task.job->try_at = std::min(task.job->try_at, core_.now);
+  core_.FinishTask(task);
+}
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/src/libs/placement/knowledge_p.h
@@ -0,0 +1,17 @@
+#ifndef PAPAYADRIFT_PLACEMENT_KNOWLEDGE_P_H_
+#define PAPAYADRIFT_PLACEMENT_KNOWLEDGE_P_H_
+
+#include "placement/core_p.h"
+#include "records/record.h"
+
+namespace papayadrift::placement {
+
+// Brings what was noted to the models, which keep what they know better.
+void TakeUp(Core& core, const records::KnowledgeNoted& note);
+
+// Returns what the models know, to be noted.
+records::KnowledgeNoted KnowledgeOf(const Core& core);
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_KNOWLEDGE_P_H_
--- /dev/null
+++ b/src/libs/placement/learned_interference.cpp
@@ -0,0 +1,162 @@
+#include "placement/learned_interference.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace papayadrift::placement {
+
+namespace {
+
+// Coefficients of a service: a constant, its own load, its load squared; then
+// for each kind one that counts at any load and one for the load squared. Loud
+// kinds run mostly beside little load: a straight line through what is seen of
+// them there says too little of full load.
+constexpr uint32_t kOwnCoefficients = 3;
+constexpr uint32_t kCoefficientsPerKind = 2;
+// Kinds beyond this many share the last one's coefficients.
+constexpr uint32_t kMaximumKinds = 64;
+constexpr CoefficientPrior kConstantPrior = {0.5, 0.3};
+constexpr CoefficientPrior kLoadPrior = {0.1, 0.3};
+constexpr CoefficientPrior kKindPrior = {0.05, 0.15};
+constexpr CoefficientPrior kKindTimesLoadSquaredPrior = {0.4, 0.8};
+// A measured p99 is off by about this part of itself.
+constexpr double kRelativeNoise = 0.08;
+constexpr double kMaximumPressure = 20.0;
+// A coefficient whose deviation is still above this part of the prior's was
+// not learned.
+constexpr double kLearnedDeviation = 0.8;
+
+uint32_t Slot(KindNumber kind) {
+  return std::min(static_cast<uint32_t>(kind), kMaximumKinds - 1);
+}
+
+Features FeaturesOf(double load, std::span<const KindLoad> neighbours) {
+  Features features;
+  features.reserve(kOwnCoefficients + kCoefficientsPerKind * neighbours.size());
+  features = {{0, 1.0}, {1, load}, {2, load * load}};
+  for (const KindLoad& it : neighbours) {
+    const uint32_t first =
+        kOwnCoefficients + kCoefficientsPerKind * Slot(it.kind);
+    features.push_back({first, it.share});
+    features.push_back({first + 1, it.share * load * load});
+  }
+  std::ranges::sort(features, {}, &Feature::coefficient);
+  return features;
+}
+
+const CoefficientPrior& PriorOf(uint32_t coefficient) {
+  if (coefficient == 0) {
+    return kConstantPrior;
+  }
+  if (coefficient < kOwnCoefficients) {
+    return kLoadPrior;
+  }
+  const bool grows =
+      (coefficient - kOwnCoefficients) % kCoefficientsPerKind == 1;
+  return grows ? kKindTimesLoadSquaredPrior : kKindPrior;
+}
+
+void GrowFor(LinearBelief& belief, uint32_t highest) {
+  while (belief.size() <= highest) {
+    belief.Grow(PriorOf(belief.size()));
+  }
+}
+
+// Returns nothing for a coefficient that there is not, or that several kinds
+// share.
+std::optional<uint32_t> NumberOf(const LearnedCoefficient& it) {
+  if (!it.neighbour) {
+    return it.power < kOwnCoefficients ? std::optional(it.power) : std::nullopt;
+  }
+  const uint32_t slot = Slot(*it.neighbour);
+  if (it.power >= kCoefficientsPerKind || slot + 1 == kMaximumKinds) {
+    return std::nullopt;
+  }
+  return kOwnCoefficients + kCoefficientsPerKind * slot + it.power;
+}
+
+LearnedCoefficient CoefficientOf(const LinearBelief& belief, uint32_t number) {
+  LearnedCoefficient learned;
+  learned.mean = belief.Mean({{number, 1}});
+  learned.deviation = std::sqrt(belief.Variance({{number, 1}}));
+  learned.power = number;
+  if (number >= kOwnCoefficients) {
+    const uint32_t place = number - kOwnCoefficients;
+    learned.neighbour = KindNumber{place / kCoefficientsPerKind};
+    learned.power = place % kCoefficientsPerKind;
+  }
+  return learned;
+}
+
+}  // namespace
+
+void LearnedInterference::Introduce(KindNumber /*number*/,
+                                    const KindId& /*kind*/) {}
+
+void LearnedInterference::Observe(const ServiceId& service,
+                                  double load,
+                                  std::span<const KindLoad> neighbours,
+                                  double pressure) {
+  if (!std::isfinite(pressure) || pressure <= 0 ||
+      pressure > kMaximumPressure) {
+    return;
+  }
+  const Features features = FeaturesOf(load, neighbours);
+  LinearBelief& belief = beliefs_[service];
+  GrowFor(belief, features.back().coefficient);
+  belief.Observe(features, pressure, kRelativeNoise * pressure);
+}
+
+Pressure LearnedInterference::Expect(
+    const ServiceId& service,
+    double load,
+    std::span<const KindLoad> neighbours) const {
+  Features features = FeaturesOf(load, neighbours);
+  const auto it = beliefs_.find(service);
+  const uint32_t size = it == beliefs_.end() ? 0 : it->second.size();
+  const auto unknown =
+      std::ranges::lower_bound(features, size, {}, &Feature::coefficient);
+  double mean = 0;
+  double variance = 0;
+  for (auto f = unknown; f != features.end(); ++f) {
+    const CoefficientPrior& prior = PriorOf(f->coefficient);
+    mean += prior.mean * f->amount;
+    variance += std::pow(prior.deviation * f->amount, 2);
+  }
+  features.erase(unknown, features.end());
+  if (size > 0) {
+    mean += it->second.Mean(features);
+    variance += it->second.Variance(features);
+  }
+  return {std::max(0.0, mean), std::sqrt(variance)};
+}
+
+void LearnedInterference::TakeUp(const LearnedService& noted) {
+  LinearBelief& belief = beliefs_[noted.service];
+  for (const LearnedCoefficient& it : noted.coefficients) {
+    if (const auto number = NumberOf(it)) {
+      GrowFor(belief, *number);
+      belief.TakeUp(*number, it.mean, it.deviation);
+    }
+  }
+}
+
+std::vector<LearnedService> LearnedInterference::Learned() const {
+  std::vector<LearnedService> services;
+  for (const auto& [id, belief] : beliefs_) {
+    LearnedService service = {id, {}};
+    for (uint32_t i = 0; i < belief.size(); ++i) {
+      const LearnedCoefficient learned = CoefficientOf(belief, i);
+      const bool is_learned =
+          learned.deviation < kLearnedDeviation * belief.prior(i).deviation;
+      if (is_learned && NumberOf(learned)) {
+        service.coefficients.push_back(learned);
+      }
+    }
+    services.push_back(std::move(service));
+  }
+  return services;
+}
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/src/libs/placement/learned_interference.h
@@ -0,0 +1,33 @@
+#ifndef PAPAYADRIFT_PLACEMENT_LEARNED_INTERFERENCE_H_
+#define PAPAYADRIFT_PLACEMENT_LEARNED_INTERFERENCE_H_
+
+#include <map>
+
+#include "placement/interference_model.h"
+#include "placement/linear_belief.h"
+
+namespace papayadrift::placement {
+
+// Learns, for each service, how its pressure grows with its own load and with
+// each kind beside it. All neighbours of one measurement are weighed together,
+// so that what is already known of some of them is not blamed on the others.
+class LearnedInterference : public InterferenceModel {
+ public:
+  void Introduce(KindNumber number, const KindId& kind) override;
+  void Observe(const ServiceId& service,
+               double load,
+               std::span<const KindLoad> neighbours,
+               double pressure) override;
+  Pressure Expect(const ServiceId& service,
+                  double load,
+                  std::span<const KindLoad> neighbours) const override;
+  void TakeUp(const LearnedService& noted) override;
+  std::vector<LearnedService> Learned() const override;
+
+ private:
+  std::map<ServiceId, LinearBelief> beliefs_;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_LEARNED_INTERFERENCE_H_
--- /dev/null
+++ b/src/libs/placement/learned_usage.h
@@ -0,0 +1,61 @@
+#ifndef PAPAYADRIFT_PLACEMENT_LEARNED_USAGE_H_
+#define PAPAYADRIFT_PLACEMENT_LEARNED_USAGE_H_
+
+#include <unordered_map>
+
+#include "placement/usage_model.h"
+
+namespace papayadrift::placement {
+
+// Mean and spread of a quantity, with forgetting.
+class Spread {
+ public:
+  void Add(double value);
+  // Replaces what is known by a note of it, in whose amounts `unit` is 1,
+  // unless the note stands for less. Returns whether it did.
+  bool TakeUp(const records::LearnedQuantity& noted, double unit);
+  records::LearnedQuantity Noted(double unit) const;
+
+  double mean() const { return mean_; }
+  double count() const { return count_; }
+  double highest() const { return highest_; }
+  double Deviation() const;
+
+ private:
+  double count_ = 0;
+  double mean_ = 0;
+  double variance_ = 0;
+  double highest_ = 0;  // Sinks slowly.
+};
+
+// Corrects declared sizes by what reports show, with a margin that shrinks
+// with the number of reports. Reports of more than the enforced grant are
+// wrong and ignored; reports at the grant only bound the use from below.
+class LearnedUsage : public UsageModel {
+ public:
+  void Introduce(KindNumber number, const KindId& kind) override;
+  void Observe(const UsageSample& sample) override;
+  void ObserveRun(const TaskShape& shape, microseconds run) override;
+  void ObserveFailure(const TaskShape& shape, const Resources& grant) override;
+  Resources GrantFor(const TaskShape& shape) const override;
+  double ExpectedMillicores(const TaskShape& shape) const override;
+  microseconds ExpectedRun(const TaskShape& shape) const override;
+  void TakeUp(KindNumber number, const records::KindKnowledge& noted) override;
+  std::optional<records::KindKnowledge> Learned(
+      KindNumber number) const override;
+
+ private:
+  struct Belief {
+    Spread millicores;
+    Spread memory;
+    double saturated = 0;     // Part of the latest reports at the grant.
+    Spread run_ratio;         // Of the logarithm of run over declared run.
+    double least_memory = 0;  // MiB; set by failures.
+  };
+
+  std::unordered_map<KindNumber, Belief> beliefs_;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_LEARNED_USAGE_H_
--- /dev/null
+++ b/src/libs/placement/linear_belief.cpp
@@ -0,0 +1,129 @@
+#include "placement/linear_belief.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <numeric>
+
+namespace papayadrift::placement {
+
+namespace {
+
+// Part of the prior variance that a measured coefficient gets back each time.
+constexpr double kForgetting = 0.0005;
+// Measurements further off than this many deviations are cut to it.
+constexpr double kMaximumSurprise = 3.0;
+// An estimate from elsewhere counts for this part of its evidence, so that what
+// is handed on and never confirmed fades; and it is never taken to be surer
+// than this part of the prior, nor further from it than so many deviations.
+constexpr double kKeptEvidence = 0.5;
+constexpr double kLeastDeviation = 0.1;
+constexpr double kMostDeviations = 5.0;
+
+size_t RowStart(uint32_t row) {
+  return static_cast<size_t>(row) * (row + 1) / 2;
+}
+
+}  // namespace
+
+void LinearBelief::Grow(const CoefficientPrior& prior) {
+  const uint32_t row = size();
+  priors_.push_back(prior);
+  mean_.push_back(prior.mean);
+  covariance_.resize(covariance_.size() + row + 1, 0.0);
+  At(row, row) = prior.deviation * prior.deviation;
+}
+
+void LinearBelief::Observe(const Features& features,
+                           double value,
+                           double noise) {
+  Forget(features);
+  const std::vector<double> column = TimesCovariance(features);
+  double variance = noise * noise;
+  for (const Feature& it : features) {
+    variance += it.amount * column[it.coefficient];
+  }
+  const double limit = kMaximumSurprise * std::sqrt(variance);
+  const double surprise = std::clamp(value - Mean(features), -limit, limit);
+  for (uint32_t i = 0; i < size(); ++i) {
+    mean_[i] += column[i] / variance * surprise;
+    for (uint32_t j = 0; j <= i; ++j) {
+      At(i, j) -= column[i] * column[j] / variance;
+    }
+  }
+}
+
+void LinearBelief::TakeUp(uint32_t coefficient, double mean, double deviation) {
+  const CoefficientPrior& prior = priors_[coefficient];
+  if (!std::isfinite(mean) || !(deviation > 0)) {
+    return;
+  }
+  const double sure = std::max(deviation, kLeastDeviation * prior.deviation);
+  const double variance = sure * sure / kKeptEvidence;
+  if (variance >= At(coefficient, coefficient)) {
+    return;
+  }
+  for (uint32_t i = 0; i < size(); ++i) {
+    At(i, coefficient) = 0;
+  }
+  At(coefficient, coefficient) = variance;
+  const double most = kMostDeviations * prior.deviation;
+  mean_[coefficient] = std::clamp(mean, prior.mean - most, prior.mean + most);
+}
+
+double LinearBelief::Mean(const Features& features) const {
+  return std::accumulate(features.begin(), features.end(), 0.0,
+                         [this](double sum, const Feature& it) {
+                           return sum + mean_[it.coefficient] * it.amount;
+                         });
+}
+
+double LinearBelief::Variance(const Features& features) const {
+  assert(std::ranges::is_sorted(features, {}, &Feature::coefficient));
+  // The covariance is symmetric: each pair is looked up once.
+  double own = 0;
+  double pairs = 0;
+  for (auto row = features.begin(); row != features.end(); ++row) {
+    const double* const covariances = &covariance_[RowStart(row->coefficient)];
+    double sum = 0;
+    for (auto column = features.begin(); column != row; ++column) {
+      sum += column->amount * covariances[column->coefficient];
+    }
+    pairs += row->amount * sum;
+    own += row->amount * row->amount * covariances[row->coefficient];
+  }
+  return std::max(0.0, own + 2 * pairs);
+}
+
+double& LinearBelief::At(uint32_t row, uint32_t column) {
+  const auto [low, high] = std::minmax(row, column);
+  return covariance_[RowStart(high) + low];
+}
+
+double LinearBelief::At(uint32_t row, uint32_t column) const {
+  const auto [low, high] = std::minmax(row, column);
+  return covariance_[RowStart(high) + low];
+}
+
+std::vector<double> LinearBelief::TimesCovariance(
+    const Features& features) const {
+  std::vector<double> product(size(), 0.0);
+  for (const Feature& it : features) {
+    for (uint32_t i = 0; i < size(); ++i) {
+      product[i] += At(i, it.coefficient) * it.amount;
+    }
+  }
+  return product;
+}
+
+void LinearBelief::Forget(const Features& features) {
+  for (const Feature& it : features) {
+    const CoefficientPrior& prior = priors_[it.coefficient];
+    const double whole = prior.deviation * prior.deviation;
+    double& variance = At(it.coefficient, it.coefficient);
+    variance =
+        std::max(variance, std::min(whole, variance + kForgetting * whole));
+  }
+}
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/src/libs/placement/placer_p.h
@@ -0,0 +1,46 @@
+#ifndef PAPAYADRIFT_PLACEMENT_PLACER_P_H_
+#define PAPAYADRIFT_PLACEMENT_PLACER_P_H_
+
+#include <optional>
+
+#include "placement/core_p.h"
+#include "placement/reservations_p.h"
+#include "placement/room_maker_p.h"
+#include "placement/worker_chooser_p.h"
+
+namespace papayadrift::placement {
+
+// Goes through the queues and claims, in bounded steps.
+class Placer {
+ public:
+  Placer(Core& core, RoomMaker& rooms, Reservations& reservations);
+
+  // One bounded pass over all queues.
+  void Pass();
+
+ private:
+  // Result of a try to place one task of a job.
+  enum class Outcome { kPlaced, kNotPlaced, kRefused };
+
+  void PassUrgent();
+  void PassTeams();
+  void PassTeam(uint32_t team, size_t& failed);
+  JobState* NextJob(uint32_t team);
+  Outcome TryPlace(JobState& job);
+  void NoteFailure(JobState& job) const;
+  PlacementReason ReasonFor(const JobState& job) const;
+  Outcome Postpone(JobState& job, WaitReason reason);
+  bool RefuseIfTooLarge(JobState& job, Resources& grant);
+  std::optional<WaitReason> WhyNotNow(const JobState& job,
+                                      const Resources& grant) const;
+
+  Core& core_;
+  RoomMaker& rooms_;
+  Reservations& reservations_;
+  WorkerChooser chooser_;
+  size_t claims_left_ = 0;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_PLACER_P_H_
--- /dev/null
+++ b/src/libs/placement/remedies.cpp
@@ -0,0 +1,233 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+
+#include "placement/remedies_p.h"
+#include "placement/scorer_p.h"
+
+namespace papayadrift::placement {
+
+namespace {
+
+constexpr double kThrottledPart = 0.5;
+constexpr int64_t kLeastMillicores = 100;
+// Remedies start at this part over the limit for placements, and end below
+// the other: the gap keeps them from alternating.
+constexpr double kStartsAt = 1.15;
+constexpr double kEndsAt = 0.85;
+// A kind that adds less than this to the pressure is no culprit.
+constexpr double kLeastHarm = 0.03;
+// A task of a kind that does less than this part of the worst one's harm is
+// not moved in its stead.
+constexpr double kWorthMoving = 0.5;
+constexpr size_t kJobsTried = 4;
+constexpr double kSecondsPerHour = 3600;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+double SecondsBetween(Instant from, Instant until) {
+  return static_cast<double>((until - from).count()) / kMicrosecondsPerSecond;
+}
+
+}  // namespace
+
+Remedies::Remedies(Core& core, Rooms& rooms)
+    : core_(core), rooms_(rooms), chooser_(core) {}
+
+void Remedies::TakeReport(const LatencyReported& report) {
+  WorkerState* worker = core_.fleet.Find(report.worker);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto runner =
+      std::ranges::find(worker->runners, report.service, &RunnerState::service);
+  if (runner == worker->runners.end()) {
+    return;
+  }
+  Learn(*worker, *runner, report);
+  if (!core_.settings.has_remedies || runner->measured <= 0 ||
+      report.measured_until != runner->measured_at) {
+    return;
+  }
+  CountReport(*runner);
+  if (runner->reports_above >= core_.settings.reports_before_remedy) {
+    Help(*worker, *runner);
+  } else if (runner->reports_below >= core_.settings.reports_before_recovery) {
+    Recover(*worker, *runner);
+  }
+}
+
+void Remedies::Learn(WorkerState& worker,
+                     RunnerState& runner,
+                     const LatencyReported& report) {
+  const double target = core_.policy.of(report.service).p99_target_microseconds;
+  const double span =
+      SecondsBetween(report.measured_from, report.measured_until);
+  if (target <= 0 || span <= 0 || report.requests < 0 ||
+      report.measured_until > core_.now) {
+    return;
+  }
+  const double rate = static_cast<double>(report.requests) / span;
+  const double load = core_.policy.NoteRate(report.service, rate);
+  const double pressure = static_cast<double>(report.p99.count()) / target;
+  const auto loads =
+      worker.history.Between(report.measured_from, report.measured_until);
+  if (loads && report.requests > 0) {
+    core_.interference.Observe(report.service, load, *loads, pressure);
+  }
+  if (report.measured_until > runner.measured_at) {
+    runner.measured_at = report.measured_until;
+    runner.measured = report.requests > 0 ? pressure : 0;
+    runner.load = load;
+  }
+}
+
+void Remedies::CountReport(RunnerState& runner) const {
+  const double limit = Scorer::Limit(core_.policy.of(runner.service));
+  const bool is_above = runner.measured > kStartsAt * limit;
+  const bool is_below = runner.measured < kEndsAt * limit;
+  runner.reports_above = is_above ? runner.reports_above + 1 : 0;
+  runner.reports_below = is_below ? runner.reports_below + 1 : 0;
+}
+
+void Remedies::Help(WorkerState& worker, RunnerState& runner) {
+  if (core_.now < runner.next_remedy_at) {
+    return;
+  }
+  const auto culprits = Culprits(worker, runner);
+  if (culprits.empty()) {
+    return;
+  }
+  if (Throttle(culprits) || StopOne(culprits)) {
+    runner.next_remedy_at = core_.now + core_.settings.remedy_pause;
+  }
+}
+
+void Remedies::Recover(WorkerState& worker, RunnerState& runner) {
+  const auto it = std::ranges::find_if(worker.tasks, [](auto* task) {
+    return task->is_throttled && task->phase == TaskPhase::kRunning &&
+           task->wanted == task->grant;
+  });
+  if (it == worker.tasks.end() || core_.now < runner.next_remedy_at) {
+    return;
+  }
+  TaskState& task = **it;
+  const Resources full = core_.GrantFor(*task.job);
+  Resources raised = task.grant;
+  raised.millicores = std::min(
+      full.millicores, task.grant.millicores + worker.Free().millicores);
+  task.is_throttled = false;
+  if (raised.millicores > task.grant.millicores) {
+    core_.Regrant(task, raised, GrantReason::kServiceRecovered);
+  }
+  runner.next_remedy_at = core_.now + core_.settings.remedy_pause;
+}
+
+std::vector<Remedies::Culprit> Remedies::Culprits(
+    const WorkerState& worker,
+    const RunnerState& runner) const {
+  const KindLoads loads = worker.history.current();
+  const double all = core_.Expect(runner, loads).mean;
+  std::map<KindNumber, double> harm;
+  for (size_t i = 0; i < loads.size(); ++i) {
+    KindLoads others = loads;
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
+    harm[loads[i].kind] = all - core_.Expect(runner, others).mean;
+  }
+  // A model that knows nothing of interference blames all alike.
+  const bool is_blind = all <= 0;
+  std::vector<Culprit> culprits;
+  for (TaskState* task : worker.tasks) {
+    const double of_kind = harm[task->job->shape.kind];
+    if (task->phase == TaskPhase::kRunning && !task->job->is_urgent &&
+        (is_blind || of_kind > kLeastHarm)) {
+      culprits.push_back({task, of_kind});
+    }
+  }
+  std::ranges::stable_sort(culprits, {}, [this](const Culprit& it) {
+    return std::tuple(-it.harm, core_.LostWork(*it.task));
+  });
+  return culprits;
+}
+
+bool Remedies::Throttle(const std::vector<Culprit>& culprits) {
+  const KindNumber worst = culprits.front().task->job->shape.kind;
+  bool has_throttled = false;
+  for (const Culprit& culprit : culprits) {
+    TaskState* task = culprit.task;
+    if (task->job->shape.kind != worst || task->is_throttled ||
+        task->wanted != task->grant ||
+        task->grant.millicores < 2 * kLeastMillicores) {
+      continue;
+    }
+    Resources lower = task->grant;
+    lower.millicores = static_cast<int64_t>(
+        kThrottledPart * std::min(static_cast<double>(lower.millicores),
+                                  core_.BusyMillicores(*task)));
+    lower.millicores = std::max(lower.millicores, kLeastMillicores);
+    task->is_throttled = true;
+    task->has_full_grant = false;
+    ++core_.counters.throttles;
+    core_.Regrant(*task, lower, GrantReason::kServiceAboveTarget);
+    has_throttled = true;
+  }
+  return has_throttled;
+}
+
+bool Remedies::StopOne(const std::vector<Culprit>& culprits) {
+  if (!TakeFromBudget()) {
+    return false;
+  }
+  if (!MoveOne(culprits)) {
+    core_.Evict(*culprits.front().task, EvictionReason::kServiceAboveTarget);
+  }
+  return true;
+}
+
+bool Remedies::MoveOne(const std::vector<Culprit>& culprits) {
+  const double least = kWorthMoving * culprits.front().harm;
+  std::set<const JobState*> tried;
+  for (const Culprit& culprit : culprits) {
+    TaskState& task = *culprit.task;
+    JobState& job = *task.job;
+    if (!job.is_checkpointable || culprit.harm < least ||
+        tried.size() >= kJobsTried || !tried.insert(&job).second) {
+      continue;
+    }
+    const Resources grant = core_.GrantFor(job);
+    const WorkerChoice choice = chooser_.Choose(job, grant, task.worker);
+    if (choice.worker == nullptr) {
+      continue;
+    }
+    core_.Evict(task, EvictionReason::kServiceAboveTarget, choice.worker->id);
+    rooms_.KeepForMove(task, *choice.worker, grant,
+                       core_.now + core_.settings.move_timeout);
+    ++core_.counters.moves;
+    return true;
+  }
+  return false;
+}
+
+bool Remedies::TakeFromBudget() {
+  const double most = MostEvictionsPerHour();
+  if (most <= 0) {
+    return false;
+  }
+  budget_ += most * SecondsBetween(budget_at_, core_.now) / kSecondsPerHour;
+  budget_ = std::min(budget_, std::max(1.0, most / 4));
+  budget_at_ = core_.now;
+  if (budget_ < 1) {
+    return false;
+  }
+  budget_ -= 1;
+  return true;
+}
+
+double Remedies::MostEvictionsPerHour() const {
+  const auto own = static_cast<double>(core_.fleet.CountAssigned());
+  const auto all = static_cast<double>(std::max<size_t>(1, core_.fleet.up()));
+  return std::min(std::max(1.0, core_.settings.evictions_per_worker_hour * own),
+                  core_.policy.limits().evictions_per_hour * own / all);
+}
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/src/libs/placement/room_maker.cpp
@@ -0,0 +1,194 @@
+#include <algorithm>
+
+#include "placement/room_maker_p.h"
+
+namespace papayadrift::placement {
+
+namespace {
+
+// A throttled task keeps this part of its processors.
+constexpr double kThrottledPart = 0.5;
+// Cost of a throttle, in seconds of lost work.
+constexpr double kThrottleCost = 0.5;
+// Cost of any stop, in seconds of lost work: the checkpoint and the new start.
+constexpr double kStopCost = 20.0;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+Resources Shortage(const Resources& need, const Resources& free) {
+  return {std::max<int64_t>(0, need.millicores - free.millicores),
+          std::max<int64_t>(0, need.memory_mebibytes - free.memory_mebibytes),
+          std::max<int64_t>(0, need.accelerators - free.accelerators)};
+}
+
+int64_t GivesUp(const TaskState& task) {
+  return task.grant.millicores -
+         static_cast<int64_t>(kThrottledPart *
+                              static_cast<double>(task.grant.millicores));
+}
+
+// Room that comes free without asking for more.
+Resources Coming(const WorkerState& worker) {
+  Resources coming;
+  for (const TaskState* task : worker.tasks) {
+    const bool is_stopping = task->phase == TaskPhase::kStopping;
+    coming =
+        coming + task->committed - (is_stopping ? Resources() : task->wanted);
+  }
+  return coming;
+}
+
+}  // namespace
+
+RoomMaker::RoomMaker(Core& core, Rooms& rooms) : core_(core), rooms_(rooms) {}
+
+bool RoomMaker::MakeRoom(JobState& job, const Resources& grant) {
+  const auto reason = WhyAllowed(job, grant);
+  if (!reason) {
+    return false;
+  }
+  std::optional<Plan> best;
+  for (WorkerState* worker : rooms_.Candidates(job, grant)) {
+    auto plan = PlanFor(*worker, grant, *reason);
+    if (plan && (!best || plan->cost < best->cost)) {
+      best = std::move(plan);
+    }
+  }
+  if (!best) {
+    return false;
+  }
+  Carry(*best, job, grant, *reason);
+  return true;
+}
+
+std::optional<EvictionReason> RoomMaker::WhyAllowed(
+    const JobState& job,
+    const Resources& grant) const {
+  const size_t pending = job.again.size() + job.begun.size() - job.next_fresh;
+  if (rooms_.size() >= core_.settings.rooms_at_once || job.rooms >= pending ||
+      core_.settings.rule == PlacementRule::kTightestFit ||
+      !core_.teams.IsWithinQuota(job.team, grant)) {
+    return std::nullopt;
+  }
+  if (job.is_urgent) {
+    return EvictionReason::kUrgentWork;
+  }
+  const bool lacks_room = job.waits.reason == WaitReason::kNoWorkerFits ||
+                          job.waits.reason == WaitReason::kDomainsFull ||
+                          job.waits.reason == WaitReason::kKindsApart;
+  const bool has_waited =
+      lacks_room && core_.now >= job.waits.since + core_.settings.reclaim_pause;
+  return has_waited ? std::optional(EvictionReason::kQuotaReclaimed)
+                    : std::nullopt;
+}
+
+std::optional<RoomMaker::Plan> RoomMaker::PlanFor(WorkerState& worker,
+                                                  const Resources& grant,
+                                                  EvictionReason reason) {
+  const Resources most = worker.capacity - worker.reserved - worker.held;
+  if (!worker.IsClaimable(core_.now) || !FitsIn(grant, most)) {
+    return std::nullopt;
+  }
+  Plan plan;
+  plan.worker = &worker;
+  const Resources missing = Shortage(grant, worker.Free() + Coming(worker));
+  if (missing == Resources()) {
+    return plan;
+  }
+  if (reason == EvictionReason::kUrgentWork && PlanThrottles(plan, missing)) {
+    return plan;
+  }
+  if (PlanStops(plan, missing, reason)) {
+    return plan;
+  }
+  return std::nullopt;
+}
+
+bool RoomMaker::PlanThrottles(Plan& plan, const Resources& missing) const {
+  if (missing.memory_mebibytes > 0 || missing.accelerators > 0) {
+    return false;
+  }
+  std::vector<TaskState*> givers;
+  std::ranges::copy_if(
+      plan.worker->tasks, std::back_inserter(givers), [this](auto* task) {
+        return task->phase == TaskPhase::kRunning && !task->is_throttled &&
+               task->wanted == task->grant &&
+               MayGiveWay(*task, EvictionReason::kUrgentWork);
+      });
+  std::ranges::sort(givers, std::ranges::greater(),
+                    [](const TaskState* task) { return GivesUp(*task); });
+  int64_t left = missing.millicores;
+  for (TaskState* task : givers) {
+    if (left <= 0) {
+      break;
+    }
+    left -= GivesUp(*task);
+    plan.throttled.push_back(task);
+    plan.cost += kThrottleCost;
+  }
+  if (left > 0) {
+    plan.throttled.clear();
+    plan.cost = 0;
+  }
+  return left <= 0;
+}
+
+bool RoomMaker::PlanStops(Plan& plan,
+                          const Resources& missing,
+                          EvictionReason reason) {
+  std::vector<TaskState*> victims;
+  std::ranges::copy_if(plan.worker->tasks, std::back_inserter(victims),
+                       [&](auto* task) { return MayGiveWay(*task, reason); });
+  core_.counters.victims_examined += victims.size();
+  std::ranges::sort(victims, {}, [this](const TaskState* task) {
+    return core_.LostWork(*task);
+  });
+  Resources left = missing;
+  for (TaskState* task : victims) {
+    const Resources& gives = task->committed;
+    const bool is_useful =
+        (left.millicores > 0 && gives.millicores > 0) ||
+        (left.memory_mebibytes > 0 && gives.memory_mebibytes > 0) ||
+        (left.accelerators > 0 && gives.accelerators > 0);
+    if (!is_useful) {
+      continue;
+    }
+    left = Shortage(left, gives);
+    plan.stopped.push_back(task);
+    plan.cost +=
+        kStopCost + static_cast<double>(core_.LostWork(*task).count()) /
+                        kMicrosecondsPerSecond;
+    if (left == Resources()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool RoomMaker::MayGiveWay(const TaskState& task, EvictionReason reason) const {
+  if (task.job->is_urgent || task.phase == TaskPhase::kStopping ||
+      task.phase == TaskPhase::kClaiming) {
+    return false;
+  }
+  return reason == EvictionReason::kUrgentWork ||
+         core_.teams.IsBorrowing(task.job->team);
+}
+
+void RoomMaker::Carry(const Plan& plan,
+                      JobState& job,
+                      const Resources& grant,
+                      EvictionReason reason) {
+  for (TaskState* task : plan.throttled) {
+    Resources lower = task->grant;
+    lower.millicores -= GivesUp(*task);
+    task->is_throttled = true;
+    task->has_full_grant = false;
+    ++core_.counters.throttles;
+    core_.Regrant(*task, lower, GrantReason::kUrgentWork);
+  }
+  for (TaskState* task : plan.stopped) {
+    core_.Evict(*task, reason);
+  }
+  rooms_.Keep(job, *plan.worker, grant, RoomUse::kMade,
+              core_.now + core_.settings.room_timeout);
+}
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/src/libs/placement/task_state_p.h
@@ -0,0 +1,154 @@
+#ifndef PAPAYADRIFT_PLACEMENT_TASK_STATE_P_H_
+#define PAPAYADRIFT_PLACEMENT_TASK_STATE_P_H_
+
+// State of jobs, tasks and workers shared by the parts of the scheduler.
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/instant.h"
+#include "base/resources.h"
+#include "base/separation.h"
+#include "placement/decision.h"
+#include "placement/interference_model.h"
+#include "placement/kind.h"
+#include "placement/load_history_p.h"
+#include "placement/worker_health_p.h"
+
+namespace papayadrift::placement {
+
+struct JobState;
+struct WorkerState;
+
+enum class TaskPhase {
+  kPending,
+  kClaiming,  // A claim is in flight.
+  kClaimed,   // The claim took effect; the worker may run it already.
+  kRunning,
+  kStopping,  // Told to stop; it may still run.
+};
+
+// Place of a worker in the order of racks.
+struct RackPlace {
+  ZoneId zone;
+  RackId rack;
+  uint32_t worker = 0;  // Its number.
+
+  friend auto operator<=>(const RackPlace&, const RackPlace&) = default;
+};
+
+// A task that was claimed at least once and has not ended for good.
+struct TaskState {
+  JobState* job = nullptr;
+  uint32_t index = 0;
+  TaskPhase phase = TaskPhase::kPending;
+  Attempt attempt;  // The last one, or none.
+  CheckpointId checkpoint;
+  WorkerState* worker = nullptr;  // While an attempt lives.
+  Incarnation incarnation;        // Of the worker.
+  Resources grant;                // Enforced, or being claimed.
+  Resources wanted;     // The grant asked for last; the grant if it is met.
+  Resources committed;  // Counted on the worker: the larger of both.
+  bool is_in_flight = false;  // Its claim has neither taken effect nor failed.
+  Instant claimed_at;
+  Instant started_at;
+  Instant next_regrant_at;
+  int32_t progress_permille = 0;
+  int32_t checkpoint_permille = 0;  // Progress that a resume starts from.
+  double used_millicores = 0;       // Last known; 0 before any report.
+  uint32_t failures = 0;            // Attempts that failed.
+  bool is_throttled = false;
+  bool is_probe = false;
+  bool has_full_grant = true;  // Never throttled in this attempt.
+  Decision decision;
+};
+
+// A job with tasks that have not ended.
+struct JobState {
+  JobId id;
+  uint64_t sequence = 0;  // In order of submission.
+  CustomerId customer;
+  uint32_t team = 0;  // Number of the team.
+  TaskShape shape;
+  int32_t priority = 0;
+  bool is_urgent = false;
+  bool is_checkpointable = false;
+  Instant deadline = Instant::max();
+  Separation separation;
+  std::vector<KindNumber> apart_from;  // The kinds of `separation`.
+  DomainCounts domains;  // Of live tasks; kept only if the job is spread.
+  // How far workers were last looked at in the order of racks.
+  std::optional<RackPlace> looked_until;
+  Instant submitted_at;
+  std::vector<bool> begun;  // Tasks that were ever claimed.
+  uint32_t next_fresh = 0;  // No task below it is unclaimed.
+  uint32_t unfinished = 0;
+  std::set<uint32_t> again;  // Tasks that wait for a further attempt.
+  Instant try_at;            // Not tried before.
+  Waits waits;               // Why its pending tasks wait.
+  FailureRecord failures;
+  uint32_t rooms = 0;  // Rooms kept for its pending tasks.
+  // Since when tries to place a task of it have failed, if the last one did;
+  // and how many claims there were until then.
+  Instant unplaced_since = Instant::max();
+  uint64_t claims_before = 0;
+  bool is_closed = false;  // Cancelled or refused.
+
+  bool has_pending() const {
+    return !is_closed && (!again.empty() || next_fresh < begun.size());
+  }
+};
+
+struct RunnerState {
+  ServiceId service;
+  Resources reserved;
+  double load = 0;          // Of the highest rate seen, 0 to 1.
+  Instant first_report_by;  // Its load is not known before its first report.
+  Pressure expected;        // Beside what runs there now.
+  Instant expected_until;   // It is worked out anew after this.
+  double measured = 0;      // Last measured p99 over target; 0 when none.
+  Instant measured_at;
+  int reports_above = 0;  // In a row.
+  int reports_below = 0;  // In a row.
+  Instant next_remedy_at;
+};
+
+enum class WorkerPhase { kUp, kDraining, kLapsed, kFreed };
+
+struct WorkerState {
+  WorkerId id;
+  Incarnation incarnation;
+  ZoneId zone;
+  RackId rack;
+  WorkerPhase phase = WorkerPhase::kFreed;
+  bool is_assigned = true;
+  Resources capacity;
+  Resources reserved;   // For runners.
+  Resources committed;  // Grants and claims in flight.
+  Resources held;       // Kept free for urgent work.
+  std::vector<RunnerState> runners;
+  std::vector<TaskState*> tasks;
+  int claims_in_flight = 0;
+  Instant claim_again_at;  // Not claimed on before.
+  LoadHistory history;
+  WorkerHealth health;
+  uint32_t number = 0;
+
+  Resources Free() const { return capacity - reserved - committed - held; }
+  RackPlace place() const { return {zone, rack, number}; }
+  // Whether it is drawn as a candidate.
+  bool IsCandidate() const {
+    return phase == WorkerPhase::kUp && is_assigned && !health.is_quarantined();
+  }
+  bool IsClaimable(Instant now) const {
+    return phase == WorkerPhase::kUp && is_assigned && now >= claim_again_at;
+  }
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_TASK_STATE_P_H_
--- /dev/null
+++ b/src/libs/placement/worker_chooser_p.h
@@ -0,0 +1,47 @@
+#ifndef PAPAYADRIFT_PLACEMENT_WORKER_CHOOSER_P_H_
+#define PAPAYADRIFT_PLACEMENT_WORKER_CHOOSER_P_H_
+
+#include <optional>
+#include <vector>
+
+#include "placement/allowed_workers_p.h"
+#include "placement/core_p.h"
+#include "placement/scorer_p.h"
+
+namespace papayadrift::placement {
+
+// The best worker for a task, if any of those examined will do.
+struct WorkerChoice {
+  WorkerState* worker = nullptr;
+  Score score;
+  int examined = 0;
+  // Why none that had room will do; nothing if none had room.
+  std::optional<WaitReason> why_not;
+  bool is_kept_apart = false;  // The job's separations closed one to it.
+};
+
+// Examines a bounded number of workers for one task.
+class WorkerChooser {
+ public:
+  explicit WorkerChooser(Core& core);
+
+  // `except` is not chosen.
+  WorkerChoice Choose(JobState& job,
+                      const Resources& grant,
+                      const WorkerState* except = nullptr);
+
+ private:
+  WorkerChoice BestOf(const std::vector<WorkerState*>& candidates,
+                      const JobState& job,
+                      const Resources& grant,
+                      const WorkerState* except);
+  bool MayClaimOn(const WorkerState& worker) const;
+
+  Core& core_;
+  AllowedWorkers allowed_;
+  Scorer scorer_;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_PLACEMENT_WORKER_CHOOSER_P_H_
--- /dev/null
+++ b/src/libs/proposals/recovery_search.h
@@ -0,0 +1,67 @@
+#ifndef PAPAYADRIFT_PROPOSALS_RECOVERY_SEARCH_H_
+#define PAPAYADRIFT_PROPOSALS_RECOVERY_SEARCH_H_
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+#include "base/identifiers.h"
+#include "log/log_port.h"
+#include "proposals/stream_reader.h"
+#include "replay/snapshot_assembler.h"
+
+namespace papayadrift::proposals {
+
+// Where replay begins: from the empty state at offset 1, or from a snapshot at
+// its state offset.
+struct RecoveryFound {
+  std::optional<replay::CompleteSnapshot> snapshot;
+  Offset from;
+
+  friend bool operator==(const RecoveryFound&, const RecoveryFound&) = default;
+};
+
+enum class RecoveryFault : uint8_t {
+  kLogUnavailable,  // Ask again later: Start() repeats the last read.
+  kNoSnapshot,      // What the log keeps is not enough: a peer must help.
+};
+
+using RecoveryStep = std::variant<StartRead, RecoveryFound, RecoveryFault>;
+
+// Finds the newest complete snapshot of a stream without reading all of it:
+// looks through the end of the stream, and through twice as much each time
+// that nothing is found there. Not safe to share between threads.
+class RecoverySearch {
+ public:
+  // `first_span` is the number of records to look through first; best twice
+  // the number between two snapshots.
+  explicit RecoverySearch(uint64_t first_span);
+
+  // Records that were read so far.
+  uint64_t records_read() const { return records_read_; }
+
+  // The read to make first, or to repeat.
+  StartRead Start() const;
+  RecoveryStep OnResult(const log::ReadResult& result);
+
+ private:
+  RecoveryStep OnBounds(Offset oldest, Offset next);
+  RecoveryStep OnRecords(const log::ReadRecords& read);
+  RecoveryStep LookThrough();
+  RecoveryStep Conclude();
+  void AddChunks(const log::StoredRecord& record);
+  bool IsUsable(const replay::CompleteSnapshot& snapshot) const;
+
+  uint64_t span_;
+  bool has_bounds_ = false;
+  Offset oldest_;
+  Offset end_;
+  Offset begin_;
+  Offset next_{1};
+  uint64_t records_read_ = 0;
+  replay::SnapshotAssembler assembler_;
+};
+
+}  // namespace papayadrift::proposals
+
+#endif  // PAPAYADRIFT_PROPOSALS_RECOVERY_SEARCH_H_
--- /dev/null
+++ b/src/libs/proposals/snapshot_schedule.h
@@ -0,0 +1,44 @@
+#ifndef PAPAYADRIFT_PROPOSALS_SNAPSHOT_SCHEDULE_H_
+#define PAPAYADRIFT_PROPOSALS_SNAPSHOT_SCHEDULE_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "base/identifiers.h"
+#include "base/instant.h"
+
+namespace papayadrift::proposals {
+
+struct SnapshotLimits {
+  // A snapshot is due this long after the last one, well inside retention.
+  microseconds period = std::chrono::minutes(10);
+  // Or after this many offsets, whichever comes first.
+  uint64_t offsets = 20'000;
+  // An entry of rank n waits n times this longer, so that one entry writes and
+  // the others step in for it.
+  microseconds stagger = seconds(30);
+  uint64_t stagger_offsets = 1'000;
+};
+
+// Tells one process when to write a snapshot into the stream.
+class SnapshotSchedule {
+ public:
+  SnapshotSchedule(const SnapshotLimits& limits, Instant start, Offset from);
+
+  // Whether this process, of that rank among the active entries, is to write a
+  // snapshot of its state before `next_offset`.
+  bool IsDue(Instant now, Offset next_offset, uint32_t rank) const;
+
+  // A snapshot of the state before that offset was seen complete in the
+  // stream, or this process has proposed one.
+  void OnSnapshot(Instant now, Offset state_offset);
+
+ private:
+  const SnapshotLimits limits_;
+  Instant last_at_;
+  Offset last_state_offset_;
+};
+
+}  // namespace papayadrift::proposals
+
+#endif  // PAPAYADRIFT_PROPOSALS_SNAPSHOT_SCHEDULE_H_
--- /dev/null
+++ b/src/libs/proposals/stream_driver.h
@@ -0,0 +1,87 @@
+#ifndef PAPAYADRIFT_PROPOSALS_STREAM_DRIVER_H_
+#define PAPAYADRIFT_PROPOSALS_STREAM_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "log/log_port.h"
+#include "proposals/proposal_queue.h"
+#include "proposals/stream_reader.h"
+
+namespace papayadrift::proposals {
+
+// Runs a queue and a reader of one stream against the log. All its methods and
+// handlers run on its owner's thread; `execute` brings the log's callbacks
+// there.
+class StreamDriver {
+ public:
+  using Execute = std::function<void(std::function<void()>)>;
+  // Applies a record to the owner's state and returns its proposals with their
+  // verdicts.
+  using ApplyRecord =
+      std::function<std::vector<ReadProposal>(const log::StoredRecord&)>;
+  using HandleOutcome = std::function<void(const ProposalOutcome&)>;
+
+  struct Environment {
+    log::LogPort& log;
+    const Clock& clock;
+    log::StreamId stream;
+    Execute execute;
+    ApplyRecord apply;
+  };
+
+  StreamDriver(Environment environment,
+               ProposalQueue queue,
+               StreamReader reader);
+
+  const ProposalQueue& queue() const { return queue_; }
+  const StreamReader& reader() const { return reader_; }
+  // Set while reading waits for a snapshot; Restart() ends that.
+  const std::optional<ReadBehindRetention>& behind_retention() const {
+    return behind_retention_;
+  }
+  // The last fault of the log, until a read succeeds.
+  std::optional<ReadFault> last_read_fault() const { return last_read_fault_; }
+  // When Tick() has something to do next, if nothing else happens.
+  std::optional<Instant> wake_at() const;
+
+  // Takes a record; see ProposalQueue::Submit(). `handle` is called once.
+  std::optional<Ticket> Submit(records::Record record,
+                               std::optional<Instant> give_up_at,
+                               HandleOutcome handle);
+  // Does what is due. Call it at wake_at() and after Submit().
+  void Tick();
+  // Goes on from `from`, after a state as of there was restored.
+  void Restart(Offset from);
+  void SetAppendInterval(microseconds interval) {
+    queue_.SetAppendInterval(interval);
+  }
+
+ private:
+  void StartReadIfDue();
+  void OnReadResult(log::ReadResult result);
+  void OnReadOn(const ReadOn& read);
+  void Carry(const std::vector<QueueAction>& actions);
+  void Carry(const StartAppend& action);
+  void Carry(const ReportOutcome& action);
+  // Wraps a handler so that it runs on the owner's thread, and only while this
+  // object lives.
+  template <typename Result>
+  std::function<void(Result)> OnOwnThread(std::function<void(Result)> handle);
+
+  const Environment environment_;
+  ProposalQueue queue_;
+  StreamReader reader_;
+  std::map<Ticket, HandleOutcome> handlers_;
+  std::optional<ReadBehindRetention> behind_retention_;
+  std::optional<ReadFault> last_read_fault_;
+  const std::shared_ptr<const bool> alive_;
+};
+
+}  // namespace papayadrift::proposals
+
+#endif  // PAPAYADRIFT_PROPOSALS_STREAM_DRIVER_H_
--- /dev/null
+++ b/src/libs/proposals/stream_reader.h
@@ -0,0 +1,100 @@
+#ifndef PAPAYADRIFT_PROPOSALS_STREAM_READER_H_
+#define PAPAYADRIFT_PROPOSALS_STREAM_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/instant.h"
+#include "log/log_port.h"
+#include "proposals/back_off.h"
+
+namespace papayadrift::proposals {
+
+// Read from the log, and pass the result to OnResult().
+struct StartRead {
+  Offset from;
+  uint32_t limit = 0;
+  uint32_t wait_milliseconds = 0;
+
+  friend bool operator==(const StartRead&, const StartRead&) = default;
+};
+
+// The records that follow those read before, in order, without a gap.
+struct ReadOn {
+  std::vector<log::StoredRecord> records;
+  Offset tail;  // Offset that the next append gets, when the log answered.
+
+  friend bool operator==(const ReadOn&, const ReadOn&) = default;
+};
+
+// The next record is not kept any more: a snapshot or a peer must help, and
+// then Restart().
+struct ReadBehindRetention {
+  Offset oldest;
+  Offset tail;
+
+  friend bool operator==(const ReadBehindRetention&,
+                         const ReadBehindRetention&) = default;
+};
+
+enum class ReadFault : uint8_t {
+  kNoAnswer,
+  kGap,       // The log skipped records: nothing of the answer is used.
+  kWentBack,  // The log's end lies before what was read already.
+};
+
+using ReadEvent = std::variant<ReadOn, ReadBehindRetention, ReadFault>;
+
+struct ReaderLimits {
+  uint32_t maximum_records = 256;
+  uint32_t wait_milliseconds = 100;
+};
+
+// Follows a stream of the log with one read in flight. Not safe to share
+// between threads.
+class StreamReader {
+ public:
+  // `seed` is for the jitter of retries.
+  StreamReader(Offset from, const ReaderLimits& limits, uint64_t seed);
+
+  Offset next_offset() const { return next_offset_; }
+  bool is_log_available() const { return back_off_.is_available(); }
+  std::optional<Instant> unavailable_since() const {
+    return back_off_.unavailable_since();
+  }
+  // When the last read began that got everything up to the stream's end.
+  // Once its records are applied, the state holds all that was stored by then.
+  std::optional<Instant> tail_read_began_at() const {
+    return tail_read_began_at_;
+  }
+  // When Start() has something to do next; nothing while a read is in flight.
+  std::optional<Instant> wake_at() const;
+
+  // Begins the next read if none is in flight and none failed just now.
+  std::optional<StartRead> Start(Instant now);
+  // Takes the result of the read in flight.
+  ReadEvent OnResult(Instant now, log::ReadResult result);
+  // Goes on from `from`, after a snapshot was restored. What a read in flight
+  // brings is left out.
+  void Restart(Offset from);
+
+ private:
+  ReadEvent OnRecords(Instant now, log::ReadRecords read);
+  std::optional<ReadFault> Check(const log::ReadRecords& read) const;
+
+  const ReaderLimits limits_;
+  BackOff back_off_;
+  Offset next_offset_;
+  bool is_behind_retention_ = false;
+  // The read in flight began before a restart.
+  bool is_read_stale_ = false;
+  std::optional<Instant> read_began_at_;
+  std::optional<Instant> tail_read_began_at_;
+};
+
+}  // namespace papayadrift::proposals
+
+#endif  // PAPAYADRIFT_PROPOSALS_STREAM_READER_H_
--- /dev/null
+++ b/src/libs/routing/admission_p.h
@@ -0,0 +1,63 @@
+#ifndef PAPAYADRIFT_ROUTING_ADMISSION_P_H_
+#define PAPAYADRIFT_ROUTING_ADMISSION_P_H_
+
+#include <cstddef>
+#include <optional>
+
+#include "routing/dispatcher_p.h"
+#include "routing/event_context_p.h"
+#include "routing/flow_schedule_p.h"
+#include "routing/flow_table_p.h"
+#include "routing/request_finisher_p.h"
+#include "routing/request_queues_p.h"
+#include "routing/routing_settings.h"
+#include "routing/service_table_p.h"
+#include "routing/slot_demand_p.h"
+
+namespace papayadrift::routing {
+
+// Refuses new requests or takes them in: has their keys claimed where that is
+// needed, and puts them into queues.
+class Admission {
+ public:
+  Admission(const RoutingSettings& settings,
+            EventContext& context,
+            ServiceTable& services,
+            FlowTable& flows,
+            RequestQueues& queues,
+            FlowSchedule& schedule,
+            RequestFinisher& finisher,
+            Dispatcher& dispatcher,
+            SlotDemand& demand);
+
+  void Admit(const RequestFacts& facts);
+
+  // The verdict on the key of a request came that awaits it.
+  void OnKeyAnswered(RequestFlow& flow, const KeyVerdict& verdict);
+
+  // Refuses new requests from now on.
+  void Stop() { is_stopping_ = true; }
+  bool is_stopping() const { return is_stopping_; }
+
+ private:
+  std::optional<AdmissionRefusal> Judge(const RequestFacts& facts) const;
+  void RefuseNew(const RequestFacts& facts, const AdmissionRefusal& refusal);
+  void ClaimKeyOf(const RequestFlow& flow);
+  void Enqueue(RequestFlow& flow, ServiceState& service);
+
+  const RoutingSettings& settings_;
+  EventContext& context_;
+  ServiceTable& services_;
+  FlowTable& flows_;
+  RequestQueues& queues_;
+  FlowSchedule& schedule_;
+  RequestFinisher& finisher_;
+  Dispatcher& dispatcher_;
+  SlotDemand& demand_;
+  size_t claiming_count_ = 0;
+  bool is_stopping_ = false;
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_ADMISSION_P_H_
--- /dev/null
+++ b/src/libs/routing/dispatcher.cpp
@@ -0,0 +1,48 @@
+#include "routing/dispatcher_p.h"
+
+namespace papayadrift::routing {
+
+Dispatcher::Dispatcher(const EventContext& context,
+                       ServiceTable& services,
+                       FlowTable& flows,
+                       RequestQueues& queues,
+                       SlotTaker& slots,
+                       RequestSender& sender,
+                       RequestFinisher& finisher)
+    : context_(context),
+      services_(services),
+      flows_(flows),
+      queues_(queues),
+      slots_(slots),
+      sender_(sender),
+      finisher_(finisher) {}
+
+void Dispatcher::Dispatch(ServiceState& service) {
+  while (service.queue().size() > 0 && service.HasRoom()) {
+    const RunnerPointer runner = slots_.Take(service, {});
+    if (runner == nullptr) {
+      return;
+    }
+    const auto next = queues_.PopNext(service);
+    if (!next) {
+      runner->slots->GiveBack();
+      return;
+    }
+    RequestFlow& flow = flows_.At(*next);
+    if (!service.IsWorthSending(flow.facts().deadline, context_.now())) {
+      runner->slots->GiveBack();
+      finisher_.FinishRefused(
+          flow, finisher_.RetryLater(RefusalReason::kDeadlineTooClose));
+      continue;
+    }
+    sender_.SendFirst(flow, service, runner);
+  }
+}
+
+void Dispatcher::DispatchAll() {
+  for (auto& [id, service] : services_.all()) {
+    Dispatch(service);
+  }
+}
+
+}  // namespace papayadrift::routing
--- /dev/null
+++ b/src/libs/routing/event_context_p.h
@@ -0,0 +1,29 @@
+#ifndef PAPAYADRIFT_ROUTING_EVENT_CONTEXT_P_H_
+#define PAPAYADRIFT_ROUTING_EVENT_CONTEXT_P_H_
+
+#include <utility>
+#include <vector>
+
+#include "routing/actions.h"
+#include "routing/events.h"
+
+namespace papayadrift::routing {
+
+// The time of the event at hand, and what is to be done because of it.
+class EventContext {
+ public:
+  void Begin(Moment now) { now_ = now; }
+  void Add(Action action) { actions_.push_back(std::move(action)); }
+  std::vector<Action> TakeActions() { return std::exchange(actions_, {}); }
+
+  Instant now() const { return now_.instant; }
+  WallInstant wall_now() const { return now_.wall; }
+
+ private:
+  Moment now_;
+  std::vector<Action> actions_;
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_EVENT_CONTEXT_P_H_
--- /dev/null
+++ b/src/libs/routing/event_handler_p.h
@@ -0,0 +1,83 @@
+#ifndef PAPAYADRIFT_ROUTING_EVENT_HANDLER_P_H_
+#define PAPAYADRIFT_ROUTING_EVENT_HANDLER_P_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "routing/actions.h"
+#include "routing/admission_p.h"
+#include "routing/deadline_watch_p.h"
+#include "routing/dispatcher_p.h"
+#include "routing/event_context_p.h"
+#include "routing/events.h"
+#include "routing/flow_schedule_p.h"
+#include "routing/flow_table_p.h"
+#include "routing/request_finisher_p.h"
+#include "routing/request_queues_p.h"
+#include "routing/request_sender_p.h"
+#include "routing/routing_settings.h"
+#include "routing/send_results_p.h"
+#include "routing/service_table_p.h"
+#include "routing/slot_demand_p.h"
+#include "routing/slot_taker_p.h"
+
+namespace papayadrift::routing {
+
+// Puts the parts of the engine together and passes each event to the one that
+// it concerns.
+class EventHandler {
+ public:
+  explicit EventHandler(RoutingSettings settings);
+  EventHandler(const EventHandler&) = delete;
+  EventHandler& operator=(const EventHandler&) = delete;
+
+  std::vector<Action> Handle(Event event, Moment now);
+
+  SlotTaker& slots() { return slots_; }
+  const ServiceTable& services() const { return services_; }
+  size_t waiting_count() const { return queues_.waiting_count(); }
+  size_t flow_count() const { return flows_.size(); }
+  uint64_t stray_count() const { return stray_count_; }
+  bool is_idle() const;
+
+ private:
+  void On(const RequestArrived& event);
+  void On(const KeyAnswered& event);
+  void On(AnswerArrived& event);
+  void On(const SendFailed& event);
+  void On(const TimerFired& event);
+  void On(const CallerVanished& event);
+  void On(TableChanged& event);
+  void On(const SlotsChanged& event);
+  void On(const StopBegun& event);
+
+  // Returns the request of an open send, or null; counts one that is not open.
+  RequestFlow* FlowOfOpenSend(const SendId& send);
+  void AfterSendEnded(const RequestFlow& flow, ServiceState& service);
+  void AskForTimer();
+  void ReportIfStopped();
+
+  const RoutingSettings settings_;
+  EventContext context_;
+  ServiceTable services_;
+  FlowTable flows_;
+  RequestQueues queues_;
+  FlowSchedule schedule_;
+  RequestFinisher finisher_;
+  SlotTaker slots_;
+  RequestSender sender_;
+  SendResults results_;
+  Dispatcher dispatcher_;
+  SlotDemand demand_;
+  Admission admission_;
+  DeadlineWatch deadlines_;
+  std::optional<Instant> asked_timer_;
+  uint64_t stray_count_ = 0;
+  bool has_reported_stop_ = false;
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_EVENT_HANDLER_P_H_
--- /dev/null
+++ b/src/libs/routing/event_lane.h
@@ -0,0 +1,70 @@
+#ifndef PAPAYADRIFT_ROUTING_EVENT_LANE_H_
+#define PAPAYADRIFT_ROUTING_EVENT_LANE_H_
+
+#include <atomic>
+#include <utility>
+
+namespace papayadrift::routing {
+
+// Lets many threads feed one handler that is not safe to share, without a
+// lock: a thread that finds the lane idle handles what has been posted until
+// it is idle again, the others leave their item and go on at once. Items are
+// handled in the order in which they were posted.
+template <typename Item, typename Handler>
+class EventLane {
+ public:
+  explicit EventLane(Handler handler) : handler_(std::move(handler)) {}
+  ~EventLane() = default;
+  EventLane(const EventLane&) = delete;
+  EventLane& operator=(const EventLane&) = delete;
+
+  // May be called from inside the handler: the item waits for its turn.
+  void Post(Item item) {
+    auto* node = new Node{std::move(item), nullptr};
+    Node* seen = newest_.load();
+    do {
+      node->next = seen == &busy_ ? nullptr : seen;
+    } while (!newest_.compare_exchange_weak(seen, node));
+    if (seen == nullptr) {
+      HandleUntilIdle();
+    }
+  }
+
+ private:
+  struct Node {
+    Item item{};
+    Node* next = nullptr;
+  };
+
+  void HandleUntilIdle() {
+    Node* seen = nullptr;
+    do {
+      HandleAll(Reversed(newest_.exchange(&busy_)));
+      seen = &busy_;
+    } while (!newest_.compare_exchange_strong(seen, nullptr));
+  }
+
+  void HandleAll(Node* node) {
+    while (node != nullptr) {
+      handler_(std::move(node->item));
+      delete std::exchange(node, node->next);
+    }
+  }
+
+  static Node* Reversed(Node* node) {
+    Node* reversed = nullptr;
+    while (node != nullptr) {
+      Node* next = std::exchange(node->next, reversed);
+      reversed = std::exchange(node, next);
+    }
+    return reversed;
+  }
+
+  Handler handler_;
+  Node busy_;  // Stands in the list's place while items are being handled.
+  std::atomic<Node*> newest_{nullptr};  // Null while the lane is idle.
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_EVENT_LANE_H_
--- /dev/null
+++ b/src/libs/routing/latency_sketch.cpp
@@ -0,0 +1,106 @@
+#include "routing/latency_sketch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+namespace papayadrift::routing {
+
+namespace {
+
+namespace histogram = boost::histogram;
+
+// 20 bins for each factor of ten, from 100 us to 100 s.
+constexpr int kBins = 120;
+constexpr double kLowestMicroseconds = 1e2;
+constexpr double kHighestMicroseconds = 1e8;
+constexpr double kFullWeight = 1024;
+constexpr double kLeastWeight = 16;
+constexpr microseconds kHalfLife = seconds(1);
+constexpr int kMostHalvings = 64;
+
+using LogAxis =
+    histogram::axis::regular<double, histogram::axis::transform::log>;
+using Bins =
+    decltype(histogram::make_histogram_with(std::vector<double>(), LogAxis()));
+
+Bins MakeBins() {
+  return histogram::make_histogram_with(
+      std::vector<double>(),
+      LogAxis(kBins, kLowestMicroseconds, kHighestMicroseconds));
+}
+
+microseconds Rounded(double value) {
+  return microseconds(std::llround(value));
+}
+
+}  // namespace
+
+class LatencySketch::Private {
+ public:
+  void Scale(double factor) {
+    bins_ *= factor;
+    weight_ *= factor;
+    sum_ *= factor;
+  }
+
+  Bins bins_ = MakeBins();
+  double weight_ = 0;
+  double sum_ = 0;
+  Instant faded_at_;
+};
+
+LatencySketch::LatencySketch() : private_(std::make_unique<Private>()) {}
+LatencySketch::~LatencySketch() = default;
+LatencySketch::LatencySketch(LatencySketch&&) noexcept = default;
+LatencySketch& LatencySketch::operator=(LatencySketch&&) noexcept = default;
+
+void LatencySketch::Record(microseconds latency, Instant now) {
+  Fade(now);
+  const auto value = static_cast<double>(latency.count());
+  private_->bins_(value);
+  private_->weight_ += 1;
+  private_->sum_ += value;
+  if (private_->weight_ > kFullWeight) {
+    private_->Scale(0.5);
+  }
+}
+
+void LatencySketch::Fade(Instant now) {
+  const auto halvings = (now - private_->faded_at_) / kHalfLife;
+  if (halvings <= 0) {
+    return;
+  }
+  private_->faded_at_ += halvings * kHalfLife;
+  const auto exponent = std::min<int64_t>(halvings, kMostHalvings);
+  private_->Scale(std::exp2(-static_cast<double>(exponent)));
+}
+
+std::optional<microseconds> LatencySketch::Quantile(double part) const {
+  if (private_->weight_ < kLeastWeight) {
+    return std::nullopt;
+  }
+  const double wanted = part * private_->weight_;
+  const auto& axis = private_->bins_.axis();
+  double seen = 0;
+  for (int it = -1; it < kBins; ++it) {
+    seen += private_->bins_.at(it);
+    if (seen >= wanted) {
+      return Rounded(axis.value(it + 1));
+    }
+  }
+  return Rounded(kHighestMicroseconds);
+}
+
+std::optional<microseconds> LatencySketch::Mean() const {
+  if (private_->weight_ < kLeastWeight) {
+    return std::nullopt;
+  }
+  return Rounded(private_->sum_ / private_->weight_);
+}
+
+}  // namespace papayadrift::routing
--- /dev/null
+++ b/src/libs/routing/request_finisher.cpp
@@ -0,0 +1,151 @@
+#include <utility>
+#include <variant>
+
+#include "routing/refusal_details_p.h"
+#include "routing/request_finisher_p.h"
+
+namespace papayadrift::routing {
+
+namespace {
+
+// An earlier request with the key may have run, though this one did not.
+Ran RanOfRefusedKey(RefusalReason reason) {
+  const bool has_earlier = reason == RefusalReason::kKeyInProgress ||
+                           reason == RefusalReason::kKeyOutsideWindow ||
+                           reason == RefusalReason::kNotHomeRegion;
+  return has_earlier ? Ran::kUnknown : Ran::kNo;
+}
+
+// Why a repeat has no answer, by whether the first request ran.
+RefusalReason ReasonOfRepeat(Ran ran) {
+  switch (ran) {
+    case Ran::kYes:
+      return RefusalReason::kAnswerTooLarge;
+    case Ran::kNo:
+      return RefusalReason::kBackendFailed;
+    case Ran::kUnknown:
+      break;
+  }
+  return RefusalReason::kConnectionLost;
+}
+
+}  // namespace
+
+RequestFinisher::RequestFinisher(const RoutingSettings& settings,
+                                 EventContext& context,
+                                 FlowTable& flows,
+                                 RequestQueues& queues,
+                                 FlowSchedule& schedule)
+    : settings_(settings),
+      context_(context),
+      flows_(flows),
+      queues_(queues),
+      schedule_(schedule) {}
+
+void RequestFinisher::RefuseNew(const RequestFacts& facts,
+                                const AdmissionRefusal& refusal) {
+  context_.Add(Refuse{facts, RefusalOf(refusal, Ran::kNo)});
+}
+
+void RequestFinisher::AnswerNewByKey(const RequestFacts& facts,
+                                     const KeyVerdict& verdict) {
+  if (const auto* refused = std::get_if<KeyRefused>(&verdict)) {
+    RefuseByKey(facts, *refused);
+    return;
+  }
+  RepeatAnswer(facts, std::get<KeyRepeated>(verdict));
+}
+
+void RequestFinisher::FinishWith(RequestFlow& flow, http::Response response) {
+  ResolveKeyOf(flow, response.status, response.body);
+  context_.Add(Answer{flow.facts(), std::move(response)});
+  Finish(flow);
+}
+
+void RequestFinisher::FinishRefused(RequestFlow& flow,
+                                    const AdmissionRefusal& refusal) {
+  if (!flow.has_open_send()) {
+    ResolveKeyUnanswered(flow);
+  }
+  context_.Add(Refuse{flow.facts(), RefusalOf(refusal, flow.ran())});
+  Finish(flow);
+}
+
+void RequestFinisher::FinishDropped(RequestFlow& flow) {
+  if (!flow.has_open_send()) {
+    ResolveKeyUnanswered(flow);
+  }
+  context_.Add(Drop{flow.facts(), flow.ran()});
+  Finish(flow);
+}
+
+void RequestFinisher::FinishByKey(RequestFlow& flow,
+                                  const KeyVerdict& verdict) {
+  AnswerNewByKey(flow.facts(), verdict);
+  Finish(flow);
+}
+
+void RequestFinisher::ResolveKeyOf(RequestFlow& flow,
+                                   int status,
+                                   const std::string& answer) {
+  if (!flow.has_claimed_key()) {
+    return;
+  }
+  flow.ForgetKey();
+  const bool is_kept = answer.size() <= settings_.maximum_kept_answer_bytes;
+  const RequestFacts& facts = flow.facts();
+  context_.Add(ResolveKey{facts.customer, facts.service, facts.key, flow.ran(),
+                          is_kept ? status : 0,
+                          is_kept ? answer : std::string()});
+}
+
+void RequestFinisher::ResolveKeyUnanswered(RequestFlow& flow) {
+  ResolveKeyOf(flow, 0, {});
+}
+
+AdmissionRefusal RequestFinisher::RetryLater(RefusalReason reason) const {
+  return {reason, context_.now() + settings_.default_retry_delay};
+}
+
+void RequestFinisher::Finish(RequestFlow& flow) {
+  if (flow.phase() == FlowPhase::kWaiting) {
+    queues_.Remove(flow);
+  }
+  schedule_.RemoveTimer(flow);
+  flow.Finish();
+  flows_.MarkPerhapsDone(flow.facts().id);
+}
+
+void RequestFinisher::RefuseByKey(const RequestFacts& facts,
+                                  const KeyRefused& verdict) {
+  Refusal refusal =
+      RefusalOf(RetryLater(verdict.reason), RanOfRefusedKey(verdict.reason));
+  if (verdict.home) {
+    refusal.home = verdict.home;
+    refusal.retry_at.reset();
+  }
+  context_.Add(Refuse{facts, std::move(refusal)});
+}
+
+void RequestFinisher::RepeatAnswer(const RequestFacts& facts,
+                                   const KeyRepeated& first) {
+  if (first.status != 0) {
+    context_.Add(Answer{facts, {first.status, {}, first.answer}});
+    return;
+  }
+  context_.Add(Refuse{
+      facts, RefusalOf({ReasonOfRepeat(first.ran), std::nullopt}, first.ran)});
+}
+
+Refusal RequestFinisher::RefusalOf(const AdmissionRefusal& refusal,
+                                   Ran ran) const {
+  Refusal result{refusal.reason, ran, DetailOf(refusal.reason), std::nullopt};
+  if (refusal.retry_at) {
+    const auto delay = *refusal.retry_at - context_.now();
+    result.retry_at =
+        context_.wall_now() + std::chrono::ceil<milliseconds>(delay);
+  }
+  return result;
+}
+
+}  // namespace papayadrift::routing
--- /dev/null
+++ b/src/libs/routing/request_sender_p.h
@@ -0,0 +1,51 @@
+#ifndef PAPAYADRIFT_ROUTING_REQUEST_SENDER_P_H_
+#define PAPAYADRIFT_ROUTING_REQUEST_SENDER_P_H_
+
+#include <string>
+
+#include "routing/event_context_p.h"
+#include "routing/flow_schedule_p.h"
+#include "routing/request_flow.h"
+#include "routing/routing_settings.h"
+#include "routing/service_state.h"
+#include "routing/slot_taker_p.h"
+
+namespace papayadrift::routing {
+
+// Sends requests to runners: first, again and hedged.
+class RequestSender {
+ public:
+  RequestSender(const RoutingSettings& settings,
+                EventContext& context,
+                FlowSchedule& schedule,
+                SlotTaker& slots);
+
+  // Sends a request for the first time, with a slot that was taken for it.
+  void SendFirst(RequestFlow& flow,
+                 ServiceState& service,
+                 const RunnerPointer& runner);
+
+  // Sends a request once more, to another runner, if budget, limits and time
+  // allow it; returns whether they did.
+  bool SendExtra(RequestFlow& flow, ServiceState& service);
+
+  // Adds a second send unless requests wait.
+  void Hedge(RequestFlow& flow, ServiceState& service);
+
+  // Returns the identity that goes with a send.
+  std::string IdentityOf(const SendId& send) const;
+
+ private:
+  void SendTo(RequestFlow& flow,
+              ServiceState& service,
+              const RunnerPointer& runner);
+
+  const RoutingSettings& settings_;
+  EventContext& context_;
+  FlowSchedule& schedule_;
+  SlotTaker& slots_;
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_REQUEST_SENDER_P_H_
--- /dev/null
+++ b/src/libs/routing/router.h
@@ -0,0 +1,93 @@
+#ifndef PAPAYADRIFT_ROUTING_ROUTER_H_
+#define PAPAYADRIFT_ROUTING_ROUTER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "routing/actions.h"
+#include "routing/event_lane.h"
+#include "routing/events.h"
+#include "routing/published.h"
+#include "routing/request_engine.h"
+#include "routing/routing_settings.h"
+#include "routing/routing_state.h"
+
+namespace papayadrift::routing {
+
+// Shares a request engine between threads. No thread waits for another on the
+// path of a request.
+class Router {
+ public:
+  // Carries out one action. Runs on whichever thread handles the event, one
+  // at a time; must not block, may call Handle().
+  using Perform = std::function<void(Action)>;
+
+  Router(RoutingSettings settings, Perform perform);
+
+  // Returns an identity for a request that arrives.
+  RequestId NextRequest();
+
+  // Gives an event to the engine, in the order of the calls.
+  void Handle(Event event, Moment now);
+
+  // Puts a table in force. When this returns nothing new is sent above its
+  // shares, nor to runners that it doesn't show as serving.
+  void Publish(RoutingTable table, Moment now);
+
+  // Sets what may be used of one runner of `service` until the next table; no
+  // effect for a runner that the table doesn't have.
+  void Allow(const ServiceId& service,
+             const std::string& address,
+             const SlotAllowance& allowance,
+             Moment now);
+  // The same if the use is within it; otherwise changes nothing and returns
+  // false.
+  bool TryAllow(const std::string& address, const SlotAllowance& allowance);
+
+  // Ends the right to take slots of any runner at `until`, or moves its end.
+  void SetUsableUntil(Instant until, Moment now);
+
+  // Returns what the table says of a service; no runner is looked at. For
+  // checks before a request is read whole.
+  struct ServiceSummary {
+    bool is_known = false;
+    bool is_idempotent = true;
+    size_t maximum_body_bytes = 0;
+
+    friend bool operator==(const ServiceSummary&,
+                           const ServiceSummary&) = default;
+  };
+  ServiceSummary Summary(const ServiceId& service) const;
+
+  // Returns how many slots of a runner this entry uses or holds. A share is
+  // given up once this is within the new one.
+  int32_t slots_in_use(const std::string& address) const;
+
+ private:
+  struct TimedEvent {
+    Event event;
+    Moment now;
+  };
+  struct Handler {
+    RequestEngine* engine;
+    Perform perform;
+
+    void operator()(TimedEvent item);
+  };
+
+  std::shared_ptr<SlotAccount> AccountOf(const std::string& address) const;
+
+  RequestEngine engine_;
+  EventLane<TimedEvent, Handler> lane_;
+  std::mutex publishers_;
+  Published<std::shared_ptr<const RoutingState>> state_;
+  std::atomic<uint64_t> last_request_{0};
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_ROUTER_H_
--- /dev/null
+++ b/src/libs/routing/routing_state.h
@@ -0,0 +1,31 @@
+#ifndef PAPAYADRIFT_ROUTING_ROUTING_STATE_H_
+#define PAPAYADRIFT_ROUTING_ROUTING_STATE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "routing/routing_table.h"
+#include "routing/slot_account.h"
+
+namespace papayadrift::routing {
+
+// Slot accounts by the runner's address.
+using SlotAccounts = std::map<std::string, std::shared_ptr<SlotAccount>>;
+
+// A table with the accounts of its runners. An account lives on from table to
+// table for as long as slots of it are in use.
+struct RoutingState {
+  RoutingTable table;
+  SlotAccounts accounts;
+
+  friend bool operator==(const RoutingState&, const RoutingState&) = default;
+};
+
+// Returns the state for `table` that follows `previous`. Shares in the kept
+// accounts have been set when this returns.
+RoutingState FollowingState(const RoutingState& previous, RoutingTable table);
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_ROUTING_ROUTING_STATE_H_
--- /dev/null
+++ b/src/libs/routing/send_results.cpp
@@ -0,0 +1,160 @@
+#include <utility>
+
+#include "routing/send_results_p.h"
+
+namespace papayadrift::routing {
+
+namespace {
+
+constexpr int kFirstServerFailure = 500;
+
+// What a send without a whole answer means.
+struct FailureMeaning {
+  RefusalReason reason;
+  SendOutcome outcome;
+  bool may_still_run;  // Whether the runner may still work on it.
+};
+
+// No failure stands for a mismatched answer.
+FailureMeaning MeaningOf(std::optional<http::ClientFailure> failure) {
+  if (!failure) {
+    return {RefusalReason::kBackendFailed, SendOutcome::kMismatched, true};
+  }
+  switch (*failure) {
+    case http::ClientFailure::kNotConnected:
+      return {RefusalReason::kBackendFailed, SendOutcome::kNotConnected, false};
+    case http::ClientFailure::kTimedOut:
+      return {RefusalReason::kBackendTimedOut, SendOutcome::kTimedOut, true};
+    case http::ClientFailure::kTruncated:
+      return {RefusalReason::kAnswerTruncated, SendOutcome::kTruncated, true};
+    case http::ClientFailure::kTooLarge:
+      return {RefusalReason::kAnswerTooLarge, SendOutcome::kTooLarge, false};
+    case http::ClientFailure::kLost:
+      break;
+  }
+  return {RefusalReason::kConnectionLost, SendOutcome::kLost, true};
+}
+
+}  // namespace
+
+SendResults::SendResults(const RoutingSettings& settings,
+                         EventContext& context,
+                         RequestSender& sender,
+                         RequestFinisher& finisher)
+    : settings_(settings),
+      context_(context),
+      sender_(sender),
+      finisher_(finisher) {}
+
+void SendResults::TakeAnswer(RequestFlow& flow,
+                             ServiceState& service,
+                             SendState& send,
+                             http::Response response) {
+  const bool has_failed = response.status >= kFirstServerFailure;
+  RecordAnswer(flow, service, send, has_failed);
+  flow.CloseAnswered(send, !has_failed);
+  FreeSlot(flow, service, send, false);
+  if (flow.phase() == FlowPhase::kOver) {
+    EndSend(flow, send.id, SendOutcome::kAnsweredLate);
+    finisher_.ResolveKeyOf(flow, response.status, response.body);
+    return;
+  }
+  EndSend(flow, send.id,
+          has_failed ? SendOutcome::kServerFailed : SendOutcome::kAnswered);
+  if (has_failed && flow.is_idempotent()) {
+    flow.SetFallback(std::move(response));
+    ContinueAfterFailure(flow, service);
+    return;
+  }
+  finisher_.FinishWith(flow, std::move(response));
+}
+
+void SendResults::TakeFailure(RequestFlow& flow,
+                              ServiceState& service,
+                              SendState& send,
+                              std::optional<http::ClientFailure> failure) {
+  if (failure == http::ClientFailure::kTimedOut) {
+    service.RecordUnanswered(flow.facts().customer,
+                             context_.now() - send.sent_at, context_.now());
+  }
+  if (!send.is_blamed && failure != http::ClientFailure::kTooLarge) {
+    service.pool().RecordFailure(*send.runner, context_.now());
+  }
+  flow.CloseFailed(send, failure);
+  const FailureMeaning meaning = MeaningOf(failure);
+  FreeSlot(flow, service, send, meaning.may_still_run);
+  EndSend(flow, send.id, meaning.outcome);
+  if (flow.phase() != FlowPhase::kOver) {
+    ContinueAfterFailure(flow, service);
+    return;
+  }
+  if (!flow.has_open_send()) {
+    finisher_.ResolveKeyUnanswered(flow);
+  }
+}
+
+void SendResults::BlameOpenSends(RequestFlow& flow, ServiceState& service) {
+  for (const SendState& it : flow.sends()) {
+    const bool was_given_time =
+        context_.now() - it.sent_at >= service.route().latency_target;
+    if (it.is_open && was_given_time) {
+      flow.FindOpen(it.id)->is_blamed = true;
+      service.pool().RecordFailure(*it.runner, context_.now());
+    }
+  }
+}
+
+void SendResults::ContinueAfterFailure(RequestFlow& flow,
+                                       ServiceState& service) {
+  if (flow.has_open_send()) {
+    return;
+  }
+  // Another runner's answer would be too large as well.
+  const bool may_help = flow.last_failure() != http::ClientFailure::kTooLarge;
+  if (may_help && flow.may_send_again() && sender_.SendExtra(flow, service)) {
+    return;
+  }
+  if (flow.fallback()) {
+    finisher_.FinishWith(flow, *flow.fallback());
+    return;
+  }
+  finisher_.FinishRefused(
+      flow, {MeaningOf(flow.last_failure()).reason, context_.now()});
+}
+
+void SendResults::RecordAnswer(const RequestFlow& flow,
+                               ServiceState& service,
+                               const SendState& send,
+                               bool has_failed) {
+  if (has_failed) {
+    service.pool().RecordFailure(*send.runner, context_.now());
+    return;
+  }
+  const microseconds latency = context_.now() - send.sent_at;
+  service.RecordAnswered(flow.facts().customer, latency, context_.now());
+  if (!send.is_blamed) {
+    service.pool().RecordSuccess(*send.runner, latency, context_.now());
+  }
+}
+
+void SendResults::EndSend(const RequestFlow& flow,
+                          SendId send,
+                          SendOutcome outcome) {
+  context_.Add(
+      SendEnded{send, flow.facts().customer, flow.facts().service, outcome});
+}
+
+void SendResults::FreeSlot(const RequestFlow& flow,
+                           ServiceState& service,
+                           const SendState& send,
+                           bool may_still_run) {
+  service.RecordEnded(flow.facts().customer);
+  const Instant stopped_by = flow.facts().deadline + settings_.overrun_margin;
+  if (may_still_run && stopped_by > context_.now()) {
+    holds_.Hold(send.runner->slots, stopped_by);
+    return;
+  }
+  send.runner->slots->GiveBack();
+}
+
+}  // namespace papayadrift::routing
--- /dev/null
+++ b/tests/auto/placement/fake_truth.cpp
@@ -0,0 +1,377 @@
+#include "fake_truth.h"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace papayadrift::placement {
+
+namespace {
+
+constexpr Resources kCapacity = {8000, 8192, 2};
+constexpr Resources kReserved = {1000, 1024, 0};
+constexpr uint32_t kWorkers = 6;
+constexpr uint32_t kTeams = 2;
+
+WorkerId WorkerOf(uint32_t which) {
+  return WorkerId("w" + std::to_string(which % kWorkers));
+}
+
+uint32_t NumberOf(const WorkerId& worker) {
+  return static_cast<uint32_t>(std::stoul(worker.text().substr(1)));
+}
+
+// Three workers to a zone; two of them share a rack.
+uint32_t ZoneNumber(const WorkerId& worker) {
+  return NumberOf(worker) / 3;
+}
+
+uint32_t RackNumber(const WorkerId& worker) {
+  return NumberOf(worker) % 3 / 2;
+}
+
+Separation SeparationOf(uint32_t which) {
+  Separation separation;
+  separation.most_per_rack = which % 4 == 0 ? 1 + which % 2 : 0;
+  separation.most_per_zone = which % 5 == 0 ? 1 + which % 3 : 0;
+  if (which % 6 == 0) {
+    separation.apart_from = {KindId("k" + std::to_string(which / 6 % 5))};
+  }
+  return separation;
+}
+
+bool MustBeApart(const KindId& kind, const Separation& separation) {
+  return std::ranges::find(separation.apart_from, kind) !=
+         separation.apart_from.end();
+}
+
+template <typename Map>
+typename Map::iterator Pick(Map& map, uint32_t which) {
+  return std::next(map.begin(), static_cast<int>(which % map.size()));
+}
+
+TeamId TeamOf(uint32_t which) {
+  return TeamId("t" + std::to_string(which % kTeams));
+}
+
+}  // namespace
+
+FakeTruth::FakeTruth(Scheduler& scheduler) : scheduler_(scheduler) {
+  Policy policy;
+  for (uint32_t i = 0; i < kTeams; ++i) {
+    policy.teams.push_back({TeamOf(i), {8000, 9000, 2}, 1.0 + i});
+  }
+  policy.services = {{ServiceId("s"), CustomerId("c"), milliseconds(20)}};
+  policy.customers = {{CustomerId("c"), 1.0, 1.0}};
+  Tell(PolicyChanged{policy});
+  StartWorker(0);
+  StartWorker(1);
+}
+
+void FakeTruth::Take(const Step& step) {
+  choice_ = step.which;
+  switch (step.what % 14) {
+    case 0:
+    case 1:
+      return SubmitJob(step.which);
+    case 2:
+      return CloseJob(step.which);
+    case 3:
+    case 4:
+      now_ += milliseconds(step.which % 40'000);
+      return Tell(Tick());
+    case 5:
+    case 6:
+      return TellSomething(step.which);
+    case 7:
+      return EndSomething(step.which);
+    case 8:
+      return step.which % 4 == 0 ? KillWorker(step.which / 4)
+                                 : TellSomething(step.which);
+    case 9:
+      return StartWorker(step.which);
+    case 10:
+      return ReportNonsense(step.which);
+    case 11:
+      return QuarantineElsewhere(step.which);
+    case 12:
+      return NoteNonsense(step.which);
+    default:
+      return step.which % 4 == 0 ? ToggleCutOff() : TellSomething(step.which);
+  }
+}
+
+void FakeTruth::Tell(const Event& event) {
+  const std::vector<Action> actions = scheduler_.Handle(now_, event);
+  std::ranges::for_each(actions, [this](const Action& it) { Check(it); });
+  CheckSums();
+  CheckQuotas(actions);
+}
+
+void FakeTruth::TellSomething(uint32_t which) {
+  if (bag_.empty()) {
+    return;
+  }
+  const size_t position = which % bag_.size();
+  const Event event = bag_[position];
+  const bool is_told_once = std::holds_alternative<ClaimRejected>(event) ||
+                            std::holds_alternative<GrantRefused>(event);
+  if (is_told_once || which % 3 != 0) {
+    bag_[position] = bag_.back();
+    bag_.pop_back();
+  }
+  Tell(event);
+}
+
+void FakeTruth::Check(const Action& action) {
+  if (const auto* claim = std::get_if<Claim>(&action)) {
+    CheckClaim(*claim);
+  } else if (const auto* change = std::get_if<ChangeGrant>(&action)) {
+    ChangeGrantOf(*change);
+  } else if (const auto* refusal = std::get_if<RefuseJob>(&action)) {
+    closed_.insert(refusal->job);
+  } else if (const auto* quarantine = std::get_if<Quarantine>(&action)) {
+    quarantined_.insert(quarantine->worker);
+  } else if (const auto* release = std::get_if<Release>(&action)) {
+    quarantined_.erase(release->worker);
+  }
+}
+
+void FakeTruth::CheckClaim(const Claim& claim) {
+  RC_ASSERT(!live_.contains(claim.task));
+  RC_ASSERT(!closed_.contains(claim.task.job));
+  RC_ASSERT(IsNonNegative(claim.grant));
+  RC_ASSERT(!quarantined_.contains(claim.worker) ||
+            claim.reason == PlacementReason::kProbe);
+  CheckSeparation(claim);
+  const Worker& worker = workers_[claim.worker];
+  if (!worker.is_up || worker.incarnation != claim.incarnation) {
+    bag_.emplace_back(
+        ClaimRejected{claim.task, claim.attempt, ClaimRejection::kWorkerGone});
+    return;
+  }
+  if (choice_ % 5 == 0) {
+    const auto reason = static_cast<ClaimRejection>(choice_ / 5 % 2 * 2);
+    bag_.emplace_back(ClaimRejected{claim.task, claim.attempt, reason});
+    return;
+  }
+  live_[claim.task] = {claim.attempt, claim.worker, claim.grant};
+  bag_.emplace_back(ClaimAccepted{claim.task, claim.attempt, claim.worker,
+                                  claim.incarnation, claim.grant});
+  bag_.emplace_back(TaskStarted{claim.task, claim.attempt});
+}
+
+void FakeTruth::CheckSeparation(const Claim& claim) const {
+  const Job& own = jobs_.at(claim.task.job);
+  uint32_t in_rack = 1;
+  uint32_t in_zone = 1;
+  for (const auto& [task, live] : live_) {
+    const Job& other = jobs_.at(task.job);
+    const bool is_same_zone =
+        ZoneNumber(live.worker) == ZoneNumber(claim.worker);
+    const bool is_same_rack =
+        is_same_zone && RackNumber(live.worker) == RackNumber(claim.worker);
+    in_zone += task.job == claim.task.job && is_same_zone ? 1 : 0;
+    in_rack += task.job == claim.task.job && is_same_rack ? 1 : 0;
+    RC_ASSERT(live.worker != claim.worker ||
+              (!MustBeApart(other.kind, own.separation) &&
+               !MustBeApart(own.kind, other.separation)));
+  }
+  const Separation& most = own.separation;
+  RC_ASSERT(most.most_per_rack == 0 || in_rack <= most.most_per_rack);
+  RC_ASSERT(most.most_per_zone == 0 || in_zone <= most.most_per_zone);
+}
+
+void FakeTruth::CheckSums() const {
+  std::map<WorkerId, Resources> sums;
+  for (const auto& [task, live] : live_) {
+    sums[live.worker] = sums[live.worker] + live.grant;
+  }
+  for (const auto& [worker, sum] : sums) {
+    RC_ASSERT(FitsIn(sum + kReserved, kCapacity));
+  }
+  for (const WorkerView& view : scheduler_.workers()) {
+    RC_ASSERT(FitsIn(view.committed + view.reserved, view.capacity));
+    RC_ASSERT(IsNonNegative(view.committed));
+    RC_ASSERT(IsNonNegative(view.held));
+    RC_ASSERT(view.claims_in_flight >= 0);
+  }
+}
+
+void FakeTruth::CheckQuotas(const std::vector<Action>& actions) const {
+  const bool has_claim = std::ranges::any_of(actions, [](const Action& it) {
+    return std::holds_alternative<Claim>(it);
+  });
+  if (!is_cut_off_ || !has_claim) {
+    return;
+  }
+  std::set<TeamId> claimants;
+  for (const Action& it : actions) {
+    if (const auto* claim = std::get_if<Claim>(&it)) {
+      claimants.insert(TeamOf(
+          static_cast<uint32_t>(std::stoul(claim->task.job.text()) / 2)));
+    }
+  }
+  for (const TeamView& team : scheduler_.teams()) {
+    RC_ASSERT(!claimants.contains(team.team) || FitsIn(team.used, team.quota));
+  }
+}
+
+void FakeTruth::ChangeGrantOf(const ChangeGrant& change) {
+  const auto it = live_.find(change.task);
+  if (it == live_.end() || it->second.attempt != change.attempt) {
+    return;
+  }
+  if (choice_ % 7 == 0) {
+    bag_.emplace_back(GrantRefused{change.task, change.attempt, change.grant});
+    return;
+  }
+  it->second.grant = change.grant;
+  bag_.emplace_back(GrantConfirmed{change.task, change.attempt, change.grant});
+}
+
+void FakeTruth::SubmitJob(uint32_t which) {
+  const uint32_t job = next_job_++;
+  const KindId kind("k" + std::to_string(which % 5));
+  const Separation separation = SeparationOf(which / 5);
+  jobs_[JobId(std::to_string(job))] = {kind, separation};
+  Tell(JobSubmitted{
+      .job = JobId(std::to_string(job)),
+      .customer = CustomerId("c"),
+      .team = TeamOf(job / 2),
+      .kind = kind,
+      .tasks = 1 + which % 6,
+      .declared = {which % 9000, which % 7000, which % 11 == 0 ? 1 : 0},
+      .declared_run = seconds(which % 100),
+      .is_urgent = which % 3 == 0,
+      .is_checkpointable = which % 2 == 0,
+      .separation = separation});
+}
+
+void FakeTruth::CloseJob(uint32_t which) {
+  if (next_job_ == 0) {
+    return;
+  }
+  const JobId job(std::to_string(which % next_job_));
+  closed_.insert(job);
+  if (which % 2 == 0) {
+    Tell(JobCancelled{job});
+  } else {
+    Tell(JobRefused{job, RefusalReason::kJobFailedEverywhere});
+  }
+}
+
+void FakeTruth::EndSomething(uint32_t which) {
+  if (live_.empty()) {
+    return;
+  }
+  const auto it = Pick(live_, which);
+  const auto ending = static_cast<records::TaskEnding>(which / 7 % 4);
+  const bool is_saved = ending == records::TaskEnding::kCheckpointed;
+  bag_.emplace_back(TaskEnded{it->first, it->second.attempt, ending,
+                              CheckpointId(is_saved ? "saved" : "")});
+  live_.erase(it);
+}
+
+void FakeTruth::KillWorker(uint32_t which) {
+  const WorkerId id = WorkerOf(which);
+  Worker& worker = workers_[id];
+  if (!worker.is_up) {
+    return;
+  }
+  worker.is_up = false;
+  std::erase_if(live_, [&](const auto& it) { return it.second.worker == id; });
+  bag_.emplace_back(WorkerLapsed{id, worker.incarnation});
+  bag_.emplace_back(WorkerFreed{id, worker.incarnation});
+}
+
+void FakeTruth::StartWorker(uint32_t which) {
+  const WorkerId id = WorkerOf(which);
+  Worker& worker = workers_[id];
+  if (!worker.is_up) {
+    worker.is_up = true;
+    worker.incarnation = worker.incarnation.Next();
+  }
+  bag_.emplace_back(
+      WorkerUp{.worker = id,
+               .incarnation = worker.incarnation,
+               .zone = ZoneId("z" + std::to_string(ZoneNumber(id))),
+               .rack = RackId("r" + std::to_string(RackNumber(id))),
+               .capacity = kCapacity,
+               .runners = {{ServiceId("s"), kReserved}}});
+  TellSomething(static_cast<uint32_t>(bag_.size() - 1));
+}
+
+void FakeTruth::ReportNonsense(uint32_t which) {
+  if (!live_.empty()) {
+    const auto it = Pick(live_, which);
+    const int64_t amount = static_cast<int64_t>(which % 30'000) - 5'000;
+    Tell(UsageReported{it->first,
+                       it->second.attempt,
+                       {amount, amount / 3, 0},
+                       amount,
+                       now_ - milliseconds(which % 5000)});
+  }
+  const Instant until = now_ - milliseconds(which % 90'000);
+  Tell(LatencyReported{WorkerOf(which), ServiceId("s"), milliseconds(1),
+                       milliseconds(which % 100), which % 5000,
+                       until - seconds(which % 12), until});
+}
+
+void FakeTruth::QuarantineElsewhere(uint32_t which) {
+  const WorkerId id = WorkerOf(which);
+  const auto view = scheduler_.View(id);
+  const WorkerQuarantined record = {id, workers_[id].incarnation,
+                                    which / kWorkers % 3 != 0};
+  if (view && view->incarnation == record.incarnation) {
+    if (record.is_quarantined) {
+      quarantined_.insert(id);
+    } else {
+      quarantined_.erase(id);
+    }
+  }
+  Tell(record);
+}
+
+void FakeTruth::NoteNonsense(uint32_t which) {
+  // Also what no record may hold, and kinds and places that there are not.
+  constexpr int64_t kExtremes[] = {
+      std::numeric_limits<int64_t>::min(), -1, 0, 1, 4096,
+      std::numeric_limits<int64_t>::max()};
+  const auto extreme = [&](uint32_t shift) {
+    return kExtremes[(which >> shift) % std::size(kExtremes)];
+  };
+  const records::LearnedQuantity quantity = {which % 2'000, extreme(0),
+                                             extreme(3), extreme(6)};
+  const KindId kind("k" + std::to_string(which % 7));
+  const auto coefficient = [&](uint32_t shift) {
+    return records::CoefficientKnowledge{
+        (which >> shift) % 4, (which >> shift) % 5,
+        static_cast<int32_t>(extreme(shift)),
+        static_cast<int32_t>(extreme(shift + 2))};
+  };
+  KnowledgeNoted note;
+  note.kinds = {{kind, quantity, quantity, quantity,
+                 static_cast<int32_t>(extreme(9)), extreme(12)}};
+  note.neighbours = {kind, KindId("unheard-of")};
+  note.services = {{ServiceId(which % 5 == 0 ? "other" : "s"),
+                    {coefficient(1), coefficient(4), coefficient(8)}}};
+  if (which % 3 == 0) {
+    bag_.emplace_back(note);  // To be told later, perhaps more than once.
+  } else {
+    Tell(note);
+  }
+}
+
+void FakeTruth::ToggleCutOff() {
+  is_cut_off_ = !is_cut_off_;
+  if (is_cut_off_) {
+    Tell(RegionCutOff());
+  } else {
+    Tell(RegionRejoined());
+  }
+}
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/tests/auto/placement/fake_truth.h
@@ -0,0 +1,77 @@
+#ifndef PAPAYADRIFT_TESTS_PLACEMENT_FAKE_TRUTH_H_
+#define PAPAYADRIFT_TESTS_PLACEMENT_FAKE_TRUTH_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "placement/scheduler.h"
+
+namespace papayadrift::placement {
+
+// One step of a random course: what happens, and to which of the candidates.
+struct Step {
+  uint8_t what = 0;
+  uint32_t which = 0;
+};
+
+// The truth about workers and attempts, as the log and the workers know it.
+// What it has to tell lies in a bag, from which events are taken in any order
+// and more than once. Every action is checked against the truth.
+class FakeTruth {
+ public:
+  explicit FakeTruth(Scheduler& scheduler);
+
+  void Take(const Step& step);
+
+ private:
+  struct Live {
+    Attempt attempt;
+    WorkerId worker;
+    Resources grant;
+  };
+  // What a job says of where its tasks may stand.
+  struct Job {
+    KindId kind;
+    Separation separation;
+  };
+  struct Worker {
+    Incarnation incarnation;
+    bool is_up = false;
+  };
+
+  void Tell(const Event& event);
+  void TellSomething(uint32_t which);
+  void Check(const Action& action);
+  void CheckClaim(const Claim& claim);
+  void CheckSeparation(const Claim& claim) const;
+  void CheckSums() const;
+  void CheckQuotas(const std::vector<Action>& actions) const;
+  void ChangeGrantOf(const ChangeGrant& change);
+  void SubmitJob(uint32_t which);
+  void CloseJob(uint32_t which);
+  void EndSomething(uint32_t which);
+  void KillWorker(uint32_t which);
+  void StartWorker(uint32_t which);
+  void ReportNonsense(uint32_t which);
+  void ToggleCutOff();
+  void QuarantineElsewhere(uint32_t which);
+  void NoteNonsense(uint32_t which);
+
+  Scheduler& scheduler_;
+  Instant now_{seconds(1)};
+  std::map<TaskId, Live> live_;
+  std::map<JobId, Job> jobs_;
+  std::map<WorkerId, Worker> workers_;
+  std::set<WorkerId> quarantined_;
+  std::set<JobId> closed_;
+  std::vector<Event> bag_;
+  uint32_t next_job_ = 0;
+  uint32_t choice_ = 0;
+  bool is_cut_off_ = false;
+};
+
+}  // namespace papayadrift::placement
+
+#endif  // PAPAYADRIFT_TESTS_PLACEMENT_FAKE_TRUTH_H_
--- /dev/null
+++ b/tests/auto/placement/moves_test.cpp
@@ -0,0 +1,123 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "fixture.h"
+
+namespace papayadrift::placement {
+
+namespace {
+
+constexpr Resources kWorker = {8000, 8192, 0};
+constexpr Resources kTask = {3000, 1024, 0};
+// Every 10 s: the budget allows one eviction an hour.
+constexpr int kReports = 500;
+
+// One worker with a service that suffers, and what runs beside it.
+class Suffering {
+ public:
+  explicit Suffering(bool is_checkpointable) {
+    fixture_.AddWorker("hot", kWorker);
+    JobSubmitted job = SomeJob("job", 1, kTask);
+    job.is_checkpointable = is_checkpointable;
+    const auto claims = Only<Claim>(fixture_.Submit(job));
+    claim = claims.at(0);
+    fixture_.Start(claim);
+  }
+
+  // Reports a latency above its target, also once the task is throttled, until
+  // something is stopped.
+  std::vector<Evict> ReportUntilStopped() {
+    std::vector<Evict> stops;
+    for (int i = 0; i < kReports && stops.empty(); ++i) {
+      fixture_.Pass(seconds(10));
+      fixture_.Handle(LatencyReported{
+          WorkerId("calm"), ServiceId("service"), milliseconds(1),
+          milliseconds(5), 100, fixture_.now() - seconds(10), fixture_.now()});
+      const auto actions = fixture_.Handle(LatencyReported{
+          WorkerId("hot"), ServiceId("service"), milliseconds(20),
+          milliseconds(throttles == 0 ? 60 : 40), 1000,
+          fixture_.now() - seconds(10), fixture_.now()});
+      for (const ChangeGrant& it : Only<ChangeGrant>(actions)) {
+        ++throttles;
+        fixture_.Handle(GrantConfirmed{it.task, it.attempt, it.grant});
+      }
+      stops = Only<Evict>(actions);
+    }
+    return stops;
+  }
+
+  Fixture& fixture() { return fixture_; }
+
+  Claim claim;
+  int throttles = 0;
+
+ private:
+  Fixture fixture_;
+};
+
+TEST(MovesTest, TaskIsThrottledFirstThenMovedToABetterPlace) {
+  Suffering suffering(true);
+  Fixture& fixture = suffering.fixture();
+  fixture.AddWorker("calm", kWorker);
+  const auto stops = suffering.ReportUntilStopped();
+  ASSERT_EQ(stops.size(), 1U);
+  EXPECT_EQ(suffering.throttles, 1);
+  EXPECT_EQ(fixture.scheduler().counters().moves, 1U);
+  EXPECT_EQ(ToText(fixture.scheduler().Explain(stops[0].task)),
+            "It was stopped on worker hot because a service there was above "
+            "its latency target; 0 s of its work are done again. Room is kept "
+            "for it on worker calm.");
+  EXPECT_EQ(fixture.scheduler().View(WorkerId("calm"))->held.millicores, 3000);
+  const auto next = Only<Claim>(fixture.Handle(
+      TaskEnded{stops[0].task, stops[0].attempt,
+                records::TaskEnding::kCheckpointed, CheckpointId("c")}));
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].worker, WorkerId("calm"));
+  EXPECT_EQ(next[0].resumes, CheckpointId("c"));
+  EXPECT_EQ(next[0].reason, PlacementReason::kMoved);
+  EXPECT_EQ(fixture.scheduler().View(WorkerId("calm"))->held, Resources());
+}
+
+TEST(MovesTest, WithoutABetterPlaceItIsEvicted) {
+  Suffering suffering(true);
+  const auto stops = suffering.ReportUntilStopped();
+  ASSERT_EQ(stops.size(), 1U);
+  EXPECT_EQ(suffering.fixture().scheduler().counters().moves, 0U);
+  EXPECT_EQ(suffering.fixture().scheduler().counters().evictions_for_services,
+            1U);
+}
+
+TEST(MovesTest, TaskThatWouldLoseItsWorkIsNotMoved) {
+  Suffering suffering(false);
+  suffering.fixture().AddWorker("calm", kWorker);
+  ASSERT_EQ(suffering.ReportUntilStopped().size(), 1U);
+  EXPECT_EQ(suffering.fixture().scheduler().counters().moves, 0U);
+}
+
+TEST(MovesTest, OperatorsLimitOnEvictionsHolds) {
+  Suffering suffering(true);
+  Policy policy = {
+      {},
+      {{ServiceId("service"), CustomerId("customer"), milliseconds(20)}},
+      {{CustomerId("customer"), 4.0, 1.0}}};
+  policy.limits.evictions_per_hour = 0;
+  suffering.fixture().Handle(PolicyChanged{policy});
+  EXPECT_TRUE(suffering.ReportUntilStopped().empty());
+  EXPECT_EQ(suffering.throttles, 1);
+}
+
+TEST(MovesTest, RoomIsGivenUpWhenTheTaskFinishesAfterAll) {
+  Suffering suffering(true);
+  Fixture& fixture = suffering.fixture();
+  fixture.AddWorker("calm", kWorker);
+  const auto stops = suffering.ReportUntilStopped();
+  ASSERT_EQ(stops.size(), 1U);
+  fixture.Handle(TaskEnded{
+      stops[0].task, stops[0].attempt, records::TaskEnding::kFinished, {}});
+  EXPECT_EQ(fixture.scheduler().View(WorkerId("calm"))->held, Resources());
+}
+
+}  // namespace
+
+}  // namespace papayadrift::placement
--- /dev/null
+++ b/tests/auto/proposals/proposal_history_test.cpp
@@ -0,0 +1,239 @@
+// Random histories of several proposers over a log that loses answers, stores
+// appends late or twice, drops old records and is down at times, while
+// processes crash, restart and write snapshots.
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fake_log.h"
+#include "process.h"
+#include "replay/decision_model.h"
+#include "replay/record_chooser.h"
+
+namespace papayadrift::proposals {
+namespace {
+
+using replay::DecisionState;
+using test::Process;
+
+constexpr uint32_t kProcesses = 3;
+constexpr uint32_t kSteps = 200;
+constexpr uint32_t kHistoriesPerCase = 5;
+
+class History {
+ public:
+  explicit History(uint64_t seed) : random_(seed), log_(seed) {
+    for (uint32_t i = 0; i < kProcesses; ++i) {
+      processes_.push_back(Start(i));
+    }
+  }
+
+  void Step() {
+    clock_.Advance(milliseconds(random_(30)));
+    Observe();
+    Process& process = *processes_[random_(kProcesses)];
+    switch (random_(24)) {
+      case 0:
+        Crash(random_(kProcesses));
+        break;
+      case 1:
+        process.SubmitSnapshot(random_());
+        break;
+      case 2:
+        DropOldRecords();
+        break;
+      case 3:
+        log_.SetDown(random_(2) == 0);
+        break;
+      case 4:
+      case 5:
+        log_.StoreAnyLate();
+        break;
+      case 6:
+      case 7:
+      case 8:
+        SubmitAny(process);
+        break;
+      default:
+        process.Tick(observer_);
+        log_.DeliverAny();
+    }
+  }
+
+  // Ends all faults and waits until every outcome was told; then lets what is
+  // still to come late take its place.
+  void Settle() {
+    constexpr uint32_t kMaximumRounds = 3'000;
+    log_.SetDown(false);
+    log_.SetFaulty(false);
+    for (uint32_t i = 0; i < kMaximumRounds && !IsAllTold(); ++i) {
+      Round();
+    }
+    RC_ASSERT(IsAllTold());
+    log_.StoreAllLate();
+    while (!IsAllRead()) {
+      Round();
+    }
+    Keep();
+  }
+
+  void Check() const {
+    RC_ASSERT(model_.faults() == std::vector<std::string>());
+    for (const auto& process : processes_) {
+      RC_ASSERT(process->state().digest() == observer_.digest());
+      RC_ASSERT(process->state() == observer_);
+    }
+    std::set<records::ProposalId> told;
+    for (const test::ToldOutcome& outcome : told_) {
+      RC_ASSERT(told.insert(outcome.id).second);
+      CheckOutcome(outcome);
+    }
+  }
+
+ private:
+  struct Place {
+    Offset offset;
+    uint32_t index_in_batch = 0;
+    replay::Verdict verdict;
+  };
+
+  std::unique_ptr<Process> Start(uint32_t i) {
+    const replay::EntryKey key = {.entry = EntryId("e" + std::to_string(i)),
+                                  .incarnation = Incarnation(++last_life_)};
+    auto process =
+        std::make_unique<Process>(log_, clock_, key, random_(), observer_);
+    process->Submit(records::EntryJoined{.entry = key.entry,
+                                         .incarnation = key.incarnation,
+                                         .zone = {},
+                                         .http_address = {},
+                                         .stream_address = {}},
+                    std::nullopt);
+    return process;
+  }
+
+  void Crash(uint32_t i) {
+    KeepOutcomesOf(*processes_[i]);
+    processes_[i] = Start(i);
+  }
+
+  void SubmitAny(Process& process) {
+    std::optional<Instant> give_up_at;
+    if (random_(3) == 0) {
+      give_up_at = clock_.Now() + milliseconds(random_(100));
+    }
+    process.Submit(
+        test::RecordChooser(process.state(), random_()).Choose(process.key()),
+        give_up_at);
+  }
+
+  void DropOldRecords() {
+    const uint64_t kept = 5 + random_(60);
+    if (log_.next().value() > kept) {
+      log_.Drop(Offset(log_.next().value() - kept));
+    }
+  }
+
+  // Replays what was stored since, whatever reads return.
+  void Observe() {
+    while (observer_.next_offset() < log_.next()) {
+      const Offset offset = observer_.next_offset();
+      uint32_t i = 0;
+      for (const auto& applied : replay::ApplyBytes(
+               observer_, offset, log_.records()[offset.value() - 1])) {
+        model_.OnApplied(offset, applied);
+        if (offset <= applied.proposal.last_offset) {
+          places_.try_emplace(applied.proposal.id,
+                              Place{.offset = offset,
+                                    .index_in_batch = i,
+                                    .verdict = applied.verdict});
+        }
+        ++i;
+      }
+      model_.OnCompleted(observer_);
+    }
+  }
+
+  void Round() {
+    clock_.Advance(milliseconds(10));
+    for (const auto& process : processes_) {
+      process->Tick(observer_);
+    }
+    log_.DeliverAll();
+    Observe();
+  }
+
+  bool IsAllTold() const {
+    return std::ranges::all_of(processes_, [](const auto& process) {
+      return process->told().size() == process->submitted_count();
+    });
+  }
+
+  bool IsAllRead() const {
+    return std::ranges::all_of(processes_, [this](const auto& process) {
+      return process->state().next_offset() == log_.next();
+    });
+  }
+
+  void Keep() {
+    for (const auto& process : processes_) {
+      KeepOutcomesOf(*process);
+    }
+  }
+
+  void KeepOutcomesOf(const Process& process) {
+    for (const test::ToldOutcome& told : process.told()) {
+      told_.push_back(told);
+      const bool is_unknown =
+          std::holds_alternative<ProposalUnknown>(told.outcome);
+      RC_ASSERT(!is_unknown || process.has_gap());
+    }
+  }
+
+  void CheckOutcome(const test::ToldOutcome& told) const {
+    const auto place = places_.find(told.id);
+    if (std::holds_alternative<ProposalExpired>(told.outcome)) {
+      RC_ASSERT(place == places_.end());
+    }
+    if (const auto* decided = std::get_if<ProposalDecided>(&told.outcome)) {
+      RC_ASSERT(place != places_.end());
+      RC_ASSERT(decided->offset == place->second.offset);
+      RC_ASSERT(decided->index_in_batch == place->second.index_in_batch);
+      RC_ASSERT(std::get<replay::Verdict>(decided->verdict) ==
+                place->second.verdict);
+    }
+  }
+
+  pcg32 random_;
+  ManualClock clock_;
+  test::FakeLog log_;
+  uint64_t last_life_ = 0;
+  DecisionState observer_;
+  test::DecisionModel model_;
+  std::map<records::ProposalId, Place> places_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::vector<test::ToldOutcome> told_;
+};
+
+RC_GTEST_PROP(ProposalHistory, OutcomesAreTrueAndStatesEqual, ()) {
+  for (uint32_t i = 0; i < kHistoriesPerCase; ++i) {
+    History history(
+        *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<uint32_t>()));
+    for (uint32_t step = 0; step < kSteps; ++step) {
+      history.Step();
+    }
+    history.Settle();
+    history.Check();
+  }
+}
+
+}  // namespace
+}  // namespace papayadrift::proposals
--- /dev/null
+++ b/tests/auto/routing/fake_entry.h
@@ -0,0 +1,93 @@
+#ifndef PAPAYADRIFT_TESTS_ROUTING_FAKE_ENTRY_H_
+#define PAPAYADRIFT_TESTS_ROUTING_FAKE_ENTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fake_key_store.h"
+#include "fake_runners.h"
+#include "routing/request_engine.h"
+#include "routing/routing_state.h"
+#include "timeline.h"
+
+namespace papayadrift::routing {
+
+// How a request ended for its caller.
+struct FakeEnding {
+  RequestFacts facts;
+  std::string name;  // Of what is to be executed: the key, if there is one.
+  std::string sending;
+  int executions_at_end = 0;  // Of `name`, when the caller was told.
+  Instant arrived_at;
+  Instant ended_at;
+  int finals = 0;  // Must be 1 in the end.
+  std::optional<http::Response> response;
+  std::optional<Refusal> refusal;
+  std::optional<Ran> dropped;
+  std::vector<std::string> addresses;  // Of all sends, in order.
+  int unconnected = 0;                 // Sends of which no byte has left.
+  bool was_resent_unsafely = false;    // Sent again while one may have run.
+};
+
+// Drives a request engine over fake runners and keys, and audits it.
+class FakeEntry {
+ public:
+  FakeEntry(RoutingSettings settings,
+            Timeline& timeline,
+            FakeRunners& runners,
+            FakeKeyStore& keys);
+
+  void Publish(const std::vector<ServiceRoute>& services);
+  void Arrive(const std::string& customer,
+              const std::string& service,
+              microseconds time_allowed,
+              const std::string& key = {});
+  void Handle(Event event);
+
+  RequestEngine& engine() { return engine_; }
+  const std::map<RequestId, FakeEnding>& endings() const { return endings_; }
+  const RoutingState& state() const { return *state_; }
+  bool has_stopped() const { return has_stopped_; }
+  // Requests short of slots, as the engine told them, and how often it did.
+  size_t slots_wanted() const { return slots_wanted_; }
+  int times_wanted() const { return times_wanted_; }
+  int send_ends() const { return send_ends_; }
+  int sends() const { return sends_; }
+
+ private:
+  void Do(const Send& action);
+  void Do(const ClaimKey& action);
+  void Do(const ResolveKey& action) { keys_.Resolve(action); }
+  void Do(const Answer& action);
+  void Do(const Refuse& action);
+  void Do(const Drop& action);
+  void Do(const StartTimer& action);
+  void Do(const SendEnded& /*action*/) { ++send_ends_; }
+  void Do(const SlotsWanted& action);
+  void Do(const Stopped& /*action*/) { has_stopped_ = true; }
+  FakeEnding& End(const RequestFacts& facts);
+
+  Timeline& timeline_;
+  FakeRunners& runners_;
+  FakeKeyStore& keys_;
+  const std::string name_;
+  const ZoneId zone_;
+  RequestEngine engine_;
+  std::shared_ptr<const RoutingState> state_;
+  std::map<RequestId, FakeEnding> endings_;
+  uint64_t last_request_ = 0;
+  int sends_ = 0;
+  int send_ends_ = 0;
+  bool has_stopped_ = false;
+  size_t slots_wanted_ = 0;
+  int times_wanted_ = 0;
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_TESTS_ROUTING_FAKE_ENTRY_H_
--- /dev/null
+++ b/tests/auto/routing/fake_key_store.h
@@ -0,0 +1,75 @@
+#ifndef PAPAYADRIFT_TESTS_ROUTING_FAKE_KEY_STORE_H_
+#define PAPAYADRIFT_TESTS_ROUTING_FAKE_KEY_STORE_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <optional>
+
+#include "routing/actions.h"
+#include "timeline.h"
+
+namespace papayadrift::routing {
+
+// Keys as the log decides them: the first claim wins, after a group commit's
+// delay. Shared by several entries.
+class FakeKeyStore {
+ public:
+  FakeKeyStore(Timeline& timeline, microseconds commit_delay)
+      : timeline_(timeline), commit_delay_(commit_delay) {}
+
+  void SetIsAvailable(bool is_available) { is_available_ = is_available; }
+
+  void Claim(const ClaimKey& claim,
+             const std::function<void(KeyVerdict)>& answer) {
+    timeline_.At(timeline_.now() + commit_delay_,
+                 [=, this] { answer(VerdictOn(claim.facts.key)); });
+  }
+
+  // Returns what a replayed log says of a key.
+  std::optional<KeyVerdict> Known(const IdempotencyKey& key) const {
+    const auto it = resolved_.find(key);
+    if (it == resolved_.end()) {
+      return std::nullopt;
+    }
+    return VerdictOnKnown(it->second);
+  }
+
+  void Resolve(const ResolveKey& resolve) {
+    resolved_[resolve.key] =
+        KeyRepeated{resolve.ran, resolve.status, resolve.answer};
+  }
+
+  bool all_are_resolved() const {
+    return std::ranges::all_of(
+        resolved_, [](const auto& it) { return it.second.has_value(); });
+  }
+
+ private:
+  KeyVerdict VerdictOn(const IdempotencyKey& key) {
+    if (!is_available_) {
+      return KeyRefused{RefusalReason::kLogUnavailable};
+    }
+    const auto [it, is_first] = resolved_.try_emplace(key);
+    if (is_first) {
+      return KeyAccepted{};
+    }
+    return VerdictOnKnown(it->second);
+  }
+
+  static KeyVerdict VerdictOnKnown(const std::optional<KeyRepeated>& first) {
+    if (!first) {
+      return KeyRefused{RefusalReason::kKeyInProgress};
+    }
+    return *first;
+  }
+
+  Timeline& timeline_;
+  const microseconds commit_delay_;
+  bool is_available_ = true;
+  std::map<IdempotencyKey, std::optional<KeyRepeated>> resolved_;
+};
+
+}  // namespace papayadrift::routing
+
+#endif  // PAPAYADRIFT_TESTS_ROUTING_FAKE_KEY_STORE_H_
--- /dev/null
+++ b/tests/auto/routing/router_test.cpp
@@ -0,0 +1,95 @@
+#include "routing/router.h"
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "fake_site.h"
+
+namespace papayadrift::routing {
+namespace {
+
+constexpr int kThreads = 4;
+constexpr int kRequests = 2000;
+
+// Answers each send at once, from inside the engine's own thread.
+struct Loopback {
+  Router* router = nullptr;
+  std::atomic<int> finals = 0;
+  std::atomic<int> open = 0;
+  std::atomic<int> peak = 0;
+
+  void operator()(const Action& action, Moment now) {
+    if (const auto* send = std::get_if<Send>(&action)) {
+      peak = std::max(peak.load(), ++open);
+      --open;
+      router->Handle(
+          AnswerArrived{send->send, send->identity, {200, {}, "answer"}}, now);
+    }
+    const bool is_final = std::holds_alternative<Answer>(action) ||
+                          std::holds_alternative<Refuse>(action);
+    finals += is_final ? 1 : 0;
+  }
+};
+
+TEST(RouterTest, ThreadsShareItAndEachRequestEndsOnceWhileTablesChange) {
+  const Moment now{Instant(seconds(1)), WallInstant()};
+  Loopback loopback;
+  Router router({}, [&](const Action& action) { loopback(action, now); });
+  loopback.router = &router;
+  const RoutingTable table({FakeService(kChecks, kSlots)});
+  router.Publish(table, now);
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int it = 0; it < kThreads; ++it) {
+    threads.emplace_back([&] {
+      for (int n = 0; n < kRequests; ++n) {
+        EXPECT_TRUE(router.Summary(ServiceId(kChecks)).is_known);
+        RequestFacts facts;
+        facts.id = router.NextRequest();
+        facts.customer = CustomerId("customer");
+        facts.service = ServiceId(kChecks);
+        facts.deadline = now.instant + seconds(1);
+        router.Handle(RequestArrived{facts}, now);
+      }
+    });
+  }
+  for (int it = 0; it < 100; ++it) {
+    router.Publish(table, now);
+  }
+  for (std::thread& it : threads) {
+    it.join();
+  }
+  EXPECT_EQ(loopback.finals, kThreads * kRequests);
+  EXPECT_EQ(router.slots_in_use(kChecks + "-0"), 0);
+}
+
+TEST(RouterTest, ARemovedRunnerIsCountedUntilItsSlotsAreBack) {
+  const Moment now{Instant(seconds(1)), WallInstant()};
+  std::optional<Send> send;
+  Router router({}, [&](const Action& action) {
+    if (const auto* it = std::get_if<Send>(&action)) {
+      send = *it;
+    }
+  });
+  router.Publish(RoutingTable({FakeService(kChecks, kSlots)}), now);
+  RequestFacts facts;
+  facts.id = router.NextRequest();
+  facts.service = ServiceId(kChecks);
+  facts.deadline = now.instant + seconds(1);
+  router.Handle(RequestArrived{facts}, now);
+  ASSERT_TRUE(send);
+  router.Publish(RoutingTable(), now);
+  EXPECT_EQ(router.slots_in_use(send->address), 1);
+  router.Handle(SendFailed{send->send, http::ClientFailure::kLost}, now);
+  // Its runner may still work on it, up to the deadline.
+  EXPECT_EQ(router.slots_in_use(send->address), 1);
+  const Moment later{facts.deadline + seconds(1), WallInstant()};
+  router.Handle(TimerFired{}, later);
+  EXPECT_EQ(router.slots_in_use(send->address), 0);
+}
+
+}  // namespace
+}  // namespace papayadrift::routing
