Tests: Holds the ports that test processes are told to listen on

Cause: a free port was found by binding it and closing it again. Until the process under test listened there, any other process could be given it; about 300 ports are picked in one run with six tests at a time.

Change: the finder keeps the port bound with SO_REUSEADDR and never listens. The kernel then gives it to nobody who asks for any port, and our listeners, which all set SO_REUSEADDR, can still take it. One copy of the finder for the C++ tests in place of two.

--- a/tests/auto/http/client_test.cpp
+++ b/tests/auto/http/client_test.cpp
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "http/server.h"
 #include "raw_socket.h"
+#include "support/free_port.h"
 
 namespace papayadrift::http {
 namespace {
@@ -45,7 +46,7 @@
 };
 
 TEST_F(ClientTest, RefusedConnectionIsNotConnected) {
-  const std::string address = "127.0.0.1:" + std::to_string(FreePort());
+  const std::string address = FreeAddress();
   EXPECT_EQ(Get(address), ClientResult(ClientFailure::kNotConnected));
   EXPECT_EQ(Get("no address"), ClientResult(ClientFailure::kNotConnected));
 }
--- a/tests/auto/http/raw_socket.cpp
+++ b/tests/auto/http/raw_socket.cpp
@@ -139,11 +139,4 @@
   }
 }
 
-uint16_t FreePort() {
-  const int descriptor = Listen();
-  const uint16_t port = BoundPort(descriptor);
-  close(descriptor);
-  return port;
-}
-
 }  // namespace papayadrift::http
--- a/tests/auto/http/raw_socket.h
+++ b/tests/auto/http/raw_socket.h
@@ -59,9 +59,6 @@
   std::thread thread_;
 };
 
-// Returns a port that nobody listens on at the moment.
-uint16_t FreePort();
-
 }  // namespace papayadrift::http
 
 #endif  // PAPAYADRIFT_TESTS_HTTP_RAW_SOCKET_H_
--- a/tests/auto/http/server_end_test.cpp
+++ b/tests/auto/http/server_end_test.cpp
@@ -8,6 +8,7 @@
 #include "http/server.h"
 #include "process/process_end.h"
 #include "raw_socket.h"
+#include "support/free_port.h"
 
 namespace papayadrift::http {
 namespace {
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "http/client.h"
 #include "raw_socket.h"
+#include "support/free_port.h"
 
 namespace papayadrift::http {
 namespace {
--- a/tests/auto/http/tls_test.cpp
+++ b/tests/auto/http/tls_test.cpp
@@ -6,7 +6,7 @@
 #include "certificate.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "raw_socket.h"
+#include "support/free_port.h"
 
 namespace papayadrift::http {
 namespace {
@@ -22,7 +22,7 @@
 
   int handled = 0;
   ServerSettings settings;
-  settings.address = "127.0.0.1:" + std::to_string(FreePort());
+  settings.address = FreeAddress();
   settings.certificate_chain_path = certificate;
   settings.private_key_path = key;
   Server server(settings, [&](const Request&, const Respond& respond) {
--- a/tests/auto/log/http_log_test.cpp
+++ b/tests/auto/log/http_log_test.cpp
@@ -10,6 +10,7 @@
 #include "../http/raw_socket.h"
 #include "http/server.h"
 #include "standins/log/log_service.h"
+#include "support/free_port.h"
 
 namespace papayadrift::log {
 namespace {
@@ -55,7 +56,7 @@
   }
 
   const SystemClock clock_;
-  const std::string address_ = "127.0.0.1:" + std::to_string(http::FreePort());
+  const std::string address_ = FreeAddress();
   std::unique_ptr<standins::LogService> service_ =
       std::make_unique<standins::LogService>(kRetainedRecords, clock_);
   http::Server server_{
--- a/tests/auto/programs/cluster.py
+++ b/tests/auto/programs/cluster.py
@@ -24,10 +24,18 @@
 }
 
 
+held_ports = []
+
+
 def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % probe.getsockname()[1]
+    """Returns an address on which nobody listens. Its port stays bound until
+    this process ends, so that the kernel gives it to nobody else; programs
+    that listen with SO_REUSEADDR, as all of ours do, can still take it."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    held_ports.append(holder)
+    return "127.0.0.1:%d" % holder.getsockname()[1]
 
 
 def call(address, method, path, body=None, headers=None, timeout=5.0):
--- a/tests/auto/streams/stream_node_test.cpp
+++ b/tests/auto/streams/stream_node_test.cpp
@@ -11,24 +11,13 @@
 #include <mutex>
 #include <thread>
 
+#include "support/free_port.h"
+
 namespace papayadrift::streams {
 namespace {
 
 constexpr seconds kPatience(20);
 
-// Returns an address on loopback that nobody uses at the moment.
-std::string FreeAddress() {
-  const int probe = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(name);
-  EXPECT_EQ(bind(probe, reinterpret_cast<sockaddr*>(&name), size), 0);
-  getsockname(probe, reinterpret_cast<sockaddr*>(&name), &size);
-  close(probe);
-  return "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
-}
-
 // Remembers what happened, and lets a test wait for it.
 class Recorder : public StreamListener {
  public:
