Entry: Explains each failed request in its log, and never waits for the reader

Cause: the log had no line about any request, and a caller got nothing by which to find one. Lines went to standard output through a blocking stream under a lock: with a reader that has stopped, the first 64 KiB fill the pipe and every thread that logs stands still.

Warnings and errors are dropped last, a gap is told where it is. Each event has a budget of lines.

Conclusion: cause and age of beliefs can be read from the log alone. The guard still writes none.

--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -1,6 +1,7 @@
 // papayadrift-entry: serves callers, workers and operators.
 
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 #include <iostream>
 #include <string>
@@ -52,7 +53,7 @@
   http::InitializeThreads(static_cast<int>(settings.threads));
   const SystemClock clock;
   logging::Logger logger(settings.entry.text(), logging::Level::kInfo, clock,
-                         std::cout);
+                         STDOUT_FILENO);
   http::Client client(http::ClientSettings(), clock);
   log::HttpLog log({settings.log_address, settings.log_timeout}, client, clock);
   std::optional<peer_protocol::SharedKey> peer_key;
@@ -77,6 +78,7 @@
   const bool has_finished =
       node.Close(clock.Now() + settings.maximum_deadline + kCloseMargin);
   signals.OnSignal(nullptr);
+  logger.Finish();
   process::EndProcess(static_cast<int>(ExitCodeOf(end, has_finished)));
 }
 
--- a/src/libs/entry/control_metrics.cpp
+++ b/src/libs/entry/control_metrics.cpp
@@ -110,7 +110,10 @@
           registry.AddGauge("papayadrift_quarantined_workers",
                             "Workers that get nothing but probes.")),
       snapshots_{&registry.AddCounter("papayadrift_snapshots_total",
-                                      "Snapshots that this entry wrote.")} {
+                                      "Snapshots that this entry wrote.")},
+      missing_lines_{&registry.AddCounter(
+          "papayadrift_log_lines_missing_total",
+          "Lines of the process's own log that were left out or dropped.")} {
   for (const PlacementCounter& it : kPlacementCounters) {
     placement_.push_back(
         {&registry.AddCounter("papayadrift_placement_total",
@@ -125,6 +128,10 @@
   SampleWork(controller);
 }
 
+void ControlMetrics::SampleLines(const logging::Logger& logger) {
+  missing_lines_.Follow(logger.missing_count());
+}
+
 void ControlMetrics::Followed::Follow(uint64_t value) {
   counter->Add(value >= last ? value - last : value);
   last = value;
--- a/src/libs/entry/control_metrics.h
+++ b/src/libs/entry/control_metrics.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/instant.h"
+#include "logging/logger.h"
 #include "metrics/registry.h"
 #include "placement/counters.h"
 
@@ -20,6 +21,8 @@
 
   // Takes the present state; costs one pass over workers and entries.
   void Sample(const RegionController& controller, Instant now);
+  // Takes how complete this process's own log is.
+  void SampleLines(const logging::Logger& logger);
 
  private:
   // A counter that follows a number which starts anew with its owner.
@@ -48,6 +51,7 @@
   std::vector<metrics::Gauge*> workers_;  // By replay::WorkerPhase.
   metrics::Gauge& quarantined_workers_;
   Followed snapshots_;
+  Followed missing_lines_;
   std::vector<Followed> placement_;  // In the order of kPlacementCounters.
 };
 
--- a/src/libs/entry/entry_node.cpp
+++ b/src/libs/entry/entry_node.cpp
@@ -68,6 +68,7 @@
   ControlMetrics control_metrics_;
   access::AccessControl access_;
   outcomes::OutcomeLedger ledger_;
+  const RequestReporter request_reporter_;
   RequestDesk requests_;
   StreamPeerTransport peers_;
   logging::Logger& logger_;
@@ -96,12 +97,16 @@
       control_metrics_(registry_),
       access_(AccessSettingsOf(incarnation)),
       ledger_(settings.entry, incarnation, clock_.WallNow()),
+      request_reporter_(
+          environment.logger,
+          RequestDeskSettingsOf(settings, incarnation).routing.identity_prefix),
       requests_(RequestDeskSettingsOf(settings, incarnation),
                 clock_,
                 environment.client,
                 timers_,
                 ledger_,
                 request_metrics_,
+                request_reporter_,
                 Keys(),
                 [this](const ServiceId& service, size_t requests) {
                   control_->Post([this, service, requests] {
@@ -233,6 +238,7 @@
   front_.SetReady(may_serve && !is_closing_);
   if (clock_.Now() >= sample_at_) {
     control_metrics_.Sample(controller_, clock_.Now());
+    control_metrics_.SampleLines(logger_);
     sample_at_ = clock_.Now() + kSampleInterval;
   }
   if (controller_.is_superseded()) {
--- a/src/libs/entry/request_desk.cpp
+++ b/src/libs/entry/request_desk.cpp
@@ -96,7 +96,10 @@
 struct RequestDesk::Performer {
   RequestDesk& desk;
 
-  void operator()(const routing::Send& send) const { desk.Forward(send); }
+  void operator()(const routing::Send& send) const {
+    desk.reporter_.OnSent(send, desk.clock_.Now());
+    desk.Forward(send);
+  }
 
   void operator()(const routing::ClaimKey& claim) const {
     const routing::RequestId id = claim.facts.id;
@@ -111,11 +114,14 @@
   }
 
   void operator()(const routing::Answer& answer) const {
+    const auto& context = static_cast<const Context&>(*answer.facts.context);
+    desk.reporter_.OnAnswered(answer, desk.clock_.Now() - context.arrived_at());
     desk.RespondTo(answer.facts, ForCaller(answer.response),
                    {outcomes::Answered(), Ran::kYes});
   }
 
   void operator()(const routing::Refuse& refuse) const {
+    desk.reporter_.OnRefused(refuse, desk.clock_.Now());
     desk.RespondTo(
         refuse.facts, ResponseTo(refuse.refusal, desk.clock_.WallNow()),
         {outcomes::Refused{refuse.refusal.reason}, refuse.refusal.ran});
@@ -133,6 +139,7 @@
   }
 
   void operator()(const routing::SendEnded& ended) const {
+    desk.reporter_.OnSendEnded(ended);
     desk.metrics_.CountSend(ended.outcome);
   }
 
@@ -153,6 +160,7 @@
                          std::shared_ptr<EventLoop> timers,
                          outcomes::OutcomeLedger& ledger,
                          RequestMetrics& metrics,
+                         const RequestReporter& reporter,
                          KeyPort keys,
                          OnSlotsWanted on_slots_wanted)
     : settings_(settings),
@@ -161,6 +169,7 @@
       timers_(std::move(timers)),
       ledger_(ledger),
       metrics_(metrics),
+      reporter_(reporter),
       keys_(std::move(keys)),
       on_slots_wanted_(std::move(on_slots_wanted)),
       router_(settings.routing,
@@ -175,11 +184,12 @@
   auto pending = std::make_shared<outcomes::PendingOutcome>(
       ledger_.Begin(customer, service));
   if (!is_open_) {
-    RefuseAtOnce(respond, std::move(pending), NotReadyFor(request));
+    RefuseAtOnce(service, customer, respond, std::move(pending),
+                 NotReadyFor(request));
     return;
   }
   if (const std::optional<Refusal> refusal = RefusalOf(request, summary)) {
-    RefuseAtOnce(respond, std::move(pending), *refusal);
+    RefuseAtOnce(service, customer, respond, std::move(pending), *refusal);
     return;
   }
   routing::RequestFacts facts;
@@ -306,32 +316,43 @@
                             http::Response response,
                             const outcomes::Outcome& outcome) {
   auto& context = static_cast<Context&>(*facts.context);
-  Deliver(context.respond(), context.pending(), std::move(response), outcome,
-          context.arrived_at());
+  Deliver(facts.id, context.respond(), context.pending(), std::move(response),
+          outcome, context.arrived_at());
 }
 
 // Only the write tells whether there still was a caller.
-void RequestDesk::Deliver(const http::Respond& respond,
+void RequestDesk::Deliver(routing::RequestId request,
+                          const http::Respond& respond,
                           std::shared_ptr<outcomes::PendingOutcome> pending,
                           http::Response response,
                           const outcomes::Outcome& outcome,
                           Instant arrived_at) {
   ++unwritten_count_;
-  respond(
-      std::move(response), [this, pending = std::move(pending), outcome,
-                            took = clock_.Now() - arrived_at](bool is_written) {
-        const outcomes::Outcome ended = OutcomeOnceWritten(outcome, is_written);
-        pending->End(ended);
-        metrics_.CountRequest(ended, took);
-        --unwritten_count_;
-      });
+  response.headers[kIdentityHeader] = reporter_.IdentityOf(request);
+  respond(std::move(response),
+          [this, request, pending = std::move(pending), outcome,
+           took = clock_.Now() - arrived_at](bool is_written) {
+            if (!is_written) {
+              reporter_.OnUnwritten(request, took);
+            }
+            const outcomes::Outcome ended =
+                OutcomeOnceWritten(outcome, is_written);
+            pending->End(ended);
+            metrics_.CountRequest(ended, took);
+            --unwritten_count_;
+          });
 }
 
 void RequestDesk::RefuseAtOnce(
+    const ServiceId& service,
+    const CustomerId& customer,
     const http::Respond& respond,
     std::shared_ptr<outcomes::PendingOutcome> pending,
     const Refusal& refusal) {
-  Deliver(respond, std::move(pending), ResponseTo(refusal, clock_.WallNow()),
+  const routing::RequestId request = router_.NextRequest();
+  reporter_.OnRefusedAtOnce(request, customer, service, refusal);
+  Deliver(request, respond, std::move(pending),
+          ResponseTo(refusal, clock_.WallNow()),
           {outcomes::Refused{refusal.reason}, refusal.ran}, clock_.Now());
 }
 
--- a/src/libs/entry/request_desk.h
+++ b/src/libs/entry/request_desk.h
@@ -14,6 +14,7 @@
 #include "entry/event_loop.h"
 #include "entry/key_desk.h"
 #include "entry/request_metrics.h"
+#include "entry/request_reporter.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "outcomes/outcome_ledger.h"
@@ -54,6 +55,7 @@
               std::shared_ptr<EventLoop> timers,
               outcomes::OutcomeLedger& ledger,
               RequestMetrics& metrics,
+              const RequestReporter& reporter,
               KeyPort keys,
               OnSlotsWanted on_slots_wanted);
 
@@ -96,12 +98,16 @@
   void RespondTo(const routing::RequestFacts& facts,
                  http::Response response,
                  const outcomes::Outcome& outcome);
-  void Deliver(const http::Respond& respond,
+  // The response bears the request's identity.
+  void Deliver(routing::RequestId request,
+               const http::Respond& respond,
                std::shared_ptr<outcomes::PendingOutcome> pending,
                http::Response response,
                const outcomes::Outcome& outcome,
                Instant arrived_at);
-  void RefuseAtOnce(const http::Respond& respond,
+  void RefuseAtOnce(const ServiceId& service,
+                    const CustomerId& customer,
+                    const http::Respond& respond,
                     std::shared_ptr<outcomes::PendingOutcome> pending,
                     const Refusal& refusal);
 
@@ -111,6 +117,7 @@
   const std::shared_ptr<EventLoop> timers_;
   outcomes::OutcomeLedger& ledger_;
   RequestMetrics& metrics_;
+  const RequestReporter& reporter_;
   const KeyPort keys_;
   const OnSlotsWanted on_slots_wanted_;
   std::function<void()> on_stopped_;
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <initializer_list>
-#include <iosfwd>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -11,6 +10,8 @@
 
 #include "base/clock.h"
 #include "logging/event.h"
+#include "logging/event_budget.h"
+#include "logging/line_writer.h"
 
 namespace papayadrift::logging {
 
@@ -22,23 +23,47 @@
   friend bool operator==(const Field&, const Field&) = default;
 };
 
+struct LoggerSettings {
+  EventBudgetSettings budget;  // Of each event up to the level info.
+  // Of each warning and error: about 0.5 MB/s of lines at most.
+  EventBudgetSettings failure_budget{1000, 5000};
+  LineWriterSettings lines;
+
+  friend bool operator==(const LoggerSettings&,
+                         const LoggerSettings&) = default;
+};
+
 // Writes events as JSON lines, each with "time" (UTC, milliseconds), "level",
-// "event", "process" and its fields. Safe to share between threads. Tokens and
-// bodies of requests do not belong into fields.
+// "event", "process" and its fields. Safe to share between threads; never waits
+// for whoever reads the lines. Tokens and bodies of requests do not belong into
+// fields.
+//
+// An event that comes too often has lines left out; its next line then has
+// their number as "left_out". Where lines were dropped because the reader fell
+// behind, a line of the event "lines.dropped" has their number.
 class Logger {
  public:
-  // Writes to `stream`, which must outlive the logger; events below `minimum`
-  // are left out.
+  // Writes to `descriptor`, which must outlive the logger; events below
+  // `minimum` are left out.
   Logger(std::string process,
          Level minimum,
          const Clock& clock,
-         std::ostream& stream);
+         int descriptor,
+         const LoggerSettings& settings = {});
+  // Finishes.
   ~Logger();
   Logger(const Logger&) = delete;
   Logger& operator=(const Logger&) = delete;
 
   void Log(Event event, std::initializer_list<Field> fields = {});
 
+  // Takes no more events and waits until the lines are written, for a second at
+  // most. To be called before a process ends without destroying the logger.
+  void Finish();
+
+  // Lines that were left out or dropped in all.
+  uint64_t missing_count() const;
+
  private:
   class Private;
   std::unique_ptr<Private> private_;
--- a/src/libs/routing/actions.h
+++ b/src/libs/routing/actions.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -14,6 +15,7 @@
 #include "base/refusal.h"
 #include "http/message.h"
 #include "routing/events.h"
+#include "routing/service_load.h"
 
 namespace papayadrift::routing {
 
@@ -27,6 +29,7 @@
   Instant deadline;    // The request's, for the runner to keep.
   Instant give_up_at;  // A late answer is awaited until then.
   std::shared_ptr<RequestContext> context;
+  ServiceLoad load;  // When the runner was chosen.
 
   friend bool operator==(const Send&, const Send&) = default;
 };
@@ -62,6 +65,8 @@
 struct Refuse {
   RequestFacts facts;
   Refusal refusal;
+  // When it was refused; nothing for a service that isn't known.
+  std::optional<ServiceLoad> load;
 
   friend bool operator==(const Refuse&, const Refuse&) = default;
 };
@@ -100,6 +105,7 @@
   SendId send;
   CustomerId customer;
   ServiceId service;
+  WorkerId worker;
   SendOutcome outcome = SendOutcome::kAnswered;
 
   friend bool operator==(const SendEnded&, const SendEnded&) = default;
--- a/src/libs/routing/event_handler.cpp
+++ b/src/libs/routing/event_handler.cpp
@@ -12,7 +12,7 @@
       flows_(services_),
       queues_(settings_, services_),
       schedule_(settings_, context_, services_),
-      finisher_(settings_, context_, flows_, queues_, schedule_),
+      finisher_(settings_, context_, services_, flows_, queues_, schedule_),
       slots_(context_),
       sender_(settings_, context_, schedule_, slots_),
       results_(settings_, context_, sender_, finisher_),
--- a/src/libs/routing/request_finisher.cpp
+++ b/src/libs/routing/request_finisher.cpp
@@ -33,18 +33,20 @@
 
 RequestFinisher::RequestFinisher(const RoutingSettings& settings,
                                  EventContext& context,
+                                 const ServiceTable& services,
                                  FlowTable& flows,
                                  RequestQueues& queues,
                                  FlowSchedule& schedule)
     : settings_(settings),
       context_(context),
+      services_(services),
       flows_(flows),
       queues_(queues),
       schedule_(schedule) {}
 
 void RequestFinisher::RefuseNew(const RequestFacts& facts,
                                 const AdmissionRefusal& refusal) {
-  context_.Add(Refuse{facts, RefusalOf(refusal, Ran::kNo)});
+  Refuse(facts, RefusalOf(refusal, Ran::kNo));
 }
 
 void RequestFinisher::AnswerNewByKey(const RequestFacts& facts,
@@ -67,7 +69,7 @@
   if (!flow.has_open_send()) {
     ResolveKeyUnanswered(flow);
   }
-  context_.Add(Refuse{flow.facts(), RefusalOf(refusal, flow.ran())});
+  Refuse(flow.facts(), RefusalOf(refusal, flow.ran()));
   Finish(flow);
 }
 
@@ -124,7 +126,7 @@
     refusal.home = verdict.home;
     refusal.retry_at.reset();
   }
-  context_.Add(Refuse{facts, std::move(refusal)});
+  Refuse(facts, std::move(refusal));
 }
 
 void RequestFinisher::RepeatAnswer(const RequestFacts& facts,
@@ -133,8 +135,8 @@
     context_.Add(Answer{facts, {first.status, {}, first.answer}});
     return;
   }
-  context_.Add(Refuse{
-      facts, RefusalOf({ReasonOfRepeat(first.ran), std::nullopt}, first.ran)});
+  Refuse(facts,
+         RefusalOf({ReasonOfRepeat(first.ran), std::nullopt}, first.ran));
 }
 
 Refusal RequestFinisher::RefusalOf(const AdmissionRefusal& refusal,
@@ -148,4 +150,12 @@
   return result;
 }
 
+void RequestFinisher::Refuse(const RequestFacts& facts, Refusal refusal) {
+  const ServiceState* service = services_.Find(facts.service);
+  context_.Add(routing::Refuse{
+      facts, std::move(refusal),
+      service == nullptr ? std::nullopt
+                         : std::optional(service->LoadFor(facts.customer))});
+}
+
 }  // namespace papayadrift::routing
--- a/src/libs/routing/request_finisher_p.h
+++ b/src/libs/routing/request_finisher_p.h
@@ -19,6 +19,7 @@
  public:
   RequestFinisher(const RoutingSettings& settings,
                   EventContext& context,
+                  const ServiceTable& services,
                   FlowTable& flows,
                   RequestQueues& queues,
                   FlowSchedule& schedule);
@@ -49,9 +50,11 @@
   void RefuseByKey(const RequestFacts& facts, const KeyRefused& verdict);
   void RepeatAnswer(const RequestFacts& facts, const KeyRepeated& first);
   Refusal RefusalOf(const AdmissionRefusal& refusal, Ran ran) const;
+  void Refuse(const RequestFacts& facts, Refusal refusal);
 
   const RoutingSettings& settings_;
   EventContext& context_;
+  const ServiceTable& services_;
   FlowTable& flows_;
   RequestQueues& queues_;
   FlowSchedule& schedule_;
--- a/src/libs/routing/request_sender.cpp
+++ b/src/libs/routing/request_sender.cpp
@@ -52,9 +52,11 @@
   const RequestFacts& facts = flow.facts();
   const RunnerRoute& route = runner->route;
   const SendId id = flow.AddSend(runner, context_.now());
+  const ServiceLoad load = service.LoadFor(facts.customer);
   service.RecordSent(facts.customer);
   context_.Add(Send{id, IdentityOf(id), route.address, route.worker,
-                    facts.deadline, schedule_.GiveUpAt(flow), facts.context});
+                    facts.deadline, schedule_.GiveUpAt(flow), facts.context,
+                    load});
   schedule_.SetTimer(flow);
 }
 
--- a/src/libs/routing/send_results.cpp
+++ b/src/libs/routing/send_results.cpp
@@ -55,11 +55,11 @@
   flow.CloseAnswered(send, !has_failed);
   FreeSlot(flow, service, send, false);
   if (flow.phase() == FlowPhase::kOver) {
-    EndSend(flow, send.id, SendOutcome::kAnsweredLate);
+    EndSend(flow, send, SendOutcome::kAnsweredLate);
     finisher_.ResolveKeyOf(flow, response.status, response.body);
     return;
   }
-  EndSend(flow, send.id,
+  EndSend(flow, send,
           has_failed ? SendOutcome::kServerFailed : SendOutcome::kAnswered);
   if (has_failed && flow.is_idempotent()) {
     flow.SetFallback(std::move(response));
@@ -83,7 +83,7 @@
   flow.CloseFailed(send, failure);
   const FailureMeaning meaning = MeaningOf(failure);
   FreeSlot(flow, service, send, meaning.may_still_run);
-  EndSend(flow, send.id, meaning.outcome);
+  EndSend(flow, send, meaning.outcome);
   if (flow.phase() != FlowPhase::kOver) {
     ContinueAfterFailure(flow, service);
     return;
@@ -138,10 +138,10 @@
 }
 
 void SendResults::EndSend(const RequestFlow& flow,
-                          SendId send,
+                          const SendState& send,
                           SendOutcome outcome) {
-  context_.Add(
-      SendEnded{send, flow.facts().customer, flow.facts().service, outcome});
+  context_.Add(SendEnded{send.id, flow.facts().customer, flow.facts().service,
+                         send.runner->route.worker, outcome});
 }
 
 void SendResults::FreeSlot(const RequestFlow& flow,
--- a/src/libs/routing/send_results_p.h
+++ b/src/libs/routing/send_results_p.h
@@ -48,7 +48,9 @@
                     ServiceState& service,
                     const SendState& send,
                     bool has_failed);
-  void EndSend(const RequestFlow& flow, SendId send, SendOutcome outcome);
+  void EndSend(const RequestFlow& flow,
+               const SendState& send,
+               SendOutcome outcome);
   void FreeSlot(const RequestFlow& flow,
                 ServiceState& service,
                 const SendState& send,
--- a/src/libs/routing/service_state.cpp
+++ b/src/libs/routing/service_state.cpp
@@ -27,6 +27,7 @@
                           const SlotAccounts& accounts,
                           Instant now) {
   route_ = route;
+  updated_at_ = now;
   pool_.Update(route.runners, accounts, now);
   budget_.SetPart(route.extra_sends_per_request.value_or(
       settings_.extra_sends_per_request));
@@ -82,6 +83,16 @@
   return std::nullopt;
 }
 
+ServiceLoad ServiceState::LoadFor(const CustomerId& customer) const {
+  return {queue_.size(),
+          in_flight_,
+          limit_.limit(),
+          pool_.usable_slots(),
+          ExpectedServiceTime(),
+          PredictedWait(customer),
+          updated_at_};
+}
+
 Instant ServiceState::LatestStart(Instant deadline) const {
   const Instant answer_by = deadline - settings_.reply_margin;
   if (!settings_.has_admission) {
--- a/src/libs/routing/service_state.h
+++ b/src/libs/routing/service_state.h
@@ -17,6 +17,7 @@
 #include "routing/retry_budget.h"
 #include "routing/routing_settings.h"
 #include "routing/runner_pool.h"
+#include "routing/service_load.h"
 
 namespace papayadrift::routing {
 
@@ -49,6 +50,9 @@
   std::optional<AdmissionRefusal> Judge(const RequestFacts& facts,
                                         Instant now) const;
 
+  // Returns what Judge() goes by for a request of the customer.
+  ServiceLoad LoadFor(const CustomerId& customer) const;
+
   // Returns when a request with `deadline` must be sent at the latest.
   Instant LatestStart(Instant deadline) const;
 
@@ -128,6 +132,7 @@
   int32_t in_flight_ = 0;
   int64_t request_count_ = 0;
   size_t short_of_slots_ = 0;
+  Instant updated_at_;
 };
 
 }  // namespace papayadrift::routing
--- a/tests/auto/programs/cluster.py
+++ b/tests/auto/programs/cluster.py
@@ -77,13 +77,15 @@
 
 
 class Process:
-    def __init__(self, name, arguments, directory):
+    def __init__(self, name, arguments, directory, output=None):
+        """Writes to a file of its own, or to the descriptor `output`."""
         self.name = name
         self.log_path = pathlib.Path(directory) / (name + ".out")
         self.output = open(self.log_path, "ab")
         self.popen = subprocess.Popen(
-            [str(it) for it in arguments], stdout=self.output,
-            stderr=subprocess.STDOUT)
+            [str(it) for it in arguments],
+            stdout=self.output if output is None else output,
+            stderr=self.output)
 
     def is_running(self):
         return self.popen.poll() is None
@@ -147,8 +149,8 @@
             process.output.close()
         self.directory.cleanup()
 
-    def spawn(self, name, arguments):
-        process = Process(name, arguments, self.directory.name)
+    def spawn(self, name, arguments, output=None):
+        process = Process(name, arguments, self.directory.name, output)
         self.processes.append(process)
         return process
 
@@ -173,7 +175,7 @@
         return call(self.log_address, "GET", "/standin/counters")[1]
 
     def start_entry(self, name, zone="zone-1", address=None, peers=None,
-                    wait=True, stream_address=None):
+                    wait=True, stream_address=None, output=None):
         address = address or free_address()
         stream_address = stream_address or free_address()
         known = [it["stream_address"] for it in self.entries.values()]
@@ -192,7 +194,8 @@
                 ", ".join(known if peers is None else peers), self.secret,
                 self.log_address, lease, self.maximum_deadline,
                 self.entry_sections))
-        process = self.spawn(name, [PROGRAMS["entry"], "--settings", path])
+        process = self.spawn(name, [PROGRAMS["entry"], "--settings", path],
+                             output)
         self.entries[name] = {"process": process, "address": address,
                               "stream_address": stream_address}
         if wait:
