Routing: Keeps what it knows of services that end few requests a second

Cause: a latency sketch tells nothing below a weight of 16 samples and halved its weight each second. A service that ends fewer than about 16 requests a second at one entry stayed unknown for ever: each of its requests was admitted and sent, and most answers came too late.

Change: what is known in plenty still halves each second, but the last 24 samples fade with a half-life of a minute.

Ruled out: a lower least weight alone; at 0.8 ends a second it is never reached either while the weight halves each second.

Conclusion: admission follows the service's own pace.

--- a/src/libs/routing/latency_sketch.cpp
+++ b/src/libs/routing/latency_sketch.cpp
@@ -20,7 +20,12 @@
 constexpr double kHighestMicroseconds = 1e8;
 constexpr double kFullWeight = 1024;
 constexpr double kLeastWeight = 16;
+// What is known in plenty fades fast, so that the sketch follows the load.
 constexpr microseconds kHalfLife = seconds(1);
+// So much of it only fades slowly: where few requests end in a second, these
+// samples are all there is.
+constexpr double kKeptWeight = 24;
+constexpr microseconds kSlowHalfLife = seconds(60);
 constexpr int kMostHalvings = 64;
 
 using LogAxis =
@@ -48,6 +53,13 @@
     sum_ *= factor;
   }
 
+  // Returns what fading fast leaves of the whole.
+  double FastFactor(double halvings) const {
+    return weight_ <= kKeptWeight
+               ? 1
+               : std::max(std::exp2(-halvings), kKeptWeight / weight_);
+  }
+
   Bins bins_ = MakeBins();
   double weight_ = 0;
   double sum_ = 0;
@@ -76,8 +88,10 @@
     return;
   }
   private_->faded_at_ += halvings * kHalfLife;
-  const auto exponent = std::min<int64_t>(halvings, kMostHalvings);
-  private_->Scale(std::exp2(-static_cast<double>(exponent)));
+  const auto exponent =
+      static_cast<double>(std::min<int64_t>(halvings, kMostHalvings));
+  private_->Scale(private_->FastFactor(exponent) *
+                  std::exp2(-exponent * kHalfLife / kSlowHalfLife));
 }
 
 std::optional<microseconds> LatencySketch::Quantile(double part) const {
--- /dev/null
+++ b/tests/auto/routing/slow_service_test.cpp
@@ -0,0 +1,78 @@
+#include <gtest/gtest.h>
+
+#include <ostream>
+
+#include "fake_site.h"
+
+namespace papayadrift::routing {
+namespace {
+
+constexpr int kEntries = 2;
+constexpr double kMicrosecondsPerSecond = 1e6;
+// From the issue: goodput under overload, of that at saturation.
+constexpr double kLeastGoodput = 0.95;
+// Of the slots, in the half of the load that is measured: 30 service times. The
+// way over the network takes a tenth of the shortest.
+constexpr double kLeastSlotsUsed = 0.85;
+
+// Requests a second against slots that are kept busy by fewer of them.
+struct SlowLoad {
+  milliseconds service_time;
+  double factor;  // Of what the slots can do.
+
+  friend std::ostream& operator<<(std::ostream& out, const SlowLoad& it) {
+    return out << it.service_time.count() << " ms, " << it.factor << " times";
+  }
+};
+
+// Returns how many requests had their answers in time, of those that arrived
+// in the second half of the load.
+int AnsweredInTime(const SlowLoad& load, std::vector<std::string>& broken) {
+  const microseconds service_time = load.service_time;
+  const microseconds length = 60 * service_time;
+  FakeSite site(kEntries, RoutingSettings(), 7);
+  for (int it = 0; it < kRunnerCount; ++it) {
+    site.runners.runner(kChecks + "-" + std::to_string(it)).mean_microseconds =
+        static_cast<double>(service_time.count());
+  }
+  const double capacity = kRunnerCount * kSlots * kMicrosecondsPerSecond /
+                          static_cast<double>(service_time.count());
+  const Instant half = site.timeline.now() + length / 2;
+  site.Burst(kChecks, capacity * load.factor, length, 4 * service_time);
+  site.RunFor(length + 20 * service_time + seconds(5));
+  broken = site.Audit();
+  int answered = 0;
+  for (const auto& entry : site.entries) {
+    for (const auto& [id, it] : entry->endings()) {
+      answered += it.arrived_at >= half && it.response ? 1 : 0;
+    }
+  }
+  return answered;
+}
+
+class SlowServiceTest : public testing::TestWithParam<milliseconds> {};
+
+TEST_P(SlowServiceTest, OverloadCostsNoGoodput) {
+  std::vector<std::string> broken;
+  const int saturated = AnsweredInTime({GetParam(), 1.2}, broken);
+  EXPECT_EQ(broken, std::vector<std::string>());
+  EXPECT_GE(saturated, kLeastSlotsUsed * kRunnerCount * kSlots * 30);
+  for (const double factor : {2.0, 10.0}) {
+    const int answered = AnsweredInTime({GetParam(), factor}, broken);
+    EXPECT_EQ(broken, std::vector<std::string>());
+    EXPECT_GE(answered, kLeastGoodput * saturated) << factor;
+    std::cout << GetParam().count() << " ms, " << factor
+              << " times: " << answered << " of " << saturated << "\n";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         SlowServiceTest,
+                         testing::Values(milliseconds(10),
+                                         milliseconds(100),
+                                         milliseconds(1'000),
+                                         milliseconds(5'000),
+                                         milliseconds(20'000)));
+
+}  // namespace
+}  // namespace papayadrift::routing
