Routing: Learns from runners that stop work at its deadline

Cause: a runner that keeps deadlines answers 504 when time is up. That counted as the runner's failure and told nothing of how long the work takes. Requests were sent with a few milliseconds left, one after the other, fresh ones waited behind them until they were as late, and runners were ejected for it.

Times that are shorter than what is expected anyway are no news and are left out.

Waves leave the slots idle towards their end, since no request is sent that would be late with a chance of one in ten.

--- a/src/libs/routing/send_results.cpp
+++ b/src/libs/routing/send_results.cpp
@@ -126,17 +126,27 @@
                                ServiceState& service,
                                const SendState& send,
                                bool has_failed) {
+  const microseconds latency = context_.now() - send.sent_at;
+  if (has_failed && HasRunOutOfTime(flow)) {
+    // Runners stop work at its deadline: that this one had not finished says
+    // little of it, but something of how long the work takes.
+    service.RecordUnanswered(flow.facts().customer, latency, context_.now());
+    return;
+  }
   if (has_failed) {
     service.pool().RecordFailure(*send.runner, context_.now());
     return;
   }
-  const microseconds latency = context_.now() - send.sent_at;
   service.RecordAnswered(flow.facts().customer, latency, context_.now());
   if (!send.is_blamed) {
     service.pool().RecordSuccess(*send.runner, latency, context_.now());
   }
 }
 
+bool SendResults::HasRunOutOfTime(const RequestFlow& flow) const {
+  return context_.now() >= flow.facts().deadline - settings_.reply_margin;
+}
+
 void SendResults::EndSend(const RequestFlow& flow,
                           const SendState& send,
                           SendOutcome outcome) {
--- a/src/libs/routing/send_results_p.h
+++ b/src/libs/routing/send_results_p.h
@@ -48,6 +48,7 @@
                     ServiceState& service,
                     const SendState& send,
                     bool has_failed);
+  bool HasRunOutOfTime(const RequestFlow& flow) const;
   void EndSend(const RequestFlow& flow,
                const SendState& send,
                SendOutcome outcome);
--- a/src/libs/routing/service_state.cpp
+++ b/src/libs/routing/service_state.cpp
@@ -148,7 +148,10 @@
 void ServiceState::RecordUnanswered(const CustomerId& customer,
                                     microseconds waited,
                                     Instant now) {
-  RecordAny(customer, waited, now);
+  // That it takes longer than this is news only if more was not expected.
+  if (waited >= ExpectedServiceTime()) {
+    RecordAny(customer, waited, now);
+  }
 }
 
 void ServiceState::RecordAny(const CustomerId& customer,
--- a/tests/auto/routing/fake_runners.cpp
+++ b/tests/auto/routing/fake_runners.cpp
@@ -62,6 +62,11 @@
       report(SendFailed{send.send, http::ClientFailure::kLost});
     });
   }
+  const microseconds left = send.deadline - timeline_.now();
+  if (keeps_deadlines_ && deed == FakeDeed::kServe && length > left) {
+    deed = FakeDeed::kStop;
+    length = std::max(left, microseconds(0));
+  }
   auto done = [=, this] {
     ++executions_[work.name];
     if (work.sending != work.name) {
@@ -122,6 +127,12 @@
     });
     return;
   }
+  if (deed == FakeDeed::kStop) {
+    timeline_.At(at, [=] {
+      report(AnswerArrived{send.send, send.identity, {504, {}, ""}});
+    });
+    return;
+  }
   const bool is_swapped = deed == FakeDeed::kSwap;
   const std::string echo = is_swapped ? "entry-1.999999.1" : send.identity;
   const std::string body =
--- a/tests/auto/routing/fake_runners.h
+++ b/tests/auto/routing/fake_runners.h
@@ -26,6 +26,7 @@
   kSwap,       // Executed, but answers with another request's identity.
   kRepeat,     // Executed once, answers twice.
   kSilent,     // Executed, never answers.
+  kStop,       // Begun, stopped at the deadline with an answer of status 504.
 };
 
 // What a send is to execute: `name` is answered, both are counted.
@@ -70,6 +71,9 @@
   // Multiplies the time of single requests by what `factor` returns.
   void SetHangs(std::function<double()> factor) { hang_ = std::move(factor); }
 
+  // Has runners stop work at its deadline and answer with status 504 then.
+  void SetKeepsDeadlines(bool keeps) { keeps_deadlines_ = keeps; }
+
   // Sets the delay one way between availability zones.
   void SetZoneDelay(microseconds delay) { zone_delay_ = delay; }
 
@@ -103,6 +107,7 @@
   Choose choose_ = [](const Send&) { return FakeDeed::kServe; };
   double slowness_ = 1;
   std::function<double()> hang_ = [] { return 1; };
+  bool keeps_deadlines_ = false;
   microseconds zone_delay_{500};
   int total_sends_ = 0;
 };
