--- a/src/libs/base/clock.cpp
+++ b/src/libs/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace papayadrift {
 
 Instant SystemClock::Now() const {
@@ -12,6 +14,13 @@
       std::chrono::system_clock::now());
 }
 
+Instant SuspendAwareClock::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<microseconds>(
+      seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 ManualClock::ManualClock(WallInstant start) : start_(start) {}
 
 Instant ManualClock::Now() const {
--- a/src/libs/base/clock.h
+++ b/src/libs/base/clock.h
@@ -24,6 +24,12 @@
   WallInstant WallNow() const override;
 };
 
+// The same, but Now() also counts time in which the VM was suspended.
+class SuspendAwareClock : public SystemClock {
+ public:
+  Instant Now() const override;
+};
+
 // A clock that moves only when told to. Safe to share between threads.
 class ManualClock : public Clock {
  public:
--- /dev/null
+++ b/src/libs/cluster/job_front.h
@@ -0,0 +1,116 @@
+#ifndef PAPAYADRIFT_CLUSTER_JOB_FRONT_H_
+#define PAPAYADRIFT_CLUSTER_JOB_FRONT_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "cluster/leader.h"
+#include "cluster/ports.h"
+#include "jobs/directory.h"
+#include "jobs/job.h"
+#include "jobs/leader_record.h"
+#include "jobs/route_table.h"
+#include "keyed_log/topic_follower.h"
+
+namespace papayadrift::cluster {
+
+struct JobFrontSettings {
+  LeaderSettings leader;
+  // Period at which a front that does not lead looks at the leader's signs.
+  milliseconds watch_period{400};
+  // A leader that showed nothing for this long is taken for lost: several of
+  // its beats.
+  milliseconds leader_silence{1500};
+  // What was read this recently may answer a caller without another read.
+  milliseconds state_freshness{100};
+  milliseconds count_freshness{700};
+
+  friend bool operator==(const JobFrontSettings&,
+                         const JobFrontSettings&) = default;
+};
+
+enum class SubmitResult {
+  kAccepted,   // Stored.
+  kNotStored,  // It never runs.
+  kUnknown,    // It may be stored.
+};
+
+// Nothing stands for: the store could not be read.
+struct JobUnknown {};
+using StateResult = std::variant<jobs::JobState, JobUnknown, std::monostate>;
+enum class CancelResult { kCancelled, kNoSuchJob, kFailed };
+
+// Takes jobs and questions about them, and stands for leader when there is
+// none. One for each process that serves callers.
+class JobFront {
+ public:
+  JobFront(const JobFrontSettings& settings, const Ports& ports);
+  ~JobFront();
+  JobFront(const JobFront&) = delete;
+  JobFront& operator=(const JobFront&) = delete;
+
+  void Start();
+  // Takes versions of the configuration; an older one than is known is ignored.
+  void SetRoutes(const jobs::RouteTable& routes);
+  const jobs::RouteTable& routes() const { return routes_; }
+  // Whether it makes sense to send callers here.
+  bool is_ready() const;
+  // Gives leadership up, if it has it.
+  void Stop();
+
+  void Submit(const JobId& id,
+              const jobs::Job& job,
+              Instant deadline,
+              std::function<void(SubmitResult)> done);
+  void State(const std::string& queue,
+             const JobId& id,
+             std::function<void(StateResult)> done);
+  void Cancel(const std::string& queue,
+              const JobId& id,
+              Instant deadline,
+              std::function<void(CancelResult)> done);
+  // Nothing if the store could not be read.
+  void CountQueued(const std::string& queue,
+                   std::function<void(std::optional<size_t>)> done);
+  void HandleReport(const http::Request& request,
+                    const async_http::Respond& respond);
+
+  const Leader* leader() const { return leader_.get(); }
+  const jobs::LeaderRecord& leader_record() const { return leader_record_; }
+
+ private:
+  struct PendingWrite;
+
+  bool is_leading() const { return leader_ && leader_->is_leading(); }
+  void OnJobRecord(const keyed_log::Record& record);
+  void OnProgressRecord(const keyed_log::Record& record);
+  void Watch();
+  void ScheduleWatch(milliseconds delay);
+  void ConsiderCandidacy();
+  void Write(const std::shared_ptr<PendingWrite>& write);
+  // Reads what was stored of jobs and progress up to now, if what is known is
+  // older than `freshness`.
+  void Refresh(milliseconds freshness, std::function<void(bool)> done);
+
+  const JobFrontSettings settings_;
+  const Ports ports_;
+  jobs::RouteTable routes_;
+  jobs::Directory directory_;
+  jobs::LeaderRecord leader_record_;
+  Instant leader_seen_at_;
+  std::unique_ptr<keyed_log::TopicFollower> jobs_;
+  std::unique_ptr<keyed_log::TopicFollower> progress_;
+  std::shared_ptr<Leader> leader_;
+  boost::asio::steady_timer watch_timer_;
+  bool is_stopping_ = false;
+  Instant store_seen_at_;  // When the last call that the store answered began.
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_JOB_FRONT_H_
--- /dev/null
+++ b/src/libs/cluster/leader.cpp
@@ -0,0 +1,486 @@
+#include "cluster/leader.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "cluster/topics.h"
+#include "jobs/codec.h"
+
+namespace papayadrift::cluster {
+namespace {
+
+using logging::Event;
+
+// Time that the store has to answer one append, before it is repeated with the
+// same sequence number; the client of the store may give up sooner.
+constexpr milliseconds kAppendLimit(2000);
+// Pause before an append that was refused is repeated.
+constexpr milliseconds kRefusedPause(60);
+constexpr int kCandidacyTries = 3;
+constexpr milliseconds kReloadPause(100);
+// The store holds the answer back for this long while no job comes: so that a
+// connection that has gone silent is noticed soon.
+constexpr milliseconds kJobsWait(1000);
+
+std::string Text(const jobs::BoardNote::Kind kind) {
+  using Kind = jobs::BoardNote::Kind;
+  switch (kind) {
+    case Kind::kRunClaimed:
+      return "claimed";
+    case Kind::kRunEnded:
+      return "ended";
+    case Kind::kRunWithdrawn:
+      return "withdrawn";
+    case Kind::kRunLost:
+      return "lost";
+    case Kind::kJobEnded:
+      return "ended";
+    case Kind::kRunnerJoined:
+      return "joined";
+    case Kind::kRunnerGone:
+      return "gone";
+    case Kind::kRunnerDraining:
+      return "draining";
+    case Kind::kRunnerSuspended:
+      return "suspended";
+    case Kind::kRunPaced:
+      return "paced";
+  }
+  return "unknown";
+}
+
+Event EventOf(const jobs::BoardNote::Kind kind) {
+  using Kind = jobs::BoardNote::Kind;
+  switch (kind) {
+    case Kind::kRunClaimed:
+    case Kind::kRunEnded:
+    case Kind::kRunPaced:
+      return Event::kRunChanged;
+    case Kind::kRunWithdrawn:
+    case Kind::kRunLost:
+      return Event::kRunInterrupted;
+    case Kind::kJobEnded:
+      return Event::kJobEnded;
+    default:
+      return Event::kRunnerChanged;
+  }
+}
+
+}  // namespace
+
+Leader::Leader(const LeaderSettings& settings,
+               const Ports& ports,
+               jobs::Directory& directory,
+               OnEnd on_end)
+    : settings_(settings),
+      ports_(ports),
+      directory_(directory),
+      on_end_(std::move(on_end)),
+      step_timer_(ports.loop) {}
+
+void Leader::After(milliseconds delay, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(ports_.loop, delay);
+  timer->async_wait([weak = weak_from_this(), timer,
+                     action = std::move(action)](boost::system::error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self && !self->has_ended_) {
+      action();
+    }
+  });
+}
+
+void Leader::Campaign(const jobs::LeaderRecord& last, uint64_t progress_end) {
+  record_ = {last.term + 1, settings_.node, settings_.address, 0};
+  expected_end_ = progress_end;
+  SendCandidacy(kCandidacyTries);
+}
+
+void Leader::SendCandidacy(int tries_left) {
+  const Instant begun_at = ports_.clock.Now();
+  ports_.log.Write(
+      keyed_log::Append{kProgressTopic,
+                        {{kLeaderKey, jobs::Encode(record_)}},
+                        expected_end_,
+                        keyed_log::Writer{kLeaderWriter, record_.term, 0}},
+      begun_at + kAppendLimit,
+      [weak = weak_from_this(), begun_at,
+       tries_left](const keyed_log::AppendResult& result) {
+        const auto self = weak.lock();
+        if (!self || self->has_ended_) {
+          return;
+        }
+        if (std::holds_alternative<keyed_log::Stored>(result)) {
+          self->confirmed_at_ = begun_at;
+          self->OnElected();
+        } else if (std::holds_alternative<keyed_log::Unanswered>(result) &&
+                   tries_left > 1) {
+          self->SendCandidacy(tries_left - 1);
+        } else {
+          self->End("The candidacy was not stored.");
+        }
+      });
+}
+
+void Leader::OnElected() {
+  sequence_ = 1;
+  ports_.logger.Log(Event::kLeaderElected,
+                    {{"term", static_cast<int64_t>(record_.term)}});
+  PublishAddress();
+  Load();
+}
+
+void Leader::PublishAddress() {
+  ports_.log.Write(
+      keyed_log::Append{kLeaderTopic,
+                        {{kLeaderKey, jobs::Encode(record_)}},
+                        std::nullopt,
+                        keyed_log::Writer{kLeaderWriter, record_.term, 0}},
+      ports_.clock.Now() + kAppendLimit,
+      [weak = weak_from_this()](const keyed_log::AppendResult& result) {
+        const auto self = weak.lock();
+        if (!self || self->has_ended_ ||
+            std::holds_alternative<keyed_log::Stored>(result) ||
+            std::holds_alternative<keyed_log::Fenced>(result)) {
+          return;
+        }
+        self->After(kRefusedPause,
+                    [self = self.get()] { self->PublishAddress(); });
+      });
+}
+
+void Leader::Load() {
+  jobs_feed_ = std::make_unique<keyed_log::TopicFollower>(
+      keyed_log::FollowerSettings{kJobsTopic}, ports_.log, ports_.clock,
+      [this](const keyed_log::Record& record) { OnJobRecord(record); });
+  progress_feed_ = std::make_unique<keyed_log::TopicFollower>(
+      keyed_log::FollowerSettings{kProgressTopic}, ports_.log, ports_.clock,
+      [this](const keyed_log::Record& record) {
+        const auto id = JobOfKey(kProgressPrefix, record.key);
+        if (!id) {
+          return;
+        }
+        if (auto progress = jobs::Decode<jobs::JobProgress>(record.value)) {
+          directory_.OnProgress(*id, *progress);
+          loaded_progress_[*id] = std::move(*progress);
+        }
+      });
+  const auto retry = [this] { After(kReloadPause, [this] { Load(); }); };
+  progress_feed_->CatchUp([this, retry](bool is_caught_up) {
+    if (has_ended_) {
+      return;
+    }
+    if (!is_caught_up) {
+      retry();
+      return;
+    }
+    jobs_feed_->CatchUp([this, retry](bool is_caught_up) {
+      if (has_ended_) {
+        return;
+      }
+      if (is_caught_up) {
+        Begin();
+      } else {
+        retry();
+      }
+    });
+  });
+}
+
+void Leader::OnJobRecord(const keyed_log::Record& record) {
+  if (const auto id = JobOfKey(kJobPrefix, record.key)) {
+    if (auto job = jobs::Decode<jobs::Job>(record.value)) {
+      directory_.OnJob(*id, *job);
+      if (board_) {
+        board_->AddJob(*id, std::move(*job));
+        ScheduleStep(milliseconds(0));
+      } else {
+        loaded_jobs_.try_emplace(*id, std::move(*job));
+      }
+    }
+  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key)) {
+    directory_.OnCancelled(*cancelled);
+    if (board_) {
+      board_->Cancel(*cancelled, ports_.clock.Now());
+      ScheduleStep(milliseconds(0));
+    } else {
+      loaded_cancels_.push_back(*cancelled);
+    }
+  }
+}
+
+void Leader::Begin() {
+  const Instant now = ports_.clock.Now();
+  progress_feed_.reset();
+  board_.emplace(settings_.board, now,
+                 [this](const jobs::BoardNote& note) { LogNote(note); });
+  board_->SetRoutes(routes_);
+  for (auto& [id, job] : loaded_jobs_) {
+    board_->AddJob(id, std::move(job));
+  }
+  for (auto& [id, progress] : loaded_progress_) {
+    board_->Restore(id, std::move(progress));
+  }
+  for (const JobId& id : loaded_cancels_) {
+    board_->Cancel(id, now);
+  }
+  ports_.logger.Log(Event::kLeaderServes,
+                    {{"term", static_cast<int64_t>(record_.term)},
+                     {"jobs", static_cast<int64_t>(loaded_jobs_.size())},
+                     {"open_jobs", static_cast<int64_t>(board_->open_jobs())}});
+  loaded_jobs_.clear();
+  loaded_progress_.clear();
+  loaded_cancels_.clear();
+  is_leading_ = true;
+  FollowJobs();
+  ScheduleStep(milliseconds(0));
+}
+
+void Leader::FollowJobs() {
+  jobs_feed_->Wait(kJobsWait, [this](bool is_read) {
+    if (has_ended_) {
+      return;
+    }
+    if (is_read) {
+      FollowJobs();
+    } else {
+      After(kReloadPause, [this] { FollowJobs(); });
+    }
+  });
+}
+
+void Leader::SetRoutes(const jobs::RouteTable& routes) {
+  routes_ = routes;
+  if (board_) {
+    board_->SetRoutes(routes);
+    ScheduleStep(milliseconds(0));
+  }
+}
+
+void Leader::ScheduleStep(milliseconds delay) {
+  const Instant due = ports_.clock.Now() + delay;
+  if (has_ended_ || (is_step_due_ && step_due_ <= due)) {
+    return;
+  }
+  is_step_due_ = true;
+  step_due_ = due;
+  step_timer_.expires_after(delay);
+  step_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code ec) {
+        const auto self = weak.lock();
+        if (!ec && self && !self->has_ended_) {
+          self->is_step_due_ = false;
+          self->Step();
+        }
+      });
+}
+
+void Leader::Step() {
+  if (!is_leading_) {
+    return;
+  }
+  const Instant now = ports_.clock.Now();
+  board_->Advance(now, ports_.clock.WallNow().time_since_epoch().count());
+  Flush();
+  SendOrders();
+  AnswerReports();
+  ScheduleStep(settings_.idle_step);
+}
+
+void Leader::Flush() {
+  const Instant now = ports_.clock.Now();
+  if (is_writing_) {
+    return;
+  }
+  const bool is_beat_due = now - confirmed_at_ >= settings_.beat_period;
+  if (!board_->has_changes() && !is_beat_due) {
+    return;
+  }
+  if (now - written_at_ < settings_.append_gap) {
+    ScheduleStep(std::chrono::ceil<milliseconds>(settings_.append_gap -
+                                                 (now - written_at_)));
+    return;
+  }
+  auto append = std::make_shared<keyed_log::Append>();
+  append->topic = kProgressTopic;
+  append->writer = keyed_log::Writer{kLeaderWriter, record_.term, sequence_};
+  const jobs::Board::Changes changes = board_->TakeChanges();
+  for (const auto& [id, progress] : changes.jobs) {
+    append->records.push_back(
+        {KeyOf(kProgressPrefix, id), jobs::Encode(progress)});
+    directory_.OnProgress(id, progress);
+  }
+  if (changes.jobs.empty()) {
+    ++record_.beat;
+    append->records.push_back({kLeaderKey, jobs::Encode(record_)});
+  }
+  is_writing_ = true;
+  written_at_ = now;
+  Write(append, changes.version);
+}
+
+void Leader::Write(const std::shared_ptr<keyed_log::Append>& append,
+                   uint64_t version) {
+  const Instant begun_at = ports_.clock.Now();
+  ports_.log.Write(*append, begun_at + kAppendLimit,
+                   [weak = weak_from_this(), append, version,
+                    begun_at](const keyed_log::AppendResult& result) {
+                     const auto self = weak.lock();
+                     if (self && !self->has_ended_) {
+                       self->OnWritten(append, version, begun_at, result);
+                     }
+                   });
+}
+
+void Leader::OnWritten(const std::shared_ptr<keyed_log::Append>& append,
+                       uint64_t version,
+                       Instant begun_at,
+                       const keyed_log::AppendResult& result) {
+  if (std::holds_alternative<keyed_log::Stored>(result)) {
+    confirmed_at_ = begun_at;
+    ++sequence_;
+    is_writing_ = false;
+    board_->OnStored(version);
+    Step();
+    return;
+  }
+  if (std::holds_alternative<keyed_log::Fenced>(result) ||
+      std::holds_alternative<keyed_log::Moved>(result)) {
+    End("The store knows a later term.");
+    return;
+  }
+  if (std::holds_alternative<keyed_log::Unanswered>(result)) {
+    Write(append, version);
+    return;
+  }
+  After(kRefusedPause, [this, append, version] { Write(append, version); });
+}
+
+void Leader::SendOrders() {
+  const Instant now = ports_.clock.Now();
+  for (auto& [life, orders] : board_->TakeOrders(now)) {
+    const jobs::Runner* runner = board_->fleet().Find(life);
+    auto batch = std::make_shared<jobs::OrderBatch>(
+        jobs::OrderBatch{record_.term, life, std::move(orders)});
+    http::Request request;
+    request.method = "POST";
+    request.path = kOrdersPath;
+    request.body = jobs::Encode(*batch);
+    ports_.client.Send(
+        runner->report.agent_address, request, now + settings_.order_limit,
+        [weak = weak_from_this(), batch](const http::ClientResult& result) {
+          const auto self = weak.lock();
+          if (!self || self->has_ended_) {
+            return;
+          }
+          std::optional<jobs::OrderAnswer> answer;
+          if (const auto* response = std::get_if<http::Response>(&result)) {
+            answer = jobs::Decode<jobs::OrderAnswer>(response->body);
+          }
+          for (size_t i = 0; i < batch->orders.size(); ++i) {
+            self->board_->OnOrderResult(batch->life, batch->orders[i],
+                                        answer && i < answer->results.size()
+                                            ? answer->results[i]
+                                            : jobs::OrderResult{},
+                                        self->ports_.clock.Now());
+          }
+        });
+  }
+}
+
+void Leader::HandleReport(const http::Request& request,
+                          const async_http::Respond& respond) {
+  const auto report = jobs::Decode<jobs::RunnerReport>(request.body);
+  if (!report) {
+    respond({400, {}, {}});
+    return;
+  }
+  const Instant now = ports_.clock.Now();
+  if (!is_leading_ || !board_->OnReport(*report, now)) {
+    respond({409, {}, {}});
+    return;
+  }
+  PendingReport pending{report->life, 0, report->sent_at_ms, now, respond};
+  for (const jobs::EndedRun& ended : report->ended) {
+    pending.ends = std::max(pending.ends, ended.number);
+  }
+  if (pending.ends <= board_->RecordedEnds(report->life)) {
+    Answer(pending);
+    if (board_->has_changes()) {
+      ScheduleStep(milliseconds(0));
+    }
+    return;
+  }
+  pending_reports_.push_back(std::move(pending));
+  ScheduleStep(milliseconds(0));
+}
+
+void Leader::Answer(const PendingReport& report) {
+  // Another leader waits a whole lease from its election, which comes after
+  // the store last confirmed this one.
+  const Instant lease_end = confirmed_at_ + settings_.board.lease;
+  board_->OnLeaseGranted(report.life, lease_end);
+  const auto remaining =
+      std::chrono::floor<milliseconds>(lease_end - report.received_at);
+  report.respond({200,
+                  {},
+                  jobs::Encode(jobs::ReportAnswer{
+                      record_.term, board_->RecordedEnds(report.life),
+                      report.sent_at_ms + remaining.count()})});
+}
+
+void Leader::AnswerReports() {
+  const Instant now = ports_.clock.Now();
+  std::vector<PendingReport> waiting;
+  for (PendingReport& report : pending_reports_) {
+    if (report.ends <= board_->RecordedEnds(report.life) ||
+        now - report.received_at >= settings_.report_limit) {
+      Answer(report);
+    } else {
+      waiting.push_back(std::move(report));
+    }
+  }
+  pending_reports_ = std::move(waiting);
+}
+
+void Leader::Stop() {
+  End("The process gives the term up.");
+}
+
+void Leader::End(std::string_view reason) {
+  if (has_ended_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  has_ended_ = true;
+  is_leading_ = false;
+  ports_.logger.Log(Event::kLeaderEnded,
+                    {{"term", static_cast<int64_t>(record_.term)},
+                     {"reason", std::string(reason)}});
+  for (const PendingReport& report : pending_reports_) {
+    report.respond({409, {}, {}});
+  }
+  pending_reports_.clear();
+  boost::system::error_code ignored;
+  step_timer_.cancel(ignored);
+  // The feeds may be calling back right now.
+  boost::asio::post(ports_.loop, [self] {
+    self->jobs_feed_.reset();
+    self->progress_feed_.reset();
+  });
+  on_end_();
+}
+
+void Leader::LogNote(const jobs::BoardNote& note) const {
+  ports_.logger.Log(EventOf(note.kind),
+                    {{"change", Text(note.kind)},
+                     {"subject", note.subject},
+                     {"run", static_cast<int64_t>(note.run)},
+                     {"runner", note.place},
+                     {"reason", note.reason},
+                     {"term", static_cast<int64_t>(record_.term)}});
+}
+
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/src/libs/cluster/leader.h
@@ -0,0 +1,133 @@
+#ifndef PAPAYADRIFT_CLUSTER_LEADER_H_
+#define PAPAYADRIFT_CLUSTER_LEADER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "async_http/server.h"
+#include "cluster/ports.h"
+#include "jobs/board.h"
+#include "jobs/directory.h"
+#include "jobs/leader_record.h"
+#include "jobs/route_table.h"
+#include "keyed_log/topic_follower.h"
+
+namespace papayadrift::cluster {
+
+struct LeaderSettings {
+  std::string node;
+  std::string address;  // "ip:port" at which agents report.
+  jobs::BoardSettings board;
+  // Shortest time between two appends: what comes meanwhile shares the next.
+  milliseconds append_gap{10};
+  // An idle leader shows that it is there this often.
+  milliseconds beat_period{400};
+  // Longest time without a look at leases and orders that are due.
+  milliseconds idle_step{50};
+  // Time that an agent has to carry out orders.
+  milliseconds order_limit{1000};
+  // Longest time that the answer to a report waits for its ends to be stored.
+  milliseconds report_limit{800};
+
+  friend bool operator==(const LeaderSettings&,
+                         const LeaderSettings&) = default;
+};
+
+// The term of one leader: from its candidacy to the moment when the store
+// knows another one. Owns the board; the only one that gives orders.
+class Leader : public std::enable_shared_from_this<Leader> {
+ public:
+  // Runs once, when the term is over or was not won.
+  using OnEnd = std::function<void()>;
+
+  Leader(const LeaderSettings& settings,
+         const Ports& ports,
+         jobs::Directory& directory,
+         OnEnd on_end);
+  Leader(const Leader&) = delete;
+  Leader& operator=(const Leader&) = delete;
+
+  // Stands for the term after `last`, provided that nothing was written to the
+  // progress topic behind `progress_end`.
+  void Campaign(const jobs::LeaderRecord& last, uint64_t progress_end);
+  void SetRoutes(const jobs::RouteTable& routes);
+  // Gives the term up; what is stored by then holds.
+  void Stop();
+
+  bool is_leading() const { return is_leading_; }
+  uint64_t term() const { return record_.term; }
+  const jobs::Board* board() const { return board_ ? &*board_ : nullptr; }
+
+  // Answers an agent's report once the ends in it are stored.
+  void HandleReport(const http::Request& request,
+                    const async_http::Respond& respond);
+
+ private:
+  struct PendingReport {
+    jobs::RunnerLife life;
+    uint64_t ends = 0;  // Highest end that the report brought.
+    int64_t sent_at_ms = 0;
+    Instant received_at;
+    async_http::Respond respond;
+  };
+
+  void SendCandidacy(int tries_left);
+  void OnElected();
+  void PublishAddress();
+  void Load();
+  void Begin();
+  void OnJobRecord(const keyed_log::Record& record);
+  void FollowJobs();
+  void ScheduleStep(milliseconds delay);
+  void Step();
+  void Flush();
+  void Write(const std::shared_ptr<keyed_log::Append>& append,
+             uint64_t version);
+  void OnWritten(const std::shared_ptr<keyed_log::Append>& append,
+                 uint64_t version,
+                 Instant begun_at,
+                 const keyed_log::AppendResult& result);
+  void SendOrders();
+  void Answer(const PendingReport& report);
+  void AnswerReports();
+  void End(std::string_view reason);
+  void LogNote(const jobs::BoardNote& note) const;
+  // Runs `action` after `delay` if the term goes on.
+  void After(milliseconds delay, std::function<void()> action);
+
+  const LeaderSettings settings_;
+  const Ports ports_;
+  jobs::Directory& directory_;
+  OnEnd on_end_;
+  jobs::LeaderRecord record_;
+  jobs::RouteTable routes_;
+  std::optional<uint64_t> expected_end_;
+  uint64_t sequence_ = 0;
+  // When the last append began by which the store confirmed the term.
+  Instant confirmed_at_;
+  bool is_leading_ = false;
+  bool has_ended_ = false;
+  std::map<JobId, jobs::Job> loaded_jobs_;
+  std::vector<JobId> loaded_cancels_;
+  std::map<JobId, jobs::JobProgress> loaded_progress_;
+  std::unique_ptr<keyed_log::TopicFollower> jobs_feed_;
+  std::unique_ptr<keyed_log::TopicFollower> progress_feed_;
+  std::optional<jobs::Board> board_;
+  bool is_writing_ = false;
+  Instant written_at_;
+  Instant stepped_at_;
+  boost::asio::steady_timer step_timer_;
+  Instant step_due_;
+  bool is_step_due_ = false;
+  std::vector<PendingReport> pending_reports_;
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_LEADER_H_
--- /dev/null
+++ b/src/libs/cluster/runner_agent.cpp
@@ -0,0 +1,369 @@
+#include "cluster/runner_agent.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "cluster/topics.h"
+#include "jobs/codec.h"
+
+namespace papayadrift::cluster {
+namespace {
+
+using logging::Event;
+
+constexpr milliseconds kRetryPause(150);
+// Pause before the leader is looked up again; reads of the store are limited
+// and priced.
+constexpr milliseconds kFindPause(250);
+constexpr milliseconds kFindLimit(1500);
+// Connections in a row that the runner's VM refused: one may meet a restart of
+// the listener.
+constexpr uint32_t kRefusedCallsOfEnded = 2;
+// Longest time that unrecorded ends keep the next list waiting.
+constexpr milliseconds kRecordPause(300);
+
+// Whether `announcement` is newer than what is known.
+bool IsNewer(const Announcement& announcement, const Announcement& known) {
+  if (announcement.born_ms != known.born_ms) {
+    return announcement.born_ms > known.born_ms;
+  }
+  return announcement.instance != known.instance ||
+         announcement.sequence > known.sequence;
+}
+
+}  // namespace
+
+// Orders of one batch on their way to the runner, one after the other.
+struct RunnerAgent::OrderCall {
+  jobs::OrderBatch batch;
+  jobs::OrderAnswer answer;
+  async_http::Respond respond;
+  uint64_t generation = 0;
+};
+
+RunnerAgent::RunnerAgent(const RunnerAgentSettings& settings,
+                         const Ports& ports,
+                         RunnerPort& runner)
+    : settings_(settings),
+      ports_(ports),
+      runner_(runner),
+      hold_timer_(ports.loop),
+      report_timer_(ports.loop) {}
+
+void RunnerAgent::Start() {
+  FindLeader();
+}
+
+int64_t RunnerAgent::NowMs() const {
+  return std::chrono::floor<milliseconds>(ports_.clock.Now())
+      .time_since_epoch()
+      .count();
+}
+
+jobs::RunnerLife RunnerAgent::life() const {
+  return {settings_.node, announced_->instance, announced_->born_ms};
+}
+
+bool RunnerAgent::HasLease() const {
+  return runner_clock_ms_ && lease_until_ms_ > NowMs();
+}
+
+int64_t RunnerAgent::LeaseOnRunner() const {
+  return *runner_clock_ms_ + (lease_until_ms_ - runner_clock_read_ms_);
+}
+
+void RunnerAgent::OnAnnouncement(const Announcement& announcement) {
+  if (announcement.service != settings_.service) {
+    return;
+  }
+  if (announced_ && !IsNewer(announcement, *announced_)) {
+    return;
+  }
+  if (!announced_ || has_ended_ ||
+      announcement.instance != announced_->instance ||
+      announcement.born_ms != announced_->born_ms) {
+    BeginLife(announcement);
+    return;
+  }
+  const bool is_changed = announcement.state != announced_->state ||
+                          announcement.capacity != announced_->capacity;
+  announced_ = announcement;
+  if (is_changed) {
+    ReportNow();
+  }
+}
+
+void RunnerAgent::BeginLife(const Announcement& announcement) {
+  announced_ = announcement;
+  has_ended_ = false;
+  ++generation_;
+  is_holding_ = false;
+  refused_calls_ = 0;
+  runner_clock_ms_.reset();
+  listed_at_ms_ = 0;
+  active_.clear();
+  ended_.clear();
+  recorded_ends_ = 0;
+  lease_until_ms_ = 0;
+  ports_.logger.Log(Event::kRunnerChanged, {{"change", "announced"},
+                                            {"subject", ToText(life())},
+                                            {"runner", announcement.address}});
+  ReportNow();
+  ScheduleHold(milliseconds(0));
+}
+
+void RunnerAgent::OnLeave(const std::string& instance) {
+  if (announced_ && !has_ended_ && announced_->instance == instance) {
+    EndLife("The runner said that it leaves.");
+  }
+}
+
+void RunnerAgent::EndLife(std::string_view reason) {
+  has_ended_ = true;
+  ++generation_;
+  announced_->state = jobs::RunnerState::kGone;
+  ports_.logger.Log(Event::kRunnerChanged, {{"change", "ended"},
+                                            {"subject", ToText(life())},
+                                            {"reason", std::string(reason)}});
+  boost::system::error_code ignored;
+  hold_timer_.cancel(ignored);
+  ReportNow();
+}
+
+void RunnerAgent::ScheduleHold(milliseconds delay) {
+  hold_timer_.expires_after(delay);
+  hold_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Hold();
+    }
+  });
+}
+
+void RunnerAgent::Hold() {
+  if (!announced_ || has_ended_ || is_holding_) {
+    return;
+  }
+  is_holding_ = true;
+  HoldCall call;
+  call.term = term_;
+  call.recorded_ends = recorded_ends_;
+  if (HasLease()) {
+    call.lease_until_ms = LeaseOnRunner();
+    call.wait = settings_.hold_wait;
+  }
+  const int64_t sent_at_ms = NowMs();
+  runner_.Hold(
+      announced_->address, announced_->instance, call,
+      ports_.clock.Now() + call.wait + settings_.runner_limit,
+      [this, sent_at_ms, generation = generation_](const HoldResult& result) {
+        OnHeld(generation, sent_at_ms, result);
+      });
+}
+
+void RunnerAgent::OnHeld(uint64_t generation,
+                         int64_t sent_at_ms,
+                         const HoldResult& result) {
+  if (generation != generation_) {
+    return;
+  }
+  is_holding_ = false;
+  if (const auto* failure = std::get_if<RunnerFailure>(&result)) {
+    refused_calls_ =
+        *failure == RunnerFailure::kNotListening ? refused_calls_ + 1 : 0;
+    if (refused_calls_ >= kRefusedCallsOfEnded) {
+      EndLife("Nothing listens at the runner's address.");
+      return;
+    }
+    if (*failure == RunnerFailure::kSuperseded) {
+      FindLeader();
+    }
+    ScheduleHold(kRetryPause);
+    return;
+  }
+  refused_calls_ = 0;
+  const auto& held = std::get<HoldAnswer>(result);
+  if (held.born_ms != 0 && held.born_ms != announced_->born_ms) {
+    // Another life under the same name; its announcement is to come.
+    ScheduleHold(kRetryPause);
+    return;
+  }
+  runner_clock_ms_ = held.clock_ms;
+  runner_clock_read_ms_ = NowMs();
+  const bool is_first = listed_at_ms_ == 0;
+  listed_at_ms_ = sent_at_ms;
+  active_ = held.active;
+  ended_ = held.ended;
+  const bool has_news =
+      std::ranges::any_of(ended_, [this](const jobs::EndedRun& ended) {
+        return ended.number > recorded_ends_;
+      });
+  if (has_news || is_first) {
+    ReportNow();
+  }
+  if (has_news) {
+    ScheduleHold(kRecordPause);
+  } else {
+    ScheduleHold(HasLease() ? milliseconds(0) : kRetryPause);
+  }
+}
+
+void RunnerAgent::ScheduleReport(milliseconds delay) {
+  report_timer_.expires_after(delay);
+  report_timer_.async_wait([this](boost::system::error_code ec) {
+    if (!ec) {
+      Report();
+    }
+  });
+}
+
+void RunnerAgent::ReportNow() {
+  if (is_reporting_) {
+    is_report_needed_ = true;
+    return;
+  }
+  Report();
+}
+
+void RunnerAgent::Report() {
+  if (!announced_ || is_reporting_ || leader_.address.empty()) {
+    return;
+  }
+  is_reporting_ = true;
+  is_report_needed_ = false;
+  jobs::RunnerReport report;
+  report.life = life();
+  report.agent_address = settings_.address;
+  report.service = announced_->service;
+  report.zone = announced_->zone;
+  report.vm = announced_->vm;
+  report.state = announced_->state;
+  report.capacity = announced_->capacity;
+  report.labels = announced_->labels;
+  report.sent_at_ms = NowMs();
+  if (!has_ended_) {
+    report.listed_at_ms = listed_at_ms_;
+    report.active = active_;
+    report.ended = ended_;
+  }
+  http::Request request;
+  request.method = "POST";
+  request.path = kReportPath;
+  request.body = jobs::Encode(report);
+  ports_.client.Send(
+      leader_.address, request, ports_.clock.Now() + settings_.report_limit,
+      [this, generation = generation_](const http::ClientResult& result) {
+        OnReported(generation, result);
+      });
+}
+
+void RunnerAgent::OnReported(uint64_t generation,
+                             const http::ClientResult& result) {
+  is_reporting_ = false;
+  const auto* response = std::get_if<http::Response>(&result);
+  std::optional<jobs::ReportAnswer> answer;
+  if (response != nullptr && response->status == 200) {
+    answer = jobs::Decode<jobs::ReportAnswer>(response->body);
+  }
+  if (!answer || answer->term < term_) {
+    FindLeader();
+    return;
+  }
+  term_ = answer->term;
+  if (generation == generation_) {
+    lease_until_ms_ = std::max(lease_until_ms_, answer->lease_until_ms);
+    if (answer->recorded_ends > recorded_ends_) {
+      recorded_ends_ = answer->recorded_ends;
+      ScheduleHold(milliseconds(0));
+    }
+  }
+  if (is_report_needed_) {
+    Report();
+  } else {
+    ScheduleReport(settings_.report_period);
+  }
+}
+
+void RunnerAgent::FindLeader() {
+  if (is_finding_) {
+    return;
+  }
+  is_finding_ = true;
+  ports_.log.ReadNewest(
+      kLeaderTopic, {}, ports_.clock.Now() + kFindLimit,
+      [this](const keyed_log::ReadResult& result) {
+        is_finding_ = false;
+        if (const auto* read = std::get_if<keyed_log::Records>(&result)) {
+          for (const keyed_log::StoredRecord& stored : read->records) {
+            const auto leader =
+                jobs::Decode<jobs::LeaderRecord>(stored.record.value);
+            if (leader && leader->term > leader_.term) {
+              leader_ = *leader;
+              ports_.logger.Log(Event::kLeaderFound,
+                                {{"term", static_cast<int64_t>(leader_.term)},
+                                 {"address", leader_.address}});
+            }
+          }
+        }
+        if (leader_.address.empty()) {
+          auto timer = std::make_shared<boost::asio::steady_timer>(ports_.loop,
+                                                                   kFindPause);
+          timer->async_wait(
+              [this, timer](boost::system::error_code) { FindLeader(); });
+          return;
+        }
+        if (!is_reporting_) {
+          ScheduleReport(kFindPause);
+        }
+      });
+}
+
+void RunnerAgent::HandleOrders(const http::Request& request,
+                               const async_http::Respond& respond) {
+  auto batch = jobs::Decode<jobs::OrderBatch>(request.body);
+  if (!batch) {
+    respond({400, {}, {}});
+    return;
+  }
+  auto call = std::make_shared<OrderCall>();
+  call->batch = std::move(*batch);
+  call->respond = respond;
+  call->generation = generation_;
+  if (call->batch.term > term_) {
+    term_ = call->batch.term;
+  }
+  CarryNext(call);
+}
+
+void RunnerAgent::CarryNext(const std::shared_ptr<OrderCall>& call) {
+  using Verdict = jobs::OrderVerdict;
+  std::vector<jobs::OrderResult>& results = call->answer.results;
+  while (results.size() < call->batch.orders.size()) {
+    const jobs::Order& order = call->batch.orders[results.size()];
+    std::optional<Verdict> known;
+    if (call->batch.term < term_) {
+      known = Verdict::kSuperseded;
+    } else if (!announced_ || has_ended_ || call->batch.life != life() ||
+               (std::holds_alternative<jobs::StartOrder>(order) &&
+                announced_->state != jobs::RunnerState::kReady)) {
+      known = Verdict::kRefused;
+    } else if (std::holds_alternative<jobs::StartOrder>(order) && !HasLease()) {
+      known = Verdict::kLate;
+    }
+    if (known) {
+      results.push_back({*known, NowMs()});
+      continue;
+    }
+    runner_.Carry(announced_->address, announced_->instance, order,
+                  call->batch.term, runner_clock_ms_ ? LeaseOnRunner() : 0,
+                  ports_.clock.Now() + settings_.runner_limit,
+                  [this, call](Verdict verdict) {
+                    call->answer.results.push_back({verdict, NowMs()});
+                    CarryNext(call);
+                  });
+    return;
+  }
+  call->respond({200, {}, jobs::Encode(call->answer)});
+}
+
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/src/libs/cluster/runner_agent.h
@@ -0,0 +1,104 @@
+#ifndef PAPAYADRIFT_CLUSTER_RUNNER_AGENT_H_
+#define PAPAYADRIFT_CLUSTER_RUNNER_AGENT_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "async_http/server.h"
+#include "cluster/ports.h"
+#include "cluster/runner_port.h"
+#include "jobs/leader_record.h"
+#include "jobs/runner.h"
+
+namespace papayadrift::cluster {
+
+struct RunnerAgentSettings {
+  std::string node;
+  std::string address;  // "ip:port" at which the leader gives orders.
+  std::string service;  // Announcements of others are not used.
+  // Period of reports while nothing changes.
+  milliseconds report_period{500};
+  // Time that a leader has to answer a report.
+  milliseconds report_limit{1200};
+  // The runner may hold the answer to a call back for so long.
+  milliseconds hold_wait{400};
+  // Time that the runner has to answer, beyond that.
+  milliseconds runner_limit{600};
+
+  friend bool operator==(const RunnerAgentSettings&,
+                         const RunnerAgentSettings&) = default;
+};
+
+// Stands between the leader and the runner on its VM: carries out orders,
+// keeps the runner's lease while the leader grants it, and reports what runs
+// and what has ended.
+class RunnerAgent {
+ public:
+  RunnerAgent(const RunnerAgentSettings& settings,
+              const Ports& ports,
+              RunnerPort& runner);
+  RunnerAgent(const RunnerAgent&) = delete;
+  RunnerAgent& operator=(const RunnerAgent&) = delete;
+
+  void Start();
+  void OnAnnouncement(const Announcement& announcement);
+  void OnLeave(const std::string& instance);
+  void HandleOrders(const http::Request& request,
+                    const async_http::Respond& respond);
+
+  const std::optional<Announcement>& runner() const { return announced_; }
+
+ private:
+  struct OrderCall;
+
+  int64_t NowMs() const;
+  jobs::RunnerLife life() const;
+  bool HasLease() const;
+  // The end of the lease on the runner's clock.
+  int64_t LeaseOnRunner() const;
+  void BeginLife(const Announcement& announcement);
+  void EndLife(std::string_view reason);
+  void Hold();
+  void OnHeld(uint64_t generation,
+              int64_t sent_at_ms,
+              const HoldResult& result);
+  void ScheduleHold(milliseconds delay);
+  void Report();
+  void ReportNow();
+  void ScheduleReport(milliseconds delay);
+  void OnReported(uint64_t generation, const http::ClientResult& result);
+  void FindLeader();
+  void CarryNext(const std::shared_ptr<OrderCall>& call);
+
+  const RunnerAgentSettings settings_;
+  const Ports ports_;
+  RunnerPort& runner_;
+  std::optional<Announcement> announced_;
+  bool has_ended_ = false;  // The announced life.
+  // Counts lives, so that answers to an earlier one are told apart.
+  uint64_t generation_ = 0;
+  uint32_t refused_calls_ = 0;
+  // The runner's clock, and this process's when it was read.
+  std::optional<int64_t> runner_clock_ms_;
+  int64_t runner_clock_read_ms_ = 0;
+  int64_t listed_at_ms_ = 0;
+  std::vector<jobs::ActiveRun> active_;
+  std::vector<jobs::EndedRun> ended_;
+  uint64_t recorded_ends_ = 0;
+  uint64_t term_ = 0;
+  int64_t lease_until_ms_ = 0;  // On this process's clock.
+  jobs::LeaderRecord leader_;
+  bool is_holding_ = false;
+  bool is_reporting_ = false;
+  bool is_report_needed_ = false;
+  bool is_finding_ = false;
+  boost::asio::steady_timer hold_timer_;
+  boost::asio::steady_timer report_timer_;
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_RUNNER_AGENT_H_
--- /dev/null
+++ b/src/libs/cluster/runner_port.h
@@ -0,0 +1,83 @@
+#ifndef PAPAYADRIFT_CLUSTER_RUNNER_PORT_H_
+#define PAPAYADRIFT_CLUSTER_RUNNER_PORT_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/instant.h"
+#include "base/resources.h"
+#include "jobs/runner.h"
+
+namespace papayadrift::cluster {
+
+// What a runner says of itself.
+struct Announcement {
+  std::string instance;
+  int64_t born_ms = 0;    // Unix time of its start; 0 where it is not told.
+  uint64_t sequence = 0;  // Rises with each announcement of one life.
+  std::string address;
+  std::string service;
+  std::string zone;
+  std::string vm;
+  jobs::RunnerState state = jobs::RunnerState::kReady;
+  Resources capacity;
+  std::vector<std::string> labels;
+
+  friend bool operator==(const Announcement&, const Announcement&) = default;
+};
+
+// A call that prolongs the lease of all that runs, and lists it. Times of the
+// runner are milliseconds on its own clock.
+struct HoldCall {
+  uint64_t term = 0;
+  std::optional<int64_t> lease_until_ms;
+  uint64_t recorded_ends = 0;
+  milliseconds wait{0};  // The answer may be held back until a run ends.
+
+  friend bool operator==(const HoldCall&, const HoldCall&) = default;
+};
+
+struct HoldAnswer {
+  int64_t clock_ms = 0;
+  int64_t born_ms = 0;
+  std::vector<jobs::ActiveRun> active;
+  std::vector<jobs::EndedRun> ended;
+
+  friend bool operator==(const HoldAnswer&, const HoldAnswer&) = default;
+};
+
+enum class RunnerFailure {
+  kNotListening,  // The runner's process is not there.
+  kOtherLife,
+  kSuperseded,  // It has heard from a later term.
+  kUnanswered,
+};
+
+using HoldResult = std::variant<HoldAnswer, RunnerFailure>;
+
+// Speaks to the runner beside an agent.
+class RunnerPort {
+ public:
+  virtual ~RunnerPort() = default;
+
+  virtual void Hold(const std::string& address,
+                    const std::string& instance,
+                    const HoldCall& call,
+                    Instant deadline,
+                    std::function<void(HoldResult)> done) = 0;
+  virtual void Carry(const std::string& address,
+                     const std::string& instance,
+                     const jobs::Order& order,
+                     uint64_t term,
+                     int64_t lease_until_ms,
+                     Instant deadline,
+                     std::function<void(jobs::OrderVerdict)> done) = 0;
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_RUNNER_PORT_H_
--- /dev/null
+++ b/src/libs/cluster/topics.h
@@ -0,0 +1,49 @@
+#ifndef PAPAYADRIFT_CLUSTER_TOPICS_H_
+#define PAPAYADRIFT_CLUSTER_TOPICS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/identifiers.h"
+
+// Where the processes of a cluster keep what lasts.
+
+namespace papayadrift::cluster {
+
+// Jobs as handed in, and their cancellations. Every front writes to it.
+inline constexpr char kJobsTopic[] = "jobs";
+// How far each job has come, and the leader's signs of life. Written by the
+// leader only, which its term protects.
+inline constexpr char kProgressTopic[] = "progress";
+// Who leads, for agents: small, as they read it whole.
+inline constexpr char kLeaderTopic[] = "leader";
+
+inline constexpr char kLeaderKey[] = "leader";
+inline constexpr std::string_view kJobPrefix = "j/";
+inline constexpr std::string_view kCancelPrefix = "c/";
+inline constexpr std::string_view kProgressPrefix = "p/";
+
+// Name under which leaders write, whatever process they are.
+inline constexpr char kLeaderWriter[] = "leader";
+
+// Paths between the processes of a cluster.
+inline constexpr char kReportPath[] = "/internal/v1/reports";
+inline constexpr char kOrdersPath[] = "/internal/v1/orders";
+
+inline std::string KeyOf(std::string_view prefix, const JobId& id) {
+  return std::string(prefix) + id.text();
+}
+
+// Returns the job that a key with this prefix names, or nothing.
+inline std::optional<JobId> JobOfKey(std::string_view prefix,
+                                     std::string_view key) {
+  if (!key.starts_with(prefix)) {
+    return std::nullopt;
+  }
+  return JobId(std::string(key.substr(prefix.size())));
+}
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_TOPICS_H_
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -32,6 +32,7 @@
 // Why a client has no whole response.
 enum class ClientFailure {
   kNotConnected,  // No connection, or no time left: not a byte was sent.
+  kRefused,       // Nothing listens at the address: not a byte was sent.
   kLost,          // The connection broke; the request may have arrived.
   kTimedOut,      // The deadline passed; the request may have arrived.
   kTruncated,     // The body is shorter than announced.
--- /dev/null
+++ b/src/libs/jobs/board.cpp
@@ -0,0 +1,773 @@
+#include "jobs/board.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "base/lookup.h"
+#include "jobs/runner_choice.h"
+#include "jobs/work_order.h"
+
+namespace papayadrift::jobs {
+
+// A step with tasks that wait for room, and what decides its turn.
+struct Board::ReadyStep {
+  WorkRank rank;
+  const JobId* id = nullptr;
+  Entry* entry = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  const Queue* queue = nullptr;
+};
+
+Board::Board(const BoardSettings& settings, Instant now, NoteListener notes)
+    : settings_(settings), begun_at_(now), notes_(std::move(notes)) {}
+
+void Board::Note(BoardNote::Kind kind,
+                 std::string subject,
+                 uint32_t run,
+                 std::string place,
+                 std::string reason) const {
+  if (notes_) {
+    notes_(BoardNote{kind, std::move(subject), run, std::move(place),
+                     std::move(reason)});
+  }
+}
+
+Instant Board::LapseOf(Instant lease_end) const {
+  return lease_end + settings_.lease * settings_.clock_error_percent / 100 +
+         settings_.lapse_margin;
+}
+
+uint64_t Board::Change(const JobId& id) {
+  changed_jobs_.insert(id);
+  return ++version_;
+}
+
+void Board::SetRoutes(RouteTable routes) {
+  routes_ = std::move(routes);
+}
+
+void Board::AddJob(const JobId& id, Job job) {
+  const auto [it, is_new] = jobs_.try_emplace(id);
+  if (!is_new) {
+    return;
+  }
+  it->second.progress = InitialProgress(job);
+  it->second.longest_chain_ms = LongestChainMs(job);
+  it->second.job = std::move(job);
+  open_.insert(id);
+}
+
+void Board::Restore(const JobId& id, JobProgress progress) {
+  Entry* entry = FindOrNull(jobs_, id);
+  if (entry == nullptr || !FitsJob(progress, entry->job)) {
+    return;
+  }
+  entry->progress = std::move(progress);
+  if (entry->progress.outcome != JobOutcome::kOpen) {
+    open_.erase(id);
+  }
+  const auto& occurrences = entry->progress.occurrences;
+  for (uint32_t k = 0; k < occurrences.size(); ++k) {
+    for (uint32_t s = 0; s < occurrences[k].steps.size(); ++s) {
+      const Step& step = entry->job.steps[s];
+      for (uint32_t i = 0; i < occurrences[k].steps[s].size(); ++i) {
+        const TaskProgress& task = occurrences[k].steps[s][i];
+        if (task.phase != TaskPhase::kClaimed) {
+          continue;
+        }
+        Runner& runner = fleet_.Get(task.life);
+        runner.report.life = task.life;
+        runner.alive_until = LapseOf(begun_at_ + settings_.lease);
+        Run run;
+        run.number = task.run;
+        run.need = step.need;
+        run.is_filler = step.is_filler;
+        run.is_serving = step.tail_target_ms > 0;
+        run.is_long_running = step.is_long_running;
+        run.sends = 2;
+        run.is_withdrawn = entry->progress.outcome != JobOutcome::kOpen;
+        run.checkpoint = task.checkpoint;
+        run.progressed_at = begun_at_;
+        runner.runs[TaskKey{id, k, s, i}] = std::move(run);
+      }
+    }
+  }
+}
+
+void Board::Cancel(const JobId& id, Instant now) {
+  if (open_.contains(id)) {
+    CloseJob(id, JobOutcome::kCancelled, now);
+  }
+}
+
+TaskProgress* Board::FindTask(const TaskKey& task) {
+  Entry* entry = FindOrNull(jobs_, task.job);
+  if (entry == nullptr ||
+      task.occurrence >= entry->progress.occurrences.size()) {
+    return nullptr;
+  }
+  auto& steps = entry->progress.occurrences[task.occurrence].steps;
+  if (task.step >= steps.size() || task.index >= steps[task.step].size()) {
+    return nullptr;
+  }
+  return &steps[task.step][task.index];
+}
+
+const Step* Board::FindStep(const TaskKey& task) const {
+  const Entry* entry = FindOrNull(jobs_, task.job);
+  return entry == nullptr || task.step >= entry->job.steps.size()
+             ? nullptr
+             : &entry->job.steps[task.step];
+}
+
+bool Board::OnReport(const RunnerReport& report, Instant now) {
+  const RunnerLife& life = report.life;
+  if (fleet_.IsOutlived(life)) {
+    return false;
+  }
+  for (const RunnerLife& older : fleet_.OlderLives(life)) {
+    Lose(older, "A later life of the runner has begun.", now);
+  }
+  if (report.state == RunnerState::kGone) {
+    Lose(life, "The agent says that the runner has ended.", now);
+    return true;
+  }
+  Runner& runner = fleet_.Get(life);
+  const bool is_new = !runner.is_heard;
+  const bool was_ready = is_new || runner.report.state == RunnerState::kReady;
+  runner.report = report;
+  runner.report.active.clear();
+  runner.report.ended.clear();
+  runner.is_heard = true;
+  runner.heard_at = now;
+  runner.alive_until = std::max(runner.alive_until, now);
+  if (is_new) {
+    Note(BoardNote::Kind::kRunnerJoined, ToText(life), 0, report.service);
+  }
+  if (was_ready && report.state == RunnerState::kDraining) {
+    Note(BoardNote::Kind::kRunnerDraining, ToText(life));
+  }
+  if (report.listed_at_ms > 0) {
+    ReadLists(runner, report, now);
+    Pace(runner, now);
+  }
+  return true;
+}
+
+void Board::ReadLists(Runner& runner, const RunnerReport& report, Instant now) {
+  for (const ActiveRun& active : report.active) {
+    Run* run = FindOrNull(runner.runs, active.task);
+    if (run == nullptr || run->number != active.run) {
+      continue;
+    }
+    run->is_accepted = true;
+    run->accepted_at_ms = std::min(run->accepted_at_ms, report.listed_at_ms);
+    run->gauge = active.gauge;
+    if (!active.checkpoint.empty()) {
+      run->checkpoint = active.checkpoint;
+    }
+    if (active.percent != run->percent) {
+      run->percent = active.percent;
+      run->progressed_at = now;
+    }
+  }
+  ReadStrays(runner, report, now);
+  for (const EndedRun& ended : report.ended) {
+    ReadEnd(runner, ended, now);
+  }
+  std::vector<TaskKey> absent;
+  for (const TaskKey& task : runner.runs | std::views::keys) {
+    const Run& run = runner.runs.at(task);
+    const bool is_listed =
+        std::ranges::any_of(report.active, [&](const ActiveRun& active) {
+          return active.task == task && active.run == run.number;
+        });
+    if (!is_listed) {
+      absent.push_back(task);
+    }
+  }
+  for (const TaskKey& task : absent) {
+    // Reading the absence of one member of a gang may remove others.
+    if (Run* run = FindOrNull(runner.runs, task)) {
+      ReadAbsence(runner, task, *run, report.listed_at_ms, now);
+    }
+  }
+}
+
+void Board::ReadStrays(Runner& runner,
+                       const RunnerReport& report,
+                       Instant now) {
+  std::map<TaskKey, StrayRun> strays;
+  for (const ActiveRun& active : report.active) {
+    const Run* run = FindOrNull(runner.runs, active.task);
+    if (run != nullptr && run->number == active.run) {
+      continue;
+    }
+    const StrayRun* known = FindOrNull(runner.strays, active.task);
+    StrayRun stray;
+    if (known != nullptr && known->number == active.run) {
+      stray = *known;
+    } else {
+      stray.number = active.run;
+      stray.send_due = now;
+      if (const Step* step = FindStep(active.task)) {
+        stray.need = step->need;
+        if (step->is_filler) {
+          stray.need.millicores = 0;
+        }
+      }
+    }
+    strays.emplace(active.task, stray);
+  }
+  runner.strays = std::move(strays);
+}
+
+void Board::ReadEnd(Runner& runner, const EndedRun& ended, Instant now) {
+  if (ended.number <= runner.handled_ends) {
+    return;
+  }
+  runner.handled_ends = ended.number;
+  const Run* run = FindOrNull(runner.runs, ended.task);
+  if (run != nullptr && run->number == ended.run) {
+    const std::string checkpoint =
+        ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint;
+    runner.runs.erase(ended.task);
+    Note(BoardNote::Kind::kRunEnded, ToText(ended.task), ended.run,
+         ToText(runner.report.life),
+         ended.end == RunEnd::kDone     ? "done"
+         : ended.end == RunEnd::kFailed ? "failed"
+                                        : "interrupted");
+    if (ended.end == RunEnd::kDone) {
+      runner.failure_streak = 0;
+    } else if (ended.end == RunEnd::kFailed) {
+      CountFailure(runner, ended.task, now);
+    }
+    EndOfRun(ended.task, ended.end, checkpoint, runner.report.life, now);
+  }
+  runner.unstored_ends.emplace(ended.number, version_);
+  if (version_ <= stored_version_) {
+    OnStored(stored_version_);
+  }
+}
+
+void Board::CountFailure(Runner& runner, const TaskKey& task, Instant now) {
+  constexpr uint32_t kMostDoublings = 3;
+  ++runner.failure_streak;
+  if (Entry* entry = FindOrNull(jobs_, task.job)) {
+    entry->failed_on[task] = runner.report.life;
+  }
+  if (runner.failure_streak < 2) {
+    return;
+  }
+  const uint32_t doublings =
+      std::min(runner.failure_streak - 2, kMostDoublings);
+  runner.suspended_until = now + settings_.failure_pause * (1 << doublings);
+  Note(BoardNote::Kind::kRunnerSuspended, ToText(runner.report.life), 0, {},
+       std::to_string(runner.failure_streak) + " runs in a row failed there.");
+}
+
+void Board::EndOfRun(const TaskKey& task,
+                     RunEnd end,
+                     const std::string& checkpoint,
+                     const RunnerLife& life,
+                     Instant now) {
+  const Step* step = FindStep(task);
+  TaskProgress* progress = FindTask(task);
+  if (step == nullptr || progress == nullptr ||
+      progress->phase != TaskPhase::kClaimed) {
+    return;
+  }
+  if (!open_.contains(task.job)) {
+    Release(task, checkpoint);
+    return;
+  }
+  if (end == RunEnd::kDone && !step->is_long_running) {
+    Entry& entry = jobs_.at(task.job);
+    auto& tasks = entry.progress.occurrences[task.occurrence].steps[task.step];
+    if (step->is_gang) {
+      // One end stands for all members.
+      for (TaskProgress& member : tasks) {
+        member.phase = TaskPhase::kDone;
+      }
+      WithdrawGang(task, now);
+    }
+    progress->phase = TaskPhase::kDone;
+    progress->life = {};
+    progress->checkpoint.clear();
+    Change(task.job);
+    CheckCompletion(task.job, now);
+    return;
+  }
+  Release(task, checkpoint);
+  if (end == RunEnd::kFailed && !step->is_long_running) {
+    Fail(task, life, now);
+  } else if (step->is_gang) {
+    WithdrawGang(task, now);
+  }
+}
+
+void Board::Fail(const TaskKey& task, const RunnerLife& life, Instant now) {
+  Entry& entry = jobs_.at(task.job);
+  TaskProgress* progress = FindTask(task);
+  ++progress->failures;
+  Change(task.job);
+  const Queue* queue = routes_.Find(entry.job.queue);
+  const uint32_t most = queue == nullptr ? UINT32_MAX : queue->most_failures;
+  uint32_t failures = progress->failures;
+  if (entry.job.steps[task.step].is_gang) {
+    failures = 0;
+    for (const TaskProgress& member :
+         entry.progress.occurrences[task.occurrence].steps[task.step]) {
+      failures += member.failures;
+    }
+    WithdrawGang(task, now);
+  }
+  if (failures >= most) {
+    Note(BoardNote::Kind::kRunEnded, ToText(task), progress->run, ToText(life),
+         "The last of " + std::to_string(most) + " attempts failed.");
+    CloseJob(task.job, JobOutcome::kFailed, now);
+  }
+}
+
+void Board::Release(const TaskKey& task, const std::string& checkpoint) {
+  TaskProgress* progress = FindTask(task);
+  if (progress == nullptr || progress->phase != TaskPhase::kClaimed) {
+    return;
+  }
+  progress->phase = TaskPhase::kWaiting;
+  progress->life = {};
+  if (!checkpoint.empty()) {
+    progress->checkpoint = checkpoint;
+  }
+  Change(task.job);
+}
+
+void Board::Withdraw(Runner& runner,
+                     const TaskKey& task,
+                     Run& run,
+                     std::string reason,
+                     Instant now) {
+  if (run.is_withdrawn) {
+    return;
+  }
+  run.is_withdrawn = true;
+  run.send_due = now;
+  Note(BoardNote::Kind::kRunWithdrawn, ToText(task), run.number,
+       ToText(runner.report.life), std::move(reason));
+}
+
+void Board::WithdrawGang(const TaskKey& task, Instant now) {
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    for (auto& [other, run] : runner.runs) {
+      if (other.job == task.job && other.occurrence == task.occurrence &&
+          other.step == task.step && other.index != task.index) {
+        Withdraw(runner, other, run, "Another member of the gang has ended.",
+                 now);
+      }
+    }
+  }
+}
+
+void Board::ReadAbsence(Runner& runner,
+                        const TaskKey& task,
+                        Run& run,
+                        int64_t listed_at_ms,
+                        Instant now) {
+  if (run.is_withdrawn && run.is_stop_accepted &&
+      listed_at_ms >= run.stop_accepted_at_ms) {
+    const std::string checkpoint = run.checkpoint;
+    runner.runs.erase(task);
+    Release(task, checkpoint);
+    return;
+  }
+  if (!run.is_withdrawn && run.is_accepted &&
+      listed_at_ms >= run.accepted_at_ms) {
+    Withdraw(runner, task, run, "The runner no longer lists the run.", now);
+  }
+}
+
+void Board::Lose(const RunnerLife& life,
+                 const std::string& reason,
+                 Instant now) {
+  Runner* runner = fleet_.Find(life);
+  if (runner == nullptr) {
+    return;
+  }
+  Note(BoardNote::Kind::kRunnerGone, ToText(life), 0, {}, reason);
+  const std::map<TaskKey, Run> runs = std::move(runner->runs);
+  fleet_.Remove(life);
+  pacer_.Forget(life);
+  pacer_orders_.erase(life);
+  for (const auto& [task, run] : runs) {
+    Note(BoardNote::Kind::kRunLost, ToText(task), run.number, ToText(life),
+         reason);
+    Release(task, run.checkpoint);
+    const Step* step = FindStep(task);
+    if (step != nullptr && step->is_gang) {
+      WithdrawGang(task, now);
+    }
+  }
+}
+
+void Board::CheckCompletion(const JobId& id, Instant now) {
+  const Entry& entry = jobs_.at(id);
+  const bool is_done = std::ranges::all_of(
+      entry.progress.occurrences, [](const OccurrenceProgress& occurrence) {
+        return std::ranges::all_of(occurrence.steps, [](const auto& tasks) {
+          return std::ranges::all_of(tasks, [](const TaskProgress& task) {
+            return task.phase == TaskPhase::kDone;
+          });
+        });
+      });
+  if (is_done) {
+    CloseJob(id, JobOutcome::kCompleted, now);
+  }
+}
+
+void Board::CloseJob(const JobId& id, JobOutcome outcome, Instant now) {
+  Entry& entry = jobs_.at(id);
+  entry.progress.outcome = outcome;
+  open_.erase(id);
+  Change(id);
+  Note(BoardNote::Kind::kJobEnded, id.text(), 0, {},
+       outcome == JobOutcome::kCompleted   ? "completed"
+       : outcome == JobOutcome::kCancelled ? "cancelled"
+                                           : "failed");
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    for (auto& [task, run] : runner.runs) {
+      if (task.job == id) {
+        Withdraw(runner, task, run, "The job has ended.", now);
+      }
+    }
+  }
+}
+
+void Board::OnLeaseGranted(const RunnerLife& life, Instant until) {
+  if (Runner* runner = fleet_.Find(life)) {
+    runner->alive_until = std::max(runner->alive_until, LapseOf(until));
+  }
+}
+
+void Board::OnOrderResult(const RunnerLife& life,
+                          const Order& order,
+                          const OrderResult& result,
+                          Instant now) {
+  Runner* runner = fleet_.Find(life);
+  if (runner == nullptr || result.verdict == OrderVerdict::kSuperseded) {
+    return;
+  }
+  if (const auto* stop = std::get_if<StopOrder>(&order)) {
+    Run* run = FindOrNull(runner->runs, stop->task);
+    if (run != nullptr && run->number == stop->run &&
+        result.verdict != OrderVerdict::kUnanswered) {
+      run->is_stop_accepted = true;
+      run->stop_accepted_at_ms = result.known_at_ms;
+    }
+    return;
+  }
+  const auto* start = std::get_if<StartOrder>(&order);
+  Run* run = start == nullptr ? nullptr : FindOrNull(runner->runs, start->task);
+  if (run == nullptr || run->number != start->run) {
+    return;
+  }
+  switch (result.verdict) {
+    case OrderVerdict::kDone:
+      run->is_accepted = true;
+      run->accepted_at_ms = result.known_at_ms;
+      run->progressed_at = now;
+      return;
+    case OrderVerdict::kUnanswered:
+    case OrderVerdict::kLate:
+    case OrderVerdict::kSuperseded:
+      return;  // Sent again when it is due.
+    case OrderVerdict::kOld:
+      Withdraw(*runner, start->task, *run, "The runner knows a later run.",
+               now);
+      return;
+    case OrderVerdict::kNoRoom:
+    case OrderVerdict::kBadTicket:
+    case OrderVerdict::kUnhealthy:
+    case OrderVerdict::kRefused:
+      runner->suspended_until =
+          std::max(runner->suspended_until, now + settings_.refusal_pause);
+      Withdraw(*runner, start->task, *run, "The runner refused the start.",
+               now);
+      if (run->sends == 1) {
+        // The only send did nothing, so nothing is left to stop.
+        const TaskKey task = start->task;
+        const std::string checkpoint = run->checkpoint;
+        runner->runs.erase(task);
+        Release(task, checkpoint);
+      }
+      return;
+  }
+}
+
+void Board::OnStored(uint64_t version) {
+  stored_version_ = std::max(stored_version_, version);
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    auto& ends = runner.unstored_ends;
+    while (!ends.empty() && ends.begin()->second <= stored_version_) {
+      runner.recorded_ends = ends.begin()->first;
+      ends.erase(ends.begin());
+    }
+  }
+}
+
+uint64_t Board::RecordedEnds(const RunnerLife& life) const {
+  const Runner* runner = fleet_.Find(life);
+  return runner == nullptr ? 0 : runner->recorded_ends;
+}
+
+bool Board::IsStepReady(const Entry& entry,
+                        uint32_t occurrence,
+                        uint32_t step,
+                        int64_t unix_ms) const {
+  if (entry.job.first_due_ms > 0 && DueMs(entry.job, occurrence) > unix_ms) {
+    return false;
+  }
+  const auto& steps = entry.progress.occurrences[occurrence].steps;
+  const auto is_waiting = [](const TaskProgress& task) {
+    return task.phase == TaskPhase::kWaiting;
+  };
+  const auto is_done = [](const TaskProgress& task) {
+    return task.phase == TaskPhase::kDone;
+  };
+  const bool may_start = entry.job.steps[step].is_gang
+                             ? std::ranges::all_of(steps[step], is_waiting)
+                             : std::ranges::any_of(steps[step], is_waiting);
+  return may_start &&
+         std::ranges::all_of(
+             entry.job.steps[step].depends_on, [&](uint32_t earlier) {
+               return std::ranges::all_of(steps[earlier], is_done);
+             });
+}
+
+std::vector<Board::ReadyStep> Board::ReadySteps(int64_t unix_ms) {
+  std::vector<ReadyStep> ready;
+  for (const JobId& id : open_) {
+    Entry& entry = jobs_.at(id);
+    const Queue* queue = routes_.Find(entry.job.queue);
+    if (queue == nullptr) {
+      continue;
+    }
+    for (uint32_t k = 0; k < entry.job.occurrences; ++k) {
+      const WorkRank rank =
+          RankOf(entry.job, *queue, k, entry.longest_chain_ms, unix_ms);
+      for (uint32_t s = 0; s < entry.job.steps.size(); ++s) {
+        if (IsStepReady(entry, k, s, unix_ms)) {
+          ready.push_back({rank, &id, &entry, k, s, queue});
+        }
+      }
+    }
+  }
+  std::ranges::sort(ready, {}, &ReadyStep::rank);
+  return ready;
+}
+
+void Board::Advance(Instant now, int64_t unix_ms) {
+  std::vector<RunnerLife> lapsed;
+  for (const auto& [life, runner] : fleet_.runners()) {
+    if (now > runner.alive_until &&
+        (!runner.is_heard || now - runner.heard_at > kReportFreshness)) {
+      lapsed.push_back(life);
+    }
+  }
+  for (const RunnerLife& life : lapsed) {
+    Lose(life, "Its lease has lapsed without word of its agent.", now);
+  }
+  waiting_tasks_ = 0;
+  for (const ReadyStep& ready : ReadySteps(unix_ms)) {
+    if (ready.entry->job.steps[ready.step].is_gang) {
+      PlaceGang(ready, now);
+    } else {
+      PlaceStep(ready, now);
+    }
+  }
+}
+
+void Board::Claim(const TaskKey& task,
+                  uint32_t number,
+                  const Step& step,
+                  const Runner& place,
+                  Instant now) {
+  TaskProgress& progress = *FindTask(task);
+  progress.phase = TaskPhase::kClaimed;
+  progress.run = number;
+  progress.life = place.report.life;
+  Run run;
+  run.number = number;
+  run.need = step.need;
+  run.is_filler = step.is_filler;
+  run.is_serving = step.tail_target_ms > 0;
+  run.is_long_running = step.is_long_running;
+  run.claim_version = Change(task.job);
+  run.send_due = now;
+  run.checkpoint = progress.checkpoint;
+  run.progressed_at = now;
+  Note(BoardNote::Kind::kRunClaimed, ToText(task), number,
+       ToText(place.report.life));
+  fleet_.Get(place.report.life).runs[task] = std::move(run);
+}
+
+void Board::PlaceStep(const ReadyStep& ready, Instant now) {
+  const Step& step = ready.entry->job.steps[ready.step];
+  const Service* service = routes_.FindService(ready.queue->service);
+  auto& tasks =
+      ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
+  bool has_room = true;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].phase != TaskPhase::kWaiting) {
+      continue;
+    }
+    const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
+    const Runner* place = nullptr;
+    if (has_room) {
+      PlacementRequest request{task, &step, ready.queue->service,
+                               service != nullptr && service->guards_capacity,
+                               std::nullopt};
+      if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
+        request.avoided = *failed;
+      }
+      place = ChooseRunner(fleet_, request, now);
+      has_room = place != nullptr;
+    }
+    if (place == nullptr) {
+      ++waiting_tasks_;
+      continue;
+    }
+    Claim(task, tasks[i].run + 1, step, *place, now);
+  }
+}
+
+bool Board::PlaceGang(const ReadyStep& ready, Instant now) {
+  const Step& step = ready.entry->job.steps[ready.step];
+  auto& tasks =
+      ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
+  uint32_t number = 0;
+  std::string checkpoint;
+  for (const TaskProgress& task : tasks) {
+    number = std::max(number, task.run);
+    checkpoint = std::max(checkpoint, task.checkpoint);
+  }
+  // Members are tried on a copy, as each takes room from the next.
+  Fleet trial = fleet_;
+  std::vector<RunnerLife> places;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
+    const Runner* place = ChooseRunner(
+        trial, {task, &step, ready.queue->service, false, std::nullopt}, now);
+    if (place == nullptr) {
+      waiting_tasks_ += tasks.size();
+      return false;
+    }
+    places.push_back(place->report.life);
+    Run run;
+    run.need = step.need;
+    run.is_filler = step.is_filler;
+    trial.Get(places.back()).runs[task] = run;
+  }
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    tasks[i].checkpoint = checkpoint;
+    Claim({*ready.id, ready.occurrence, ready.step, i}, number + 1, step,
+          *fleet_.Find(places[i]), now);
+  }
+  return true;
+}
+
+Board::Changes Board::TakeChanges() {
+  Changes changes{version_, {}};
+  for (const JobId& id : changed_jobs_) {
+    changes.jobs.emplace_back(id, jobs_.at(id).progress);
+  }
+  changed_jobs_.clear();
+  return changes;
+}
+
+std::optional<Order> Board::NextOrder(const Runner& runner,
+                                      const TaskKey& task,
+                                      Run& run,
+                                      Instant now) {
+  if (now < run.send_due || run.claim_version > stored_version_) {
+    return std::nullopt;
+  }
+  if (!run.is_withdrawn) {
+    if (run.is_accepted) {
+      return std::nullopt;
+    }
+    if (runner.report.state != RunnerState::kReady ||
+        run.sends >= settings_.most_sends) {
+      run.is_withdrawn = true;
+      Note(BoardNote::Kind::kRunWithdrawn, ToText(task), run.number,
+           ToText(runner.report.life), "The start was not answered in time.");
+    }
+  }
+  run.send_due = now + settings_.resend_period;
+  if (run.is_withdrawn) {
+    return StopOrder{task, run.number};
+  }
+  ++run.sends;
+  return StartOrder{
+      task, run.number, jobs_.at(task.job).job.payload, run.checkpoint, {}};
+}
+
+std::vector<std::pair<RunnerLife, std::vector<Order>>> Board::TakeOrders(
+    Instant now) {
+  std::vector<std::pair<RunnerLife, std::vector<Order>>> batches;
+  for (auto& [life, runner] : fleet_.runners()) {
+    if (!runner.is_heard || now - runner.heard_at > kReportFreshness) {
+      continue;
+    }
+    std::vector<Order> orders;
+    for (auto& [task, run] : runner.runs) {
+      if (auto order = NextOrder(runner, task, run, now)) {
+        orders.push_back(std::move(*order));
+      }
+    }
+    for (auto& [task, stray] : runner.strays) {
+      if (now >= stray.send_due) {
+        stray.send_due = now + settings_.resend_period;
+        orders.emplace_back(StopOrder{task, stray.number});
+      }
+    }
+    const auto paced = pacer_orders_.extract(life);
+    if (!paced.empty()) {
+      std::ranges::move(paced.mapped(), std::back_inserter(orders));
+    }
+    if (!orders.empty()) {
+      batches.emplace_back(life, std::move(orders));
+    }
+  }
+  return batches;
+}
+
+void Board::Pace(Runner& runner, Instant now) {
+  std::vector<Pacer::Tail> tails;
+  bool has_fillers = false;
+  for (const auto& [task, run] : runner.runs) {
+    has_fillers = has_fillers || run.is_filler;
+    const Step* step = FindStep(task);
+    if (run.is_serving && run.is_accepted && step != nullptr) {
+      tails.push_back({run.gauge, step->tail_target_ms});
+    }
+  }
+  if (!has_fillers) {
+    return;
+  }
+  const uint32_t percent = pacer_.Decide(runner.report.life, tails, now);
+  std::vector<Order>& orders = pacer_orders_[runner.report.life];
+  orders.clear();
+  for (auto& [task, run] : runner.runs) {
+    if (run.is_filler && run.is_accepted && !run.is_withdrawn &&
+        run.pace_percent != percent) {
+      run.pace_percent = percent;
+      orders.emplace_back(PaceOrder{task, run.number, percent});
+      Note(BoardNote::Kind::kRunPaced, ToText(task), run.number,
+           ToText(runner.report.life), std::to_string(percent) + "%");
+    }
+  }
+}
+
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/src/libs/jobs/codec.h
@@ -0,0 +1,38 @@
+#ifndef PAPAYADRIFT_JOBS_CODEC_H_
+#define PAPAYADRIFT_JOBS_CODEC_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "jobs/job.h"
+#include "jobs/leader_record.h"
+#include "jobs/runner.h"
+
+// The MessagePack form of what is stored and of what agents and leaders say.
+
+namespace papayadrift::jobs {
+
+std::string Encode(const Job& value);
+std::string Encode(const JobProgress& value);
+std::string Encode(const LeaderRecord& value);
+std::string Encode(const RunnerReport& value);
+std::string Encode(const ReportAnswer& value);
+std::string Encode(const OrderBatch& value);
+std::string Encode(const OrderAnswer& value);
+
+// Returns nothing when `bytes` are not the whole form of such a value.
+template <typename T>
+std::optional<T> Decode(std::string_view bytes);
+
+extern template std::optional<Job> Decode(std::string_view);
+extern template std::optional<JobProgress> Decode(std::string_view);
+extern template std::optional<LeaderRecord> Decode(std::string_view);
+extern template std::optional<RunnerReport> Decode(std::string_view);
+extern template std::optional<ReportAnswer> Decode(std::string_view);
+extern template std::optional<OrderBatch> Decode(std::string_view);
+extern template std::optional<OrderAnswer> Decode(std::string_view);
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_CODEC_H_
--- /dev/null
+++ b/src/libs/jobs/job.cpp
@@ -0,0 +1,82 @@
+#include "jobs/job.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+
+namespace papayadrift::jobs {
+namespace {
+
+// Takes the number behind the last dot off `text`.
+std::optional<uint32_t> TakeLastNumber(std::string_view& text) {
+  const size_t dot = text.rfind('.');
+  if (dot == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = text.substr(dot + 1);
+  uint32_t n = 0;
+  const auto [end, ec] =
+      std::from_chars(digits.data(), digits.data() + digits.size(), n);
+  if (ec != std::errc() || digits.empty() ||
+      end != digits.data() + digits.size()) {
+    return std::nullopt;
+  }
+  text = text.substr(0, dot);
+  return n;
+}
+
+}  // namespace
+
+std::string ToText(const TaskKey& task) {
+  return task.job.text() + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+std::optional<TaskKey> TaskKeyFromText(const std::string& text) {
+  std::string_view rest = text;
+  const auto index = TakeLastNumber(rest);
+  const auto step = TakeLastNumber(rest);
+  const auto occurrence = TakeLastNumber(rest);
+  if (!index || !step || !occurrence || rest.empty()) {
+    return std::nullopt;
+  }
+  return TaskKey{JobId(std::string(rest)), *occurrence, *step, *index};
+}
+
+std::string ToText(const RunnerLife& life) {
+  return life.node + "/" + life.instance + "/" + std::to_string(life.born_ms);
+}
+
+JobProgress InitialProgress(const Job& job) {
+  OccurrenceProgress occurrence;
+  std::ranges::transform(
+      job.steps, std::back_inserter(occurrence.steps),
+      [](const Step& step) { return std::vector<TaskProgress>(step.count); });
+  return JobProgress{JobOutcome::kOpen, std::vector<OccurrenceProgress>(
+                                            job.occurrences, occurrence)};
+}
+
+bool FitsJob(const JobProgress& progress, const Job& job) {
+  return progress.occurrences.size() == job.occurrences &&
+         std::ranges::all_of(progress.occurrences,
+                             [&](const OccurrenceProgress& occurrence) {
+                               return std::ranges::equal(
+                                   occurrence.steps, job.steps,
+                                   [](const auto& tasks, const Step& step) {
+                                     return tasks.size() == step.count;
+                                   });
+                             });
+}
+
+bool HasStarted(const JobProgress& progress) {
+  return std::ranges::any_of(
+      progress.occurrences, [](const OccurrenceProgress& occurrence) {
+        return std::ranges::any_of(occurrence.steps, [](const auto& tasks) {
+          return std::ranges::any_of(
+              tasks, [](const TaskProgress& task) { return task.run > 0; });
+        });
+      });
+}
+
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/src/libs/jobs/job.h
@@ -0,0 +1,113 @@
+#ifndef PAPAYADRIFT_JOBS_JOB_H_
+#define PAPAYADRIFT_JOBS_JOB_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "base/resources.h"
+
+// Jobs of several steps: what callers ask for, and how far it has come.
+
+namespace papayadrift::jobs {
+
+// One task of a job: a step of one occurrence has several.
+struct TaskKey {
+  JobId job;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+};
+
+// Returns "<job>.<occurrence>.<step>.<index>".
+std::string ToText(const TaskKey& task);
+// Returns nothing when `text` is not such a name.
+std::optional<TaskKey> TaskKeyFromText(const std::string& text);
+
+// A step: `count` tasks that are alike.
+struct Step {
+  uint32_t count = 1;
+  Resources need;  // Of one task.
+  int64_t estimated_ms = 0;
+  std::vector<uint32_t> depends_on;  // Earlier steps that must be done first.
+  bool is_checkpointing = false;
+  bool is_gang = false;  // Its tasks run all together or not at all.
+  bool is_long_running = false;
+  bool is_filler = false;  // Takes only processor time that others leave.
+  std::string required_label;
+  std::string preferred_rack;
+  uint32_t most_per_runner = 0;   // 0: no limit.
+  uint32_t most_unavailable = 0;  // 0: no limit.
+  int64_t tail_target_ms = 0;     // Of a step that serves users; 0: none.
+
+  friend bool operator==(const Step&, const Step&) = default;
+};
+
+// What a caller handed in. It never changes afterwards.
+struct Job {
+  std::string queue;
+  std::string payload;  // Passed to the runners with each task.
+  std::vector<Step> steps;
+  int64_t first_due_ms = 0;  // Unix time; 0: at once.
+  int64_t interval_ms = 0;   // Between two occurrences.
+  uint32_t occurrences = 1;
+  int64_t accepted_ms = 0;  // Unix time.
+
+  friend bool operator==(const Job&, const Job&) = default;
+};
+
+enum class JobOutcome { kOpen, kCompleted, kFailed, kCancelled };
+
+// One life of a runner, on the VM of one agent.
+struct RunnerLife {
+  std::string node;
+  std::string instance;
+  int64_t born_ms = 0;  // Unix time of its start; 0 where it is not told.
+
+  friend auto operator<=>(const RunnerLife&, const RunnerLife&) = default;
+};
+
+std::string ToText(const RunnerLife& life);
+
+enum class TaskPhase { kWaiting, kClaimed, kDone };
+
+struct TaskProgress {
+  TaskPhase phase = TaskPhase::kWaiting;
+  uint32_t run = 0;       // The last that was claimed; 0: none yet.
+  uint32_t failures = 0;  // Runs that ended by a failure.
+  RunnerLife life;        // Where the claimed run is.
+  std::string checkpoint;
+
+  friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
+};
+
+// The tasks of one occurrence, step by step.
+struct OccurrenceProgress {
+  std::vector<std::vector<TaskProgress>> steps;
+
+  friend bool operator==(const OccurrenceProgress&,
+                         const OccurrenceProgress&) = default;
+};
+
+// How far a job has come; stored as one value.
+struct JobProgress {
+  JobOutcome outcome = JobOutcome::kOpen;
+  std::vector<OccurrenceProgress> occurrences;
+
+  friend bool operator==(const JobProgress&, const JobProgress&) = default;
+};
+
+// Returns the progress of a job of which nothing has begun.
+JobProgress InitialProgress(const Job& job);
+// Returns whether `progress` has the shape that `job` asks for.
+bool FitsJob(const JobProgress& progress, const Job& job);
+bool HasStarted(const JobProgress& progress);
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_JOB_H_
--- /dev/null
+++ b/src/libs/jobs/runner.h
@@ -0,0 +1,138 @@
+#ifndef PAPAYADRIFT_JOBS_RUNNER_H_
+#define PAPAYADRIFT_JOBS_RUNNER_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/resources.h"
+#include "jobs/job.h"
+
+// What agents and the leader say to each other about runners.
+
+namespace papayadrift::jobs {
+
+enum class RunnerState { kReady, kDraining, kGone };
+
+enum class RunEnd { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
+
+// A run that its runner lists as being there.
+struct ActiveRun {
+  TaskKey task;
+  uint32_t run = 0;
+  std::string checkpoint;  // The newest; empty: none.
+  uint32_t percent = 0;    // Share of its work that the task may do.
+  // Of a step with a tail target: its tail latency in milliseconds; of others:
+  // millicores in use.
+  int64_t gauge = 0;
+
+  friend bool operator==(const ActiveRun&, const ActiveRun&) = default;
+};
+
+// The end of a run, listed by its runner until it is acknowledged.
+struct EndedRun {
+  uint64_t number = 0;  // Counts the ends of one life, from 1.
+  TaskKey task;
+  uint32_t run = 0;
+  RunEnd end = RunEnd::kDone;
+  std::string checkpoint;
+
+  friend bool operator==(const EndedRun&, const EndedRun&) = default;
+};
+
+// All that an agent knows of its runner. Times of the agent are milliseconds on
+// its own clock, which goes on while its VM is suspended.
+struct RunnerReport {
+  RunnerLife life;
+  std::string agent_address;
+  std::string service;
+  std::string zone;
+  std::string vm;  // Keeps its name over several lives of runners.
+  RunnerState state = RunnerState::kReady;
+  Resources capacity;
+  std::vector<std::string> labels;
+  int64_t sent_at_ms = 0;
+  // The lists show at least what was so at this time; 0: there are none.
+  int64_t listed_at_ms = 0;
+  std::vector<ActiveRun> active;
+  std::vector<EndedRun> ended;
+
+  friend bool operator==(const RunnerReport&, const RunnerReport&) = default;
+};
+
+struct ReportAnswer {
+  uint64_t term = 0;
+  // Ends up to this number are recorded, and may be forgotten.
+  uint64_t recorded_ends = 0;
+  // Leases of the runner may run until this time of the agent's clock.
+  int64_t lease_until_ms = 0;
+
+  friend bool operator==(const ReportAnswer&, const ReportAnswer&) = default;
+};
+
+struct StartOrder {
+  TaskKey task;
+  uint32_t run = 0;
+  std::string payload;
+  std::string checkpoint;
+  std::string ticket;
+
+  friend bool operator==(const StartOrder&, const StartOrder&) = default;
+};
+
+struct StopOrder {
+  TaskKey task;
+  uint32_t run = 0;
+
+  friend bool operator==(const StopOrder&, const StopOrder&) = default;
+};
+
+struct PaceOrder {
+  TaskKey task;
+  uint32_t run = 0;
+  uint32_t percent = 100;
+
+  friend bool operator==(const PaceOrder&, const PaceOrder&) = default;
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder>;
+
+// Orders for one life of a runner. Each may be repeated without harm.
+struct OrderBatch {
+  uint64_t term = 0;
+  RunnerLife life;
+  std::vector<Order> orders;
+
+  friend bool operator==(const OrderBatch&, const OrderBatch&) = default;
+};
+
+enum class OrderVerdict {
+  kDone,        // Carried out, now or before.
+  kSuperseded,  // A leader of a later term has spoken to the runner.
+  kOld,         // A run as high was stopped or has ended there.
+  kLate,        // The lease that came with it had run out.
+  kNoRoom,
+  kBadTicket,
+  kUnhealthy,   // The runner did nothing.
+  kRefused,     // The agent or runner did nothing: another life, or draining.
+  kUnanswered,  // It may be carried out now, later, or never.
+};
+
+struct OrderResult {
+  OrderVerdict verdict = OrderVerdict::kUnanswered;
+  int64_t known_at_ms = 0;  // On the agent's clock.
+
+  friend bool operator==(const OrderResult&, const OrderResult&) = default;
+};
+
+// One result for each order, in the same sequence.
+struct OrderAnswer {
+  std::vector<OrderResult> results;
+
+  friend bool operator==(const OrderAnswer&, const OrderAnswer&) = default;
+};
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_RUNNER_H_
--- /dev/null
+++ b/src/libs/jobs/runner_choice.cpp
@@ -0,0 +1,104 @@
+#include "jobs/runner_choice.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace papayadrift::jobs {
+namespace {
+
+// Costs of a placement, in shares of a whole runner's processors. A rack
+// without the data makes a task run longer than any load below full does.
+constexpr double kWrongRackCost = 2.0;
+// A runner that fails what it starts uses up the few attempts of a task.
+constexpr double kFailureCost = 1.0;
+constexpr double kAvoidedCost = 4.0;
+// A second task of the same step is lost together with the first.
+constexpr double kSameStepCost = 0.05;
+// Tail latencies grow with fillers beside a serving task, by up to several
+// times; millicores of fillers count this much more there.
+constexpr double kServingBesideFillerCost = 0.5;
+
+uint32_t TasksOfStep(const Runner& runner, const TaskKey& task) {
+  return static_cast<uint32_t>(std::ranges::count_if(
+      runner.runs | std::views::keys, [&](const TaskKey& other) {
+        return other.job == task.job && other.occurrence == task.occurrence &&
+               other.step == task.step;
+      }));
+}
+
+bool HasRoom(const Runner& runner, const Step& step) {
+  Resources need = step.need;
+  const Resources free = runner.report.capacity - runner.Used();
+  if (step.is_filler) {
+    need.millicores = 0;
+    return FitsIn(need, free) &&
+           step.need.millicores <= free.millicores - runner.FillerMillicores();
+  }
+  return FitsIn(need, free);
+}
+
+double Cost(const Runner& runner,
+            const PlacementRequest& request,
+            uint32_t same_step) {
+  const Step& step = *request.step;
+  const auto capacity = static_cast<double>(
+      std::max<int64_t>(1, runner.report.capacity.millicores));
+  const int64_t fillers = runner.FillerMillicores();
+  const int64_t load =
+      runner.Used().millicores + fillers + step.need.millicores;
+  double cost = static_cast<double>(load) / capacity;
+  cost += kSameStepCost * same_step;
+  cost += kFailureCost * runner.failure_streak;
+  if (!step.preferred_rack.empty() && !runner.HasLabel(step.preferred_rack)) {
+    cost += kWrongRackCost;
+  }
+  if (request.avoided == runner.report.life) {
+    cost += kAvoidedCost;
+  }
+  if (step.is_filler) {
+    const auto serving = std::ranges::count_if(runner.runs | std::views::values,
+                                               &Run::is_serving);
+    cost += kServingBesideFillerCost * static_cast<double>(serving);
+  }
+  if (step.tail_target_ms > 0) {
+    cost += kServingBesideFillerCost * static_cast<double>(fillers) / capacity;
+  }
+  return cost;
+}
+
+}  // namespace
+
+bool IsOpenFor(const Runner& runner, const std::string& service, Instant now) {
+  return runner.is_heard && runner.report.service == service &&
+         runner.report.state == RunnerState::kReady &&
+         now - runner.heard_at <= kReportFreshness &&
+         now >= runner.suspended_until;
+}
+
+const Runner* ChooseRunner(const Fleet& fleet,
+                           const PlacementRequest& request,
+                           Instant now) {
+  const Step& step = *request.step;
+  const Runner* best = nullptr;
+  double best_cost = 0;
+  for (const Runner& runner : fleet.runners() | std::views::values) {
+    if (!IsOpenFor(runner, request.service, now) ||
+        (!step.required_label.empty() &&
+         !runner.HasLabel(step.required_label)) ||
+        !HasRoom(runner, step)) {
+      continue;
+    }
+    const uint32_t same_step = TasksOfStep(runner, request.task);
+    if (step.most_per_runner > 0 && same_step >= step.most_per_runner) {
+      continue;
+    }
+    const double cost = Cost(runner, request, same_step);
+    if (best == nullptr || cost < best_cost) {
+      best = &runner;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/src/libs/jobs/runner_choice.h
@@ -0,0 +1,39 @@
+#ifndef PAPAYADRIFT_JOBS_RUNNER_CHOICE_H_
+#define PAPAYADRIFT_JOBS_RUNNER_CHOICE_H_
+
+#include <optional>
+#include <string>
+
+#include "base/instant.h"
+#include "jobs/fleet.h"
+#include "jobs/job.h"
+
+// Where a task goes. Answers the load in which services that serve users and
+// batch steps share runners: batch goes where fewest users feel it, and work
+// is spread so that a lost runner takes little with it.
+
+namespace papayadrift::jobs {
+
+struct PlacementRequest {
+  TaskKey task;
+  const Step* step = nullptr;
+  std::string service;
+  bool guards_capacity = false;
+  std::optional<RunnerLife> avoided;  // Where it failed last.
+};
+
+// Reports older than this do not count as knowledge of a runner: three of the
+// agents' report periods and a slow answer.
+inline constexpr milliseconds kReportFreshness(2000);
+
+// Returns whether the runner may take new runs at all.
+bool IsOpenFor(const Runner& runner, const std::string& service, Instant now);
+
+// Returns the runner that suits the task best, or null if none has room.
+const Runner* ChooseRunner(const Fleet& fleet,
+                           const PlacementRequest& request,
+                           Instant now);
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_RUNNER_CHOICE_H_
--- /dev/null
+++ b/src/libs/jobs/work_order.h
@@ -0,0 +1,39 @@
+#ifndef PAPAYADRIFT_JOBS_WORK_ORDER_H_
+#define PAPAYADRIFT_JOBS_WORK_ORDER_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "jobs/job.h"
+#include "jobs/route_table.h"
+
+// In which sequence work gets room. Answers bursts of large jobs: small urgent
+// ones pass them, and jobs that can no longer be in time give way to those
+// that can.
+
+namespace papayadrift::jobs {
+
+// What comes first compares as less.
+struct WorkRank {
+  bool is_too_late = false;
+  uint32_t priority = 0;
+  int64_t target_ms = 0;  // Unix time at which the occurrence should be done.
+
+  friend auto operator<=>(const WorkRank&, const WorkRank&) = default;
+};
+
+// Milliseconds of the longest chain of steps, as estimated by the caller.
+int64_t LongestChainMs(const Job& job);
+
+WorkRank RankOf(const Job& job,
+                const Queue& queue,
+                uint32_t occurrence,
+                int64_t longest_chain_ms,
+                int64_t now_unix_ms);
+
+// Unix time from which an occurrence may start.
+int64_t DueMs(const Job& job, uint32_t occurrence);
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_WORK_ORDER_H_
--- /dev/null
+++ b/src/libs/keyed_log/answer_limit.cpp
@@ -0,0 +1,30 @@
+#include "keyed_log/answer_limit.h"
+
+#include <algorithm>
+
+namespace papayadrift::keyed_log {
+namespace {
+
+// The store answers in milliseconds; the lower bound leaves room for a busy
+// process that reads the answer late, the upper one for an answer that takes a
+// hundred times as long.
+constexpr milliseconds kShortest(150);
+constexpr milliseconds kLongest(2000);
+// Multiple of the smoothed latency: few answers take longer.
+constexpr int kLatencies = 8;
+constexpr int kSmoothing = 8;  // Answers that the smoothed latency averages.
+
+}  // namespace
+
+void AnswerLimit::OnAnswer(microseconds latency) {
+  smoothed_ += (latency - smoothed_) / kSmoothing;
+  limit_ = std::clamp(std::chrono::ceil<milliseconds>(
+                          std::max(smoothed_ * kLatencies, latency * 2)),
+                      kShortest, kLongest);
+}
+
+void AnswerLimit::OnTimeout() {
+  limit_ = std::min(limit_ * 2, kLongest);
+}
+
+}  // namespace papayadrift::keyed_log
--- a/src/libs/routing/send_results.cpp
+++ b/src/libs/routing/send_results.cpp
@@ -22,6 +22,7 @@
   }
   switch (*failure) {
     case http::ClientFailure::kNotConnected:
+    case http::ClientFailure::kRefused:
       return {RefusalReason::kBackendFailed, SendOutcome::kNotConnected, false};
     case http::ClientFailure::kTimedOut:
       return {RefusalReason::kBackendTimedOut, SendOutcome::kTimedOut, true};
