Cluster: Tells candidates apart and lets agents report after a restart

Cause: two candidates of one term wrote with the same epoch and sequence, so the store answered the second as a repeat of the first and both led; an agent that was refused as superseded put its next report off each time it looked for the leader, and never sent it. Change: a candidate's sequence begins at a number of its own; a report that is due is never put off; no call goes to a runner before a term is known.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "base/hash.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 
@@ -95,6 +96,13 @@
 void Leader::Campaign(const jobs::LeaderRecord& last, uint64_t progress_end) {
   record_ = {last.term + 1, settings_.node, settings_.address, 0};
   expected_end_ = progress_end;
+  // Two candidates of one term must not look like repeats of one append.
+  constexpr uint64_t kSequenceBits = 31;
+  sequence_ = StableHash(settings_.node + settings_.address,
+                         static_cast<uint64_t>(ports_.clock.WallNow()
+                                                   .time_since_epoch()
+                                                   .count())) >>
+              (64 - kSequenceBits);
   SendCandidacy(kCandidacyTries);
 }
 
@@ -104,7 +112,7 @@
       keyed_log::Append{kProgressTopic,
                         {{kLeaderKey, jobs::Encode(record_)}},
                         expected_end_,
-                        keyed_log::Writer{kLeaderWriter, record_.term, 0}},
+                        keyed_log::Writer{kLeaderWriter, record_.term, sequence_}},
       begun_at + kAppendLimit,
       [weak = weak_from_this(), begun_at,
        tries_left](const keyed_log::AppendResult& result) {
@@ -125,7 +133,7 @@
 }
 
 void Leader::OnElected() {
-  sequence_ = 1;
+  ++sequence_;
   ports_.logger.Log(Event::kLeaderElected,
                     {{"term", static_cast<int64_t>(record_.term)}});
   PublishAddress();
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -144,6 +144,11 @@
   if (!announced_ || has_ended_ || is_holding_) {
     return;
   }
+  if (term_ == 0) {
+    // The runner would refuse a call that names no term.
+    ScheduleHold(kRetryPause);
+    return;
+  }
   is_holding_ = true;
   HoldCall call;
   call.term = term_;
@@ -209,9 +214,15 @@
 }
 
 void RunnerAgent::ScheduleReport(milliseconds delay) {
+  const Instant due = ports_.clock.Now() + delay;
+  if (report_due_ && *report_due_ <= due) {
+    return;
+  }
+  report_due_ = due;
   report_timer_.expires_after(delay);
   report_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) {
+      report_due_.reset();
       Report();
     }
   });
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -97,6 +97,7 @@
   bool is_finding_ = false;
   boost::asio::steady_timer hold_timer_;
   boost::asio::steady_timer report_timer_;
+  std::optional<Instant> report_due_;
 };
 
 }  // namespace papayadrift::cluster
