Tests: Covers jobs, the keyed log, leaders and the platform's messages

Cause: the new libraries had no tests of their own. Change: a board played by hand, a store in memory that treats writers as the platform does, codecs against torn bytes. The test of two candidates is the one that the election of one term failed before.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -98,21 +98,22 @@
   expected_end_ = progress_end;
   // Two candidates of one term must not look like repeats of one append.
   constexpr uint64_t kSequenceBits = 31;
-  sequence_ = StableHash(settings_.node + settings_.address,
-                         static_cast<uint64_t>(ports_.clock.WallNow()
-                                                   .time_since_epoch()
-                                                   .count())) >>
-              (64 - kSequenceBits);
+  sequence_ =
+      StableHash(settings_.node + settings_.address,
+                 static_cast<uint64_t>(
+                     ports_.clock.WallNow().time_since_epoch().count())) >>
+      (64 - kSequenceBits);
   SendCandidacy(kCandidacyTries);
 }
 
 void Leader::SendCandidacy(int tries_left) {
   const Instant begun_at = ports_.clock.Now();
   ports_.log.Write(
-      keyed_log::Append{kProgressTopic,
-                        {{kLeaderKey, jobs::Encode(record_)}},
-                        expected_end_,
-                        keyed_log::Writer{kLeaderWriter, record_.term, sequence_}},
+      keyed_log::Append{
+          kProgressTopic,
+          {{kLeaderKey, jobs::Encode(record_)}},
+          expected_end_,
+          keyed_log::Writer{kLeaderWriter, record_.term, sequence_}},
       begun_at + kAppendLimit,
       [weak = weak_from_this(), begun_at,
        tries_left](const keyed_log::AppendResult& result) {
--- /dev/null
+++ b/tests/auto/cluster/leader_test.cpp
@@ -0,0 +1,85 @@
+#include "cluster/leader.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "cluster/topics.h"
+#include "fake_keyed_log.h"
+#include "jobs/codec.h"
+
+namespace papayadrift::cluster {
+namespace {
+
+class LeaderTest : public testing::Test {
+ protected:
+  LeaderTest()
+      : descriptor_(open("/dev/null", O_WRONLY)),
+        logger_("test", logging::Level::kError, clock_, descriptor_),
+        client_(loop_, async_http::ClientSettings(), clock_) {}
+  ~LeaderTest() override { close(descriptor_); }
+
+  std::shared_ptr<Leader> MakeLeader(const std::string& node) {
+    LeaderSettings settings;
+    settings.node = node;
+    settings.address = "127.0.0.1:1";
+    return std::make_shared<Leader>(
+        settings, Ports{loop_, clock_, log_, client_, logger_, metrics_},
+        directory_, [this] { ++ended_; });
+  }
+
+  const int descriptor_;
+  ManualClock clock_;
+  boost::asio::io_context loop_;
+  logging::Logger logger_;
+  metrics::Registry metrics_;
+  keyed_log::FakeKeyedLog log_;
+  async_http::Client client_;
+  jobs::Directory directory_;
+  int ended_ = 0;
+};
+
+// Two candidates of one term once wrote under the same sequence number: the
+// store answered the second as a repeat of the first, and both led.
+TEST_F(LeaderTest, OneOfTwoCandidatesIsElected) {
+  const auto first = MakeLeader("node-1");
+  const auto second = MakeLeader("node-2");
+  first->Campaign({}, 0);
+  second->Campaign({}, 0);
+  log_.Settle();
+  EXPECT_EQ(ended_, 1);
+  EXPECT_NE(first->is_leading(), second->is_leading());
+  first->Stop();
+  second->Stop();
+}
+
+TEST_F(LeaderTest, CandidateOfAStaleViewIsNotElected) {
+  const auto first = MakeLeader("node-1");
+  first->Campaign({}, 0);
+  log_.Settle();
+  const auto second = MakeLeader("node-2");
+  second->Campaign({}, 0);
+  log_.Settle();
+  EXPECT_TRUE(first->is_leading());
+  EXPECT_FALSE(second->is_leading());
+  first->Stop();
+}
+
+TEST_F(LeaderTest, LeaderPublishesWhereItIs) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign({}, 0);
+  log_.Settle();
+  std::optional<jobs::LeaderRecord> found;
+  log_.ReadNewest(
+      kLeaderTopic, {}, Instant(), [&](const keyed_log::ReadResult& result) {
+        found = jobs::Decode<jobs::LeaderRecord>(
+            std::get<keyed_log::Records>(result).records.at(0).record.value);
+      });
+  log_.Settle();
+  ASSERT_TRUE(found);
+  EXPECT_EQ(found->address, "127.0.0.1:1");
+  leader->Stop();
+}
+
+}  // namespace
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/tests/auto/jobs/board_test.cpp
@@ -0,0 +1,315 @@
+#include "jobs/board.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <ranges>
+
+namespace papayadrift::jobs {
+namespace {
+
+const RunnerLife kFirst{"node-1", "i-1", 1000};
+const RunnerLife kSecond{"node-2", "i-2", 1000};
+
+Instant At(int64_t ms) {
+  return Instant(milliseconds(ms));
+}
+
+// A board with its store and runners played by hand.
+class BoardTest : public testing::Test {
+ protected:
+  BoardTest() : board_(BoardSettings(), At(0), nullptr) {
+    RouteTable routes;
+    routes.version = 1;
+    Queue queue;
+    queue.name = "q";
+    queue.service = "s";
+    queue.most_failures = 2;
+    routes.queues = {queue};
+    routes.services = {Service{"s", false, false}};
+    board_.SetRoutes(routes);
+  }
+
+  static Job JobOf(uint32_t tasks, int64_t millicores) {
+    Job job;
+    job.queue = "q";
+    job.steps.resize(1);
+    job.steps[0].count = tasks;
+    job.steps[0].need = {millicores, 100, 0};
+    return job;
+  }
+
+  RunnerReport ReportOf(const RunnerLife& life) const {
+    RunnerReport report;
+    report.life = life;
+    report.agent_address = "agent";
+    report.service = "s";
+    report.capacity = {4000, 4000, 0};
+    return report;
+  }
+
+  void Report(const RunnerLife& life,
+              int64_t now_ms,
+              std::vector<ActiveRun> active = {},
+              std::vector<EndedRun> ended = {}) {
+    RunnerReport report = ReportOf(life);
+    report.sent_at_ms = now_ms;
+    report.listed_at_ms = now_ms;
+    report.active = std::move(active);
+    report.ended = std::move(ended);
+    board_.OnReport(report, At(now_ms));
+    board_.OnLeaseGranted(life, At(now_ms) + BoardSettings().lease);
+  }
+
+  void Store() {
+    const Board::Changes changes = board_.TakeChanges();
+    for (const auto& [id, progress] : changes.jobs) {
+      stored_[id] = progress;
+    }
+    board_.OnStored(changes.version);
+  }
+
+  // Orders that are due, after room was given and the claims were stored.
+  std::vector<std::pair<RunnerLife, Order>> Orders(int64_t now_ms) {
+    board_.Advance(At(now_ms), now_ms);
+    Store();
+    std::vector<std::pair<RunnerLife, Order>> all;
+    for (const auto& [life, orders] : board_.TakeOrders(At(now_ms))) {
+      for (const Order& order : orders) {
+        all.emplace_back(life, order);
+      }
+    }
+    return all;
+  }
+
+  size_t CountStarts(const std::vector<std::pair<RunnerLife, Order>>& orders) {
+    return static_cast<size_t>(
+        std::ranges::count_if(orders | std::views::values, [](const Order& it) {
+          return std::holds_alternative<StartOrder>(it);
+        }));
+  }
+
+  TaskKey Task(uint32_t index) const { return {JobId("a"), 0, 0, index}; }
+
+  Board board_;
+  std::map<JobId, JobProgress> stored_;
+};
+
+TEST_F(BoardTest, HoldsStartsBackUntilTheirClaimIsStored) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  board_.Advance(At(0), 0);
+  EXPECT_TRUE(board_.TakeOrders(At(0)).empty());
+  Store();
+  EXPECT_EQ(board_.TakeOrders(At(0)).size(), 1U);
+}
+
+TEST_F(BoardTest, NeverClaimsMoreThanARunnerHas) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(10, 1500));
+  EXPECT_EQ(CountStarts(Orders(0)), 2U);
+  EXPECT_EQ(board_.waiting_tasks(), 8U);
+}
+
+TEST_F(BoardTest, AcknowledgesAnEndOnlyOnceItIsStored) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  EXPECT_EQ(board_.RecordedEnds(kFirst), 0U);
+  Store();
+  EXPECT_EQ(board_.RecordedEnds(kFirst), 1U);
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kCompleted);
+}
+
+TEST_F(BoardTest, RepeatsAStartThatWasNotAnswered) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  EXPECT_EQ(CountStarts(Orders(100)), 0U);
+  Report(kFirst, 500);
+  EXPECT_EQ(CountStarts(Orders(500)), 1U);
+}
+
+// A runner that may still carry a start out late must refuse it before the task
+// runs elsewhere.
+TEST_F(BoardTest, StopsAnUnansweredRunBeforeItIsPlacedAgain) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  int64_t now_ms = 0;
+  std::vector<std::pair<RunnerLife, Order>> orders = Orders(now_ms);
+  while (CountStarts(orders) > 0 || orders.empty()) {
+    now_ms += 450;
+    ASSERT_LT(now_ms, 10000);
+    Report(kFirst, now_ms);
+    orders = Orders(now_ms);
+  }
+  ASSERT_TRUE(std::holds_alternative<StopOrder>(orders[0].second));
+  Report(kSecond, now_ms);
+  EXPECT_EQ(CountStarts(Orders(now_ms + 10)), 0U);
+  board_.OnOrderResult(kFirst, orders[0].second,
+                       {OrderVerdict::kDone, now_ms + 20}, At(now_ms + 20));
+  Report(kFirst, now_ms + 30);
+  const auto again = Orders(now_ms + 30);
+  ASSERT_EQ(CountStarts(again), 1U);
+  EXPECT_EQ(std::get<StartOrder>(again[0].second).run, 2U);
+}
+
+TEST_F(BoardTest, WaitsForTheLeaseOfARunnerThatFellSilent) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  const int64_t lease_ms = BoardSettings().lease.count();
+  Report(kSecond, lease_ms);
+  EXPECT_EQ(CountStarts(Orders(lease_ms)), 0U);
+  const int64_t lapsed_ms =
+      lease_ms * 102 / 100 + BoardSettings().lapse_margin.count() + 1;
+  Report(kSecond, lapsed_ms);
+  const auto orders = Orders(lapsed_ms);
+  ASSERT_EQ(CountStarts(orders), 1U);
+  EXPECT_EQ(orders[0].first, kSecond);
+}
+
+TEST_F(BoardTest, TakesALaterLifeAsTheEndOfTheEarlier) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  const RunnerLife reborn{"node-1", "i-1", 2000};
+  Report(reborn, 100);
+  const auto orders = Orders(100);
+  ASSERT_EQ(CountStarts(orders), 1U);
+  EXPECT_EQ(orders[0].first, reborn);
+  // A report of the earlier life that arrives late changes nothing.
+  EXPECT_FALSE(board_.OnReport(ReportOf(kFirst), At(200)));
+}
+
+TEST_F(BoardTest, FailsAJobAfterItsLastAttempt) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kFailed, ""}});
+  ASSERT_EQ(CountStarts(Orders(500)), 1U);
+  Report(kFirst, 900, {}, {{2, Task(0), 2, RunEnd::kFailed, ""}});
+  Store();
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kFailed);
+}
+
+TEST_F(BoardTest, InterruptedRunsAreNoAttempts) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  uint64_t number = 0;
+  for (const RunEnd end :
+       {RunEnd::kLapsed, RunEnd::kStopped, RunEnd::kBroken}) {
+    ++number;
+    const auto now_ms = static_cast<int64_t>(number) * 500;
+    Report(kFirst, now_ms, {},
+           {{number, Task(0), static_cast<uint32_t>(number), end, "saved"}});
+    const auto orders = Orders(now_ms);
+    ASSERT_EQ(CountStarts(orders), 1U);
+    EXPECT_EQ(std::get<StartOrder>(orders[0].second).checkpoint, "saved");
+  }
+}
+
+TEST_F(BoardTest, StopsWhatRunsOfACancelledJob) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(2, 1000));
+  Orders(0);
+  Report(kFirst, 100, {{Task(0), 1, "", 0, 0}, {Task(1), 1, "", 0, 0}});
+  board_.Cancel(JobId("a"), At(200));
+  const auto orders = Orders(200);
+  EXPECT_EQ(orders.size(), 2U);
+  EXPECT_EQ(CountStarts(orders), 0U);
+}
+
+TEST_F(BoardTest, StopsRunsThatItDidNotClaim) {
+  Report(kFirst, 1, {{Task(0), 7, "", 0, 0}});
+  const auto orders = Orders(1);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(std::get<StopOrder>(orders[0].second).run, 7U);
+}
+
+TEST_F(BoardTest, StartsLaterStepsWhenTheEarlierAreDone) {
+  Job job = JobOf(1, 1000);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].depends_on = {0};
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), job);
+  EXPECT_EQ(CountStarts(Orders(0)), 1U);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  const auto orders = Orders(500);
+  ASSERT_EQ(CountStarts(orders), 1U);
+  EXPECT_EQ(std::get<StartOrder>(orders[0].second).task.step, 1U);
+}
+
+TEST_F(BoardTest, GivesADrainingRunnerNothingNew) {
+  RunnerReport report = ReportOf(kFirst);
+  report.state = RunnerState::kDraining;
+  board_.OnReport(report, At(0));
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  EXPECT_TRUE(Orders(0).empty());
+}
+
+TEST_F(BoardTest, GangsStartWholeOrNotAtAll) {
+  Job job = JobOf(4, 1500);
+  job.steps[0].is_gang = true;
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), job);
+  EXPECT_EQ(CountStarts(Orders(0)), 0U);
+  Report(kSecond, 10);
+  EXPECT_EQ(CountStarts(Orders(10)), 4U);
+}
+
+TEST_F(BoardTest, KeepsLastingTasksRunning) {
+  Job job = JobOf(1, 1000);
+  job.steps[0].is_long_running = true;
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), job);
+  Orders(0);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  EXPECT_EQ(CountStarts(Orders(500)), 1U);
+  Report(kFirst, 900, {}, {{2, Task(0), 2, RunEnd::kFailed, ""}});
+  Report(kFirst, 950, {}, {{3, Task(0), 3, RunEnd::kFailed, ""}});
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kOpen);
+}
+
+// A new leader knows claims but not whether their starts have left: it repeats
+// them, and places nothing again before the leases of the old term are over.
+TEST_F(BoardTest, TakesOverClaims) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  Board next(BoardSettings(), At(1000), nullptr);
+  RouteTable routes;
+  routes.queues.resize(1);
+  routes.queues[0].name = "q";
+  routes.queues[0].service = "s";
+  next.SetRoutes(routes);
+  next.AddJob(JobId("a"), JobOf(1, 1000));
+  next.Restore(JobId("a"), stored_.at(JobId("a")));
+  RunnerReport other = ReportOf(kSecond);
+  next.OnReport(other, At(1000));
+  next.Advance(At(1000), 1000);
+  EXPECT_TRUE(next.TakeOrders(At(1000)).empty());
+  next.OnReport(ReportOf(kFirst), At(1100));
+  const auto batches = next.TakeOrders(At(1100));
+  ASSERT_EQ(batches.size(), 1U);
+  EXPECT_EQ(std::get<StartOrder>(batches[0].second[0]).run, 1U);
+}
+
+TEST_F(BoardTest, KeepsARunnerThatFailsEverythingOutForAWhile) {
+  Report(kFirst, 0);
+  for (const char* id : {"x", "y"}) {
+    board_.AddJob(JobId(id), JobOf(1, 1000));
+  }
+  Orders(0);
+  Report(kFirst, 100, {},
+         {{1, {JobId("x"), 0, 0, 0}, 1, RunEnd::kFailed, ""},
+          {2, {JobId("y"), 0, 0, 0}, 1, RunEnd::kFailed, ""}});
+  EXPECT_EQ(CountStarts(Orders(100)), 0U);
+  Report(kSecond, 200);
+  EXPECT_EQ(CountStarts(Orders(200)), 2U);
+}
+
+}  // namespace
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/tests/auto/jobs/job_test.cpp
@@ -0,0 +1,67 @@
+#include "jobs/job.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "jobs/codec.h"
+
+namespace papayadrift::jobs {
+namespace {
+
+TEST(TaskKeyTest, ReadsBackItsText) {
+  const TaskKey task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+  EXPECT_EQ(ToText(task), "5c0e7a21d94b36f8.3.1.17");
+  EXPECT_EQ(TaskKeyFromText(ToText(task)), task);
+}
+
+TEST(TaskKeyTest, RefusesWhatIsNoName) {
+  for (const char* text : {"", "a", "a.1.2", "a.1.2.x", "a.1.2.", ".1.2.3",
+                           "a.1.2.-3", "a.1.2.99999999999"}) {
+    EXPECT_FALSE(TaskKeyFromText(text)) << text;
+  }
+}
+
+TEST(JobCodecTest, ReadsBackProgress) {
+  JobProgress progress;
+  progress.outcome = JobOutcome::kFailed;
+  progress.occurrences.resize(2);
+  progress.occurrences[1].steps.push_back(
+      {TaskProgress{TaskPhase::kClaimed, 4, 1, {"n", "i", -3}, "c"}});
+  EXPECT_EQ(Decode<JobProgress>(Encode(progress)), progress);
+}
+
+TEST(JobCodecTest, ReadsBackOrders) {
+  const TaskKey task{JobId("a"), 0, 1, 2};
+  const OrderBatch batch{7,
+                         {"node", "instance", 12},
+                         {StartOrder{task, 1, "payload", "saved", "ticket"},
+                          StopOrder{task, 1}, PaceOrder{task, 1, 40}}};
+  EXPECT_EQ(Decode<OrderBatch>(Encode(batch)), batch);
+}
+
+RC_GTEST_PROP(JobCodecTest, RefusesTornBytes, (uint32_t run)) {
+  JobProgress progress;
+  progress.occurrences.resize(1);
+  progress.occurrences[0].steps.push_back(
+      {TaskProgress{TaskPhase::kClaimed, run, 1, {"n", "i", 1}, "c"}});
+  const std::string bytes = Encode(progress);
+  const auto size = *rc::gen::inRange<size_t>(0, bytes.size());
+  RC_ASSERT(!Decode<JobProgress>(bytes.substr(0, size)));
+}
+
+TEST(JobProgressTest, FitsOnlyItsJob) {
+  Job job;
+  job.steps.resize(2);
+  job.steps[1].count = 3;
+  job.occurrences = 2;
+  JobProgress progress = InitialProgress(job);
+  EXPECT_TRUE(FitsJob(progress, job));
+  EXPECT_FALSE(HasStarted(progress));
+  progress.occurrences[1].steps[1].pop_back();
+  EXPECT_FALSE(FitsJob(progress, job));
+  progress.occurrences[0].steps[0][0].run = 1;
+  EXPECT_TRUE(HasStarted(progress));
+}
+
+}  // namespace
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -0,0 +1,52 @@
+#include "jobs/work_order.h"
+
+#include <gtest/gtest.h>
+
+namespace papayadrift::jobs {
+namespace {
+
+Job JobOf(int64_t accepted_ms, int64_t estimated_ms) {
+  Job job;
+  job.accepted_ms = accepted_ms;
+  job.steps.resize(1);
+  job.steps[0].estimated_ms = estimated_ms;
+  return job;
+}
+
+TEST(WorkOrderTest, ChainTakesTheLongestPath) {
+  Job job;
+  job.steps.resize(3);
+  job.steps[0].estimated_ms = 100;
+  job.steps[1].estimated_ms = 40;
+  job.steps[2].estimated_ms = 10;
+  job.steps[2].depends_on = {0, 1};
+  EXPECT_EQ(LongestChainMs(job), 110);
+}
+
+TEST(WorkOrderTest, LateBurstDoesNotPassWorkThatCanBeInTime) {
+  Queue queue;
+  queue.target_factor = 2;
+  queue.target_extra_ms = 100;
+  const Job fresh = JobOf(9000, 1000);
+  const Job stale = JobOf(0, 1000);
+  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 10000),
+            RankOf(stale, queue, 0, 1000, 10000));
+}
+
+TEST(WorkOrderTest, LastingWorkIsNeverTooLate) {
+  Queue queue;
+  Job lasting = JobOf(0, 0);
+  lasting.steps[0].is_long_running = true;
+  EXPECT_FALSE(RankOf(lasting, queue, 0, 0, 1000000).is_too_late);
+}
+
+TEST(WorkOrderTest, OccurrencesAreDueOneAfterTheOther) {
+  Job job = JobOf(500, 10);
+  job.first_due_ms = 1000;
+  job.interval_ms = 200;
+  EXPECT_EQ(DueMs(job, 0), 1000);
+  EXPECT_EQ(DueMs(job, 3), 1600);
+}
+
+}  // namespace
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -0,0 +1,56 @@
+#include "settings_file.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace papayadrift::platform {
+namespace {
+
+constexpr char kText[] = R"(
+node_name = "edge-1"
+zone = "z"
+ip = "10.1.0.13"
+internal_ports = [7720, 7735]
+unknown = "ignored"
+[listen]
+frontend = "10.1.0.13:8161"
+readiness = "10.1.0.13:8167"
+[bounds]
+max_hold_ms = 6000
+grace_s = 6.5
+status_s = 120
+[platform]
+address = "10.200.1.7:8169"
+)";
+
+TEST(SettingsFileTest, ReadsWhatAProcessNeeds) {
+  std::vector<SettingsProblem> problems;
+  const auto settings = ReadSettings(kText, problems);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->internal_address, "10.1.0.13:7720");
+  EXPECT_EQ(settings->longest_lease, milliseconds(6000));
+  EXPECT_EQ(settings->grace, milliseconds(6500));
+  EXPECT_EQ(settings->service, "");
+}
+
+TEST(SettingsFileTest, NamesEachKeyThatIsWrong) {
+  std::vector<SettingsProblem> problems;
+  EXPECT_FALSE(ReadSettings("node_name = 3\nzone = \"z\"\n", problems));
+  EXPECT_TRUE(std::ranges::any_of(problems, [](const SettingsProblem& it) {
+    return it.key == "node_name";
+  }));
+  EXPECT_TRUE(std::ranges::any_of(problems, [](const SettingsProblem& it) {
+    return it.key == "bounds.max_hold_ms";
+  }));
+}
+
+TEST(SettingsFileTest, NamesTheLineThatIsNoToml) {
+  std::vector<SettingsProblem> problems;
+  EXPECT_FALSE(ReadSettings("a = 1\nb =\n", problems));
+  ASSERT_EQ(problems.size(), 1U);
+  EXPECT_NE(problems[0].reason.find("Line 2"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace papayadrift::platform
