--- a/src/libs/async_http/beast.cpp
+++ b/src/libs/async_http/beast.cpp
@@ -1,6 +1,7 @@
 #include <netinet/tcp.h>
 
 #include <charconv>
+#include <tuple>
 #include <utility>
 
 #include "async_http/beast_p.h"
@@ -52,13 +53,12 @@
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
   // Without these the connection works too, only less well.
   boost::system::error_code ignored;
-  static_cast<void>(
-      socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored));
+  std::ignore =
+      socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   using UserTimeout =
       boost::asio::detail::socket_option::integer<IPPROTO_TCP,
                                                   TCP_USER_TIMEOUT>;
-  static_cast<void>(
-      socket.set_option(UserTimeout(kUnacknowledgedLimitMs), ignored));
+  std::ignore = socket.set_option(UserTimeout(kUnacknowledgedLimitMs), ignored);
 }
 
 http::Request FromBeast(StringRequest&& request) {
--- a/src/libs/async_http/server.cpp
+++ b/src/libs/async_http/server.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "async_http/beast_p.h"
@@ -62,8 +63,8 @@
  private:
   void Close() {
     ErrorCode ignored;
-    static_cast<void>(
-        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored));
+    std::ignore =
+        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.close();
   }
 
@@ -143,15 +144,15 @@
       return false;
     }
     ErrorCode ec;
-    static_cast<void>(acceptor_.open(endpoint->protocol(), ec));
-    static_cast<void>(acceptor_.set_option(
-        boost::asio::socket_base::reuse_address(true), ec));
-    static_cast<void>(acceptor_.bind(*endpoint, ec));
+    std::ignore = acceptor_.open(endpoint->protocol(), ec);
+    std::ignore =
+        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    std::ignore = acceptor_.bind(*endpoint, ec);
     if (ec) {
       return false;
     }
-    static_cast<void>(
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec));
+    std::ignore =
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
     if (ec) {
       return false;
     }
@@ -169,7 +170,7 @@
 
   void Close() {
     ErrorCode ignored;
-    static_cast<void>(acceptor_.close(ignored));
+    std::ignore = acceptor_.close(ignored);
     pause_.cancel(ignored);
   }
 
