Jobs: Learns which fillers disturb which serving tasks

Cause: all fillers of a runner were slowed down whenever one serving task came near its target, and fillers waited for processors that serving tasks ask for but do not use. Change: a belief for each pair of images, from changes between reports (LinearBelief of placement); paces and places follow it.

--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -5,10 +5,26 @@
 #include <utility>
 
 #include "base/lookup.h"
+#include "jobs/pace_plan.h"
 #include "jobs/runner_choice.h"
 #include "jobs/work_order.h"
 
 namespace papayadrift::jobs {
+namespace {
+
+Run RunOf(const Step& step, uint32_t number) {
+  Run run;
+  run.number = number;
+  run.need = step.need;
+  run.image = step.image;
+  run.tail_target_ms = step.tail_target_ms;
+  run.is_filler = step.is_filler;
+  run.is_serving = step.tail_target_ms > 0;
+  run.is_long_running = step.is_long_running;
+  return run;
+}
+
+}  // namespace
 
 // A step with tasks that wait for room, and what decides its turn.
 struct Board::ReadyStep {
@@ -80,12 +96,7 @@
         Runner& runner = fleet_.Get(task.life);
         runner.report.life = task.life;
         runner.alive_until = LapseOf(begun_at_ + settings_.lease);
-        Run run;
-        run.number = task.run;
-        run.need = step.need;
-        run.is_filler = step.is_filler;
-        run.is_serving = step.tail_target_ms > 0;
-        run.is_long_running = step.is_long_running;
+        Run run = RunOf(step, task.run);
         run.sends = 2;
         run.is_withdrawn = entry->progress.outcome != JobOutcome::kOpen;
         run.checkpoint = task.checkpoint;
@@ -398,8 +409,7 @@
   Note(BoardNote::Kind::kRunnerGone, ToText(life), 0, {}, reason);
   const std::map<TaskKey, Run> runs = std::move(runner->runs);
   fleet_.Remove(life);
-  pacer_.Forget(life);
-  pacer_orders_.erase(life);
+  pace_orders_.erase(life);
   for (const auto& [task, run] : runs) {
     Note(BoardNote::Kind::kRunLost, ToText(task), run.number, ToText(life),
          reason);
@@ -597,12 +607,7 @@
   progress.phase = TaskPhase::kClaimed;
   progress.run = number;
   progress.life = place.report.life;
-  Run run;
-  run.number = number;
-  run.need = step.need;
-  run.is_filler = step.is_filler;
-  run.is_serving = step.tail_target_ms > 0;
-  run.is_long_running = step.is_long_running;
+  Run run = RunOf(step, number);
   run.claim_version = Change(task.job);
   run.send_due = now;
   run.checkpoint = progress.checkpoint;
@@ -631,7 +636,7 @@
       if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
         request.avoided = *failed;
       }
-      place = ChooseRunner(fleet_, request, now);
+      place = ChooseRunner(fleet_, interference_, request, now);
       has_room = place != nullptr;
     }
     if (place == nullptr) {
@@ -658,16 +663,13 @@
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     const Runner* place = ChooseRunner(
-        trial, {task, &step, ready.queue->service, false, std::nullopt}, now);
+        trial, interference_, {task, &step, ready.queue->service, false, std::nullopt}, now);
     if (place == nullptr) {
       waiting_tasks_ += tasks.size();
       return false;
     }
     places.push_back(place->report.life);
-    Run run;
-    run.need = step.need;
-    run.is_filler = step.is_filler;
-    trial.Get(places.back()).runs[task] = run;
+    trial.Get(places.back()).runs[task] = RunOf(step, number + 1);
   }
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
@@ -732,7 +734,7 @@
         orders.emplace_back(StopOrder{task, stray.number});
       }
     }
-    const auto paced = pacer_orders_.extract(life);
+    const auto paced = pace_orders_.extract(life);
     if (!paced.empty()) {
       std::ranges::move(paced.mapped(), std::back_inserter(orders));
     }
@@ -744,29 +746,26 @@
 }
 
 void Board::Pace(Runner& runner, Instant now) {
-  std::vector<Pacer::Tail> tails;
-  bool has_fillers = false;
+  const std::vector<FillerUse> uses = FillerUsesOf(runner);
   for (const auto& [task, run] : runner.runs) {
-    has_fillers = has_fillers || run.is_filler;
-    const Step* step = FindStep(task);
-    if (run.is_serving && run.is_accepted && step != nullptr) {
-      tails.push_back({run.gauge, step->tail_target_ms});
+    if (run.is_serving && run.is_accepted) {
+      interference_.Observe(task, run.image, run.gauge, uses, now);
     }
   }
-  if (!has_fillers) {
-    return;
-  }
-  const uint32_t percent = pacer_.Decide(runner.report.life, tails, now);
-  std::vector<Order>& orders = pacer_orders_[runner.report.life];
+  std::vector<Order>& orders = pace_orders_[runner.report.life];
   orders.clear();
-  for (auto& [task, run] : runner.runs) {
-    if (run.is_filler && run.is_accepted && !run.is_withdrawn &&
-        run.pace_percent != percent) {
-      run.pace_percent = percent;
-      orders.emplace_back(PaceOrder{task, run.number, percent});
-      Note(BoardNote::Kind::kRunPaced, ToText(task), run.number,
-           ToText(runner.report.life), std::to_string(percent) + "%");
+  for (const auto& [task, percent] : PlanPaces(runner, interference_)) {
+    Run& run = runner.runs.at(task);
+    const bool is_rise = percent > run.pace_percent;
+    if (percent == run.pace_percent ||
+        (is_rise && now - run.paced_at < settings_.pace_settle)) {
+      continue;
     }
+    run.pace_percent = percent;
+    run.paced_at = now;
+    orders.emplace_back(PaceOrder{task, run.number, percent});
+    Note(BoardNote::Kind::kRunPaced, ToText(task), run.number,
+         ToText(runner.report.life), std::to_string(percent) + "%");
   }
 }
 
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -13,8 +13,8 @@
 
 #include "base/instant.h"
 #include "jobs/fleet.h"
+#include "jobs/interference.h"
 #include "jobs/job.h"
-#include "jobs/pacer.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
 
@@ -36,6 +36,8 @@
   milliseconds refusal_pause{500};
   // Pause after the second failed run in a row; doubled with each further one.
   milliseconds failure_pause{1000};
+  // A pace rises again only once the last change shows in the gauges.
+  milliseconds pace_settle{600};
   // Ended jobs are kept this long for callers that ask.
   milliseconds retention{120000};
 
@@ -184,8 +186,8 @@
   std::map<JobId, Entry> jobs_;
   std::set<JobId> open_;
   Fleet fleet_;
-  Pacer pacer_;
-  std::map<RunnerLife, std::vector<Order>> pacer_orders_;  // Not sent yet.
+  Interference interference_;
+  std::map<RunnerLife, std::vector<Order>> pace_orders_;  // Not sent yet.
   uint64_t version_ = 0;
   uint64_t stored_version_ = 0;
   std::set<JobId> changed_jobs_;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -29,8 +29,11 @@
   Instant progressed_at;            // When `percent` was last seen to change.
   int64_t gauge = 0;                // As in `ActiveRun`.
   std::string checkpoint;
+  std::string image;
+  int64_t tail_target_ms = 0;
   uint32_t percent = 0;
   uint32_t pace_percent = 100;  // As last ordered.
+  Instant paced_at;
   bool is_filler = false;
   bool is_serving = false;  // Has a tail target.
   bool is_long_running = false;
--- /dev/null
+++ b/src/libs/jobs/interference.cpp
@@ -0,0 +1,81 @@
+#include "jobs/interference.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/lookup.h"
+
+namespace papayadrift::jobs {
+namespace {
+
+// Before any evidence a pair is taken to disturb somewhat: about half of all
+// pairs do, by a weight of four to ten.
+constexpr placement::CoefficientPrior kPrior{2.0, 4.0};
+// Deviation of the change of a calm task's log tail over half a second.
+constexpr double kNoise = 0.2;
+// The gauges cover the last half second; samples nearer to each other overlap,
+// and over a longer time the task's own load moves.
+constexpr milliseconds kShortestGap(450);
+constexpr milliseconds kLongestGap(1500);
+// Changes of use below this share say nothing beside the noise.
+constexpr double kLeastChange = 0.01;
+
+}  // namespace
+
+void Interference::Observe(const TaskKey& serving,
+                           const std::string& serving_image,
+                           int64_t tail_ms,
+                           const std::vector<FillerUse>& uses,
+                           Instant at) {
+  if (tail_ms <= 0) {
+    return;
+  }
+  Sample sample{std::log(static_cast<double>(tail_ms)), {}, at};
+  for (const FillerUse& use : uses) {
+    sample.shares[use.image] = use.share;
+  }
+  const auto [it, is_first] = samples_.try_emplace(serving, sample);
+  if (is_first || at - it->second.at < kShortestGap) {
+    return;
+  }
+  const Sample previous = std::exchange(it->second, sample);
+  if (at - previous.at > kLongestGap) {
+    return;
+  }
+  std::map<std::string, double> changes = sample.shares;
+  for (const auto& [image, share] : previous.shares) {
+    changes[image] -= share;
+  }
+  std::erase_if(changes, [](const auto& change) {
+    return std::abs(change.second) < kLeastChange;
+  });
+  if (changes.empty()) {
+    return;
+  }
+  Belief& belief = beliefs_[serving_image];
+  placement::Features features;
+  for (const auto& [image, change] : changes) {
+    const auto [coefficient, is_new] = belief.coefficients.try_emplace(
+        image, static_cast<uint32_t>(belief.coefficients.size()));
+    if (is_new) {
+      belief.weights.Grow(kPrior);
+    }
+    features.push_back({coefficient->second, change});
+  }
+  std::ranges::sort(features, {}, &placement::Feature::coefficient);
+  belief.weights.Observe(features, sample.log_tail - previous.log_tail, kNoise);
+}
+
+double Interference::Weight(const std::string& serving_image,
+                            const std::string& filler_image) const {
+  const Belief* belief = FindOrNull(beliefs_, serving_image);
+  const uint32_t* coefficient =
+      belief == nullptr ? nullptr
+                        : FindOrNull(belief->coefficients, filler_image);
+  return coefficient == nullptr
+             ? kPrior.mean
+             : std::max(0.0, belief->weights.Mean({{*coefficient, 1.0}}));
+}
+
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/src/libs/jobs/interference.h
@@ -0,0 +1,61 @@
+#ifndef PAPAYADRIFT_JOBS_INTERFERENCE_H_
+#define PAPAYADRIFT_JOBS_INTERFERENCE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/instant.h"
+#include "jobs/job.h"
+#include "placement/linear_belief.h"
+
+namespace papayadrift::jobs {
+
+// Processor time that fillers of one image use, as a share of the runner's.
+struct FillerUse {
+  std::string image;
+  double share = 0;
+
+  friend bool operator==(const FillerUse&, const FillerUse&) = default;
+};
+
+// Learns by how much fillers of one image raise the tail latency of serving
+// tasks of another: the logarithm of the tail grows by a weight times the share
+// that the fillers use. Most pairs do not disturb each other at all, and the
+// load of a serving task moves its tail too; so only changes between two
+// samples of one task, half a second apart, are evidence.
+class Interference {
+ public:
+  // Takes in one sample of a serving task. `uses` has each image once.
+  void Observe(const TaskKey& serving,
+               const std::string& serving_image,
+               int64_t tail_ms,
+               const std::vector<FillerUse>& uses,
+               Instant at);
+  // Forgets the samples of a task that moves or ends.
+  void Forget(const TaskKey& serving) { samples_.erase(serving); }
+
+  // Returns how much the logarithm of the tail is expected to grow with the
+  // whole of the runner's processors in use; never negative.
+  double Weight(const std::string& serving_image,
+                const std::string& filler_image) const;
+
+ private:
+  struct Sample {
+    double log_tail = 0;
+    std::map<std::string, double> shares;
+    Instant at;
+  };
+  struct Belief {
+    std::map<std::string, uint32_t> coefficients;  // By filler's image.
+    placement::LinearBelief weights;
+  };
+
+  std::map<TaskKey, Sample> samples_;
+  std::map<std::string, Belief> beliefs_;  // By serving image.
+};
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_INTERFERENCE_H_
--- /dev/null
+++ b/src/libs/jobs/pace_plan.h
@@ -0,0 +1,46 @@
+#ifndef PAPAYADRIFT_JOBS_PACE_PLAN_H_
+#define PAPAYADRIFT_JOBS_PACE_PLAN_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jobs/fleet.h"
+#include "jobs/interference.h"
+#include "jobs/job.h"
+
+// How fast fillers may work beside tasks that serve users. Answers waves of
+// load on the serving tasks: only fillers that disturb a task near its target
+// slow down, as far as it takes, and go on as soon as there is room.
+
+namespace papayadrift::jobs {
+
+// A serving task on a runner, in logarithms of milliseconds.
+struct ServingState {
+  std::string image;
+  double calm_log_tail = 0;   // Expected without any filler.
+  double log_limit = 0;       // What the tail should stay below.
+};
+
+// Returns the serving tasks of a runner as its last report shows them.
+std::vector<ServingState> ServingStatesOf(const Runner& runner,
+                                          const Interference& interference);
+
+// Returns the use of fillers, by image, as the gauges show it.
+std::vector<FillerUse> FillerUsesOf(const Runner& runner);
+
+// Returns the share in percent at which each filler of the runner may work.
+std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
+                                      const Interference& interference);
+
+// Returns by how much the logarithms of tails would pass their limits if a
+// filler of this image began to use `share` of the runner at full pace.
+double ExcessWith(const Runner& runner,
+                  const Interference& interference,
+                  const std::string& image,
+                  double share);
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_PACE_PLAN_H_
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <ranges>
 
+#include "jobs/pace_plan.h"
+
 namespace papayadrift::jobs {
 namespace {
 
@@ -14,9 +16,14 @@
 constexpr double kAvoidedCost = 4.0;
 // A second task of the same step is lost together with the first.
 constexpr double kSameStepCost = 0.05;
-// Tail latencies grow with fillers beside a serving task, by up to several
-// times; millicores of fillers count this much more there.
-constexpr double kServingBesideFillerCost = 0.5;
+// Of a tail that passes its limit by a factor of e; fillers that would cause
+// it are paced down to nothing much.
+constexpr double kExcessCost = 3.0;
+// Serving tasks of one image share what disturbs them: side by side they leave
+// other runners to the fillers that do.
+constexpr double kOtherImageCost = 0.3;
+// Of what a serving task asks for, the share that it uses at its usual load.
+constexpr int64_t kServingUsePercent = 50;
 
 uint32_t TasksOfStep(const Runner& runner, const TaskKey& task) {
   return static_cast<uint32_t>(std::ranges::count_if(
@@ -26,18 +33,28 @@
       }));
 }
 
+// Millicores that fillers can expect to get.
+int64_t MillicoresLeft(const Runner& runner) {
+  int64_t left = runner.report.capacity.millicores;
+  for (const Run& run : runner.runs | std::views::values) {
+    left -= run.is_serving ? run.need.millicores * kServingUsePercent / 100
+                           : run.need.millicores;
+  }
+  return left;
+}
+
 bool HasRoom(const Runner& runner, const Step& step) {
   Resources need = step.need;
   const Resources free = runner.report.capacity - runner.Used();
   if (step.is_filler) {
     need.millicores = 0;
-    return FitsIn(need, free) &&
-           step.need.millicores <= free.millicores - runner.FillerMillicores();
+    return FitsIn(need, free) && step.need.millicores <= MillicoresLeft(runner);
   }
   return FitsIn(need, free);
 }
 
 double Cost(const Runner& runner,
+            const Interference& interference,
             const PlacementRequest& request,
             uint32_t same_step) {
   const Step& step = *request.step;
@@ -56,12 +73,17 @@
     cost += kAvoidedCost;
   }
   if (step.is_filler) {
-    const auto serving = std::ranges::count_if(runner.runs | std::views::values,
-                                               &Run::is_serving);
-    cost += kServingBesideFillerCost * static_cast<double>(serving);
+    cost += kExcessCost *
+            ExcessWith(runner, interference, step.image,
+                       static_cast<double>(step.need.millicores) / capacity);
   }
   if (step.tail_target_ms > 0) {
-    cost += kServingBesideFillerCost * static_cast<double>(fillers) / capacity;
+    const auto is_other = [&](const Run& run) {
+      return run.is_serving && run.image != step.image;
+    };
+    cost += kOtherImageCost *
+            static_cast<double>(std::ranges::count_if(
+                runner.runs | std::views::values, is_other));
   }
   return cost;
 }
@@ -76,6 +98,7 @@
 }
 
 const Runner* ChooseRunner(const Fleet& fleet,
+                           const Interference& interference,
                            const PlacementRequest& request,
                            Instant now) {
   const Step& step = *request.step;
@@ -92,7 +115,7 @@
     if (step.most_per_runner > 0 && same_step >= step.most_per_runner) {
       continue;
     }
-    const double cost = Cost(runner, request, same_step);
+    const double cost = Cost(runner, interference, request, same_step);
     if (best == nullptr || cost < best_cost) {
       best = &runner;
       best_cost = cost;
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -6,6 +6,7 @@
 
 #include "base/instant.h"
 #include "jobs/fleet.h"
+#include "jobs/interference.h"
 #include "jobs/job.h"
 
 // Where a task goes. Answers the load in which services that serve users and
@@ -31,6 +32,7 @@
 
 // Returns the runner that suits the task best, or null if none has room.
 const Runner* ChooseRunner(const Fleet& fleet,
+                           const Interference& interference,
                            const PlacementRequest& request,
                            Instant now);
 
