Jobs: Gives urgent fillers the pace that there is, and moves slow ones

Cause: fillers that shared what a serving task leaves were all late together; wrong estimates made jobs count as too late; a filler beside a task that it disturbs kept its job waiting. Change: paces go by urgency; durations are learned by image; a filler that hardly gets on is stopped if another runner would let it work.

--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -70,7 +70,6 @@
     return;
   }
   it->second.progress = InitialProgress(job);
-  it->second.longest_chain_ms = LongestChainMs(job);
   it->second.job = std::move(job);
   open_.insert(id);
 }
@@ -242,6 +241,9 @@
   runner.handled_ends = ended.number;
   const Run* run = FindOrNull(runner.runs, ended.task);
   if (run != nullptr && run->number == ended.run) {
+    if (ended.end == RunEnd::kDone) {
+      ObserveDuration(ended.task, *run, now);
+    }
     const std::string checkpoint =
         ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint;
     runner.runs.erase(ended.task);
@@ -487,6 +489,7 @@
       run->is_accepted = true;
       run->accepted_at_ms = result.known_at_ms;
       run->progressed_at = now;
+      run->started_at = now;
       return;
     case OrderVerdict::kUnanswered:
     case OrderVerdict::kLate:
@@ -563,9 +566,10 @@
     if (queue == nullptr) {
       continue;
     }
+    const int64_t chain_ms = LongestChainMs(entry.job, durations_);
     for (uint32_t k = 0; k < entry.job.occurrences; ++k) {
       const WorkRank rank =
-          RankOf(entry.job, *queue, k, entry.longest_chain_ms, unix_ms);
+          RankOf(entry.job, *queue, k, chain_ms, unix_ms);
       for (uint32_t s = 0; s < entry.job.steps.size(); ++s) {
         if (IsStepReady(entry, k, s, unix_ms)) {
           ready.push_back({rank, &id, &entry, k, s, queue});
@@ -578,6 +582,7 @@
 }
 
 void Board::Advance(Instant now, int64_t unix_ms) {
+  unix_ms_ = unix_ms;
   std::vector<RunnerLife> lapsed;
   for (const auto& [life, runner] : fleet_.runners()) {
     if (now > runner.alive_until &&
@@ -588,6 +593,7 @@
   for (const RunnerLife& life : lapsed) {
     Lose(life, "Its lease has lapsed without word of its agent.", now);
   }
+  RelocateFillers(now);
   waiting_tasks_ = 0;
   for (const ReadyStep& ready : ReadySteps(unix_ms)) {
     if (ready.entry->job.steps[ready.step].is_gang) {
@@ -602,6 +608,7 @@
                   uint32_t number,
                   const Step& step,
                   const Runner& place,
+                  const WorkRank& rank,
                   Instant now) {
   TaskProgress& progress = *FindTask(task);
   progress.phase = TaskPhase::kClaimed;
@@ -612,6 +619,8 @@
   run.send_due = now;
   run.checkpoint = progress.checkpoint;
   run.progressed_at = now;
+  run.target_ms = rank.target_ms;
+  run.useless_ms = rank.useless_ms;
   Note(BoardNote::Kind::kRunClaimed, ToText(task), number,
        ToText(place.report.life));
   fleet_.Get(place.report.life).runs[task] = std::move(run);
@@ -643,7 +652,7 @@
       ++waiting_tasks_;
       continue;
     }
-    Claim(task, tasks[i].run + 1, step, *place, now);
+    Claim(task, tasks[i].run + 1, step, *place, ready.rank, now);
   }
 }
 
@@ -674,7 +683,7 @@
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
     Claim({*ready.id, ready.occurrence, ready.step, i}, number + 1, step,
-          *fleet_.Find(places[i]), now);
+          *fleet_.Find(places[i]), ready.rank, now);
   }
   return true;
 }
@@ -754,13 +763,17 @@
   }
   std::vector<Order>& orders = pace_orders_[runner.report.life];
   orders.clear();
-  for (const auto& [task, percent] : PlanPaces(runner, interference_)) {
+  for (const auto& [task, percent] : PlanPaces(runner, interference_, unix_ms_)) {
     Run& run = runner.runs.at(task);
     const bool is_rise = percent > run.pace_percent;
     if (percent == run.pace_percent ||
         (is_rise && now - run.paced_at < settings_.pace_settle)) {
       continue;
     }
+    if (percent < settings_.slow_percent &&
+        run.pace_percent >= settings_.slow_percent) {
+      run.slow_since = now;
+    }
     run.pace_percent = percent;
     run.paced_at = now;
     orders.emplace_back(PaceOrder{task, run.number, percent});
@@ -769,4 +782,64 @@
   }
 }
 
+void Board::ObserveDuration(const TaskKey& task,
+                            const Run& run,
+                            Instant now) {
+  const Entry* entry = FindOrNull(jobs_, task.job);
+  const bool was_slowed = run.paced_at != Instant();
+  if (entry == nullptr || run.is_long_running || was_slowed ||
+      run.started_at == Instant() || run.number > 1) {
+    return;
+  }
+  durations_.Observe(
+      entry->job.queue, entry->job.steps[task.step],
+      std::chrono::floor<milliseconds>(now - run.started_at).count());
+}
+
+bool Board::WouldGainElsewhere(const Runner& runner,
+                               const TaskKey& task,
+                               const Run& run,
+                               Instant now) const {
+  const Entry& entry = jobs_.at(task.job);
+  const Step& step = entry.job.steps[task.step];
+  const Queue* queue = routes_.Find(entry.job.queue);
+  if (queue == nullptr || step.is_gang) {
+    return false;
+  }
+  const Runner* place = ChooseRunner(
+      fleet_, interference_,
+      {task, &step, queue->service, false, runner.report.life}, now);
+  if (place == nullptr || place == &runner) {
+    return false;
+  }
+  const double share =
+      static_cast<double>(run.need.millicores) /
+      static_cast<double>(std::max<int64_t>(1, place->report.capacity.millicores));
+  return ExcessWith(*place, interference_, run.image, share) <= 0;
+}
+
+void Board::RelocateFillers(Instant now) {
+  if (now - relocated_at_ < settings_.relocation_period) {
+    return;
+  }
+  relocated_at_ = now;
+  // Work that is not saved is thrown away; little of it may be.
+  constexpr uint32_t kMostUnsavedPercent = 30;
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    for (auto& [task, run] : runner.runs) {
+      const bool is_slow = run.is_filler && run.is_accepted &&
+                           !run.is_withdrawn &&
+                           run.pace_percent < settings_.slow_percent &&
+                           now - run.slow_since >= settings_.slow_limit;
+      if (is_slow && open_.contains(task.job) &&
+          (!run.checkpoint.empty() || run.percent <= kMostUnsavedPercent) &&
+          WouldGainElsewhere(runner, task, run, now)) {
+        Withdraw(runner, task, run, "It would get on faster elsewhere.", now);
+        // One at a time, as each takes room from the next.
+        return;
+      }
+    }
+  }
+}
+
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -12,11 +12,13 @@
 #include <vector>
 
 #include "base/instant.h"
+#include "jobs/duration_book.h"
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
+#include "jobs/work_order.h"
 
 namespace papayadrift::jobs {
 
@@ -38,6 +40,12 @@
   milliseconds failure_pause{1000};
   // A pace rises again only once the last change shows in the gauges.
   milliseconds pace_settle{600};
+  // A filler below this pace for so long is stopped if it would get on better
+  // elsewhere; what it has saved goes with it.
+  uint32_t slow_percent = 30;
+  milliseconds slow_limit{1500};
+  // Period at which that is looked at.
+  milliseconds relocation_period{500};
   // Ended jobs are kept this long for callers that ask.
   milliseconds retention{120000};
 
@@ -120,7 +128,6 @@
   struct Entry {
     Job job;
     JobProgress progress;
-    int64_t longest_chain_ms = 0;
     std::map<TaskKey, RunnerLife> failed_on;
   };
   struct ReadyStep;
@@ -140,6 +147,7 @@
              uint32_t number,
              const Step& step,
              const Runner& place,
+             const WorkRank& rank,
              Instant now);
 
   void ReadLists(Runner& runner, const RunnerReport& report, Instant now);
@@ -151,6 +159,13 @@
                    Instant now);
   void ReadStrays(Runner& runner, const RunnerReport& report, Instant now);
   void Pace(Runner& runner, Instant now);
+  // Stops fillers that hardly get on where they are and would elsewhere.
+  void RelocateFillers(Instant now);
+  bool WouldGainElsewhere(const Runner& runner,
+                          const TaskKey& task,
+                          const Run& run,
+                          Instant now) const;
+  void ObserveDuration(const TaskKey& task, const Run& run, Instant now);
   void CountFailure(Runner& runner, const TaskKey& task, Instant now);
   void EndOfRun(const TaskKey& task,
                 RunEnd end,
@@ -187,6 +202,9 @@
   std::set<JobId> open_;
   Fleet fleet_;
   Interference interference_;
+  DurationBook durations_;
+  int64_t unix_ms_ = 0;  // As of the last Advance().
+  Instant relocated_at_;
   std::map<RunnerLife, std::vector<Order>> pace_orders_;  // Not sent yet.
   uint64_t version_ = 0;
   uint64_t stored_version_ = 0;
--- /dev/null
+++ b/src/libs/jobs/duration_book.h
@@ -0,0 +1,34 @@
+#ifndef PAPAYADRIFT_JOBS_DURATION_BOOK_H_
+#define PAPAYADRIFT_JOBS_DURATION_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "jobs/job.h"
+
+namespace papayadrift::jobs {
+
+// How long tasks really take. Callers' estimates are off by up to ten times, so
+// a few runs of the same kind go before them.
+class DurationBook {
+ public:
+  // Takes in a run that was done and never slowed down.
+  void Observe(const std::string& queue, const Step& step, int64_t ms);
+  int64_t Expect(const std::string& queue, const Step& step) const;
+
+ private:
+  struct Mean {
+    double ms = 0;
+    int64_t runs = 0;
+  };
+
+  // Tasks of one image behave alike; those without go by their queue.
+  static std::string KeyOf(const std::string& queue, const Step& step);
+
+  std::map<std::string, Mean> means_;
+};
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_DURATION_BOOK_H_
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -34,6 +34,10 @@
   uint32_t percent = 0;
   uint32_t pace_percent = 100;  // As last ordered.
   Instant paced_at;
+  Instant slow_since;       // Since it may not work at full pace.
+  Instant started_at;       // When its start was accepted.
+  int64_t target_ms = 0;    // Unix time at which its job should be done.
+  int64_t useless_ms = 0;   // And from which that is worth nothing.
   bool is_filler = false;
   bool is_serving = false;  // Has a tail target.
   bool is_long_running = false;
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <ranges>
+#include <tuple>
+#include <utility>
 
 namespace papayadrift::jobs {
 namespace {
@@ -79,33 +81,39 @@
 }
 
 std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
-                                      const Interference& interference) {
-  std::map<TaskKey, double> paces;
-  for (const auto& [task, run] : runner.runs) {
-    if (run.is_filler && run.is_accepted && !run.is_withdrawn) {
-      paces[task] = 1.0;
+                                      const Interference& interference,
+                                      int64_t unix_ms) {
+  std::vector<const std::pair<const TaskKey, Run>*> fillers;
+  for (const auto& it : runner.runs) {
+    if (it.second.is_filler && it.second.is_accepted &&
+        !it.second.is_withdrawn) {
+      fillers.push_back(&it);
     }
   }
-  for (const ServingState& serving :
-       ServingStatesOf(runner, interference)) {
-    const double effect = FullEffect(runner, interference, serving);
-    const double budget = serving.log_limit - serving.calm_log_tail;
-    if (effect <= budget) {
-      continue;
-    }
-    const double part = std::max(0.0, budget / effect);
-    for (auto& [task, pace] : paces) {
-      if (interference.Weight(serving.image, runner.runs.at(task).image) >
-          kHarmlessWeight) {
-        pace = std::min(pace, part);
+  std::ranges::sort(fillers, {}, [unix_ms](const auto* it) {
+    const Run& run = it->second;
+    return std::tuple(unix_ms > run.useless_ms, run.target_ms, it->first);
+  });
+  std::vector<ServingState> servings =
+      ServingStatesOf(runner, interference);
+  std::map<TaskKey, uint32_t> percents;
+  for (const auto* it : fillers) {
+    const double share = FullShare(runner, it->second);
+    double pace = 1.0;
+    for (const ServingState& serving : servings) {
+      const double weight =
+          interference.Weight(serving.image, it->second.image);
+      if (weight > kHarmlessWeight) {
+        const double room = serving.log_limit - serving.calm_log_tail;
+        pace = std::clamp(room / (weight * share), 0.0, pace);
       }
     }
-  }
-  std::map<TaskKey, uint32_t> percents;
-  for (const auto& [task, pace] : paces) {
-    percents[task] =
-        static_cast<uint32_t>(pace * kFullPercent) / kStepPercent *
-        kStepPercent;
+    percents[it->first] = static_cast<uint32_t>(pace * kFullPercent) /
+                          kStepPercent * kStepPercent;
+    for (ServingState& serving : servings) {
+      serving.calm_log_tail +=
+          interference.Weight(serving.image, it->second.image) * share * pace;
+    }
   }
   return percents;
 }
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -30,9 +30,12 @@
 // Returns the use of fillers, by image, as the gauges show it.
 std::vector<FillerUse> FillerUsesOf(const Runner& runner);
 
-// Returns the share in percent at which each filler of the runner may work.
+// Returns the share in percent at which each filler of the runner may work. The
+// most urgent get what the serving tasks leave: all at an even pace would all be
+// late.
 std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
-                                      const Interference& interference);
+                                      const Interference& interference,
+                                      int64_t unix_ms);
 
 // Returns by how much the logarithms of tails would pass their limits if a
 // filler of this image began to use `share` of the runner at full pace.
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-int64_t LongestChainMs(const Job& job) {
+int64_t LongestChainMs(const Job& job, const DurationBook& durations) {
   std::vector<int64_t> ends;
   ends.reserve(job.steps.size());
   for (const Step& step : job.steps) {
@@ -20,7 +20,7 @@
     for (const uint32_t earlier : step.depends_on) {
       begin = std::max(begin, ends[earlier]);
     }
-    ends.push_back(begin + step.estimated_ms);
+    ends.push_back(begin + durations.Expect(job.queue, step));
   }
   return ends.empty() ? 0 : std::ranges::max(ends);
 }
@@ -43,7 +43,8 @@
   const bool is_lasting =
       std::ranges::any_of(job.steps, &Step::is_long_running);
   return WorkRank{!is_lasting && now_unix_ms > due + kUsefulTargets * allowed,
-                  queue.priority, due + allowed};
+                  queue.priority, due + allowed,
+                  due + kUsefulTargets * allowed};
 }
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/work_order.h
+++ b/src/libs/jobs/work_order.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 
+#include "jobs/duration_book.h"
 #include "jobs/job.h"
 #include "jobs/route_table.h"
 
@@ -18,12 +19,13 @@
   bool is_too_late = false;
   uint32_t priority = 0;
   int64_t target_ms = 0;  // Unix time at which the occurrence should be done.
+  int64_t useless_ms = 0;  // And from which that is worth nothing.
 
   friend auto operator<=>(const WorkRank&, const WorkRank&) = default;
 };
 
-// Milliseconds of the longest chain of steps, as estimated by the caller.
-int64_t LongestChainMs(const Job& job);
+// Milliseconds that the longest chain of steps is expected to take.
+int64_t LongestChainMs(const Job& job, const DurationBook& durations);
 
 WorkRank RankOf(const Job& job,
                 const Queue& queue,
