Jobs: Judges progress of runs, and weighs interference by slack

Cause: runs stood still on runners that hang; the logarithm of a tail does not grow evenly with load near its limit. Change: a run without progress is withdrawn and its runner paused; a runner that takes long is avoided; interference acts on slack (target divided by tail).

--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -161,6 +161,7 @@
   }
   if (report.listed_at_ms > 0) {
     ReadLists(runner, report, now);
+    JudgeProgress(runner, now);
     Pace(runner, now);
   }
   return true;
@@ -178,7 +179,7 @@
     if (!active.checkpoint.empty()) {
       run->checkpoint = active.checkpoint;
     }
-    if (active.percent != run->percent) {
+    if (active.percent != run->percent || run->pace_percent == 0) {
       run->percent = active.percent;
       run->progressed_at = now;
     }
@@ -757,8 +758,8 @@
 void Board::Pace(Runner& runner, Instant now) {
   const std::vector<FillerUse> uses = FillerUsesOf(runner);
   for (const auto& [task, run] : runner.runs) {
-    if (run.is_serving && run.is_accepted) {
-      interference_.Observe(task, run.image, run.gauge, uses, now);
+    if (run.is_serving && run.is_accepted && run.gauge > 0) {
+      interference_.Observe(task, run.image, SlackOf(run), uses, now);
     }
   }
   std::vector<Order>& orders = pace_orders_[runner.report.life];
@@ -842,4 +843,38 @@
   }
 }
 
+void Board::JudgeProgress(Runner& runner, Instant now) {
+  constexpr double kSmoothing = 0.2;
+  // Below this a run has not shown yet how fast it is.
+  constexpr uint32_t kTellingPercent = 15;
+  constexpr double kMostSlowness = 10.0;
+  for (auto& [task, run] : runner.runs) {
+    const Entry* entry = FindOrNull(jobs_, task.job);
+    if (entry == nullptr || run.is_long_running || !run.is_accepted ||
+        run.is_withdrawn || run.started_at == Instant() ||
+        run.pace_percent == 0) {
+      continue;
+    }
+    const Step& step = entry->job.steps[task.step];
+    const milliseconds limit = settings_.stall_limit * 100 / run.pace_percent;
+    if (now - run.progressed_at >= limit) {
+      runner.suspended_until = now + settings_.stall_pause;
+      Note(BoardNote::Kind::kRunnerSuspended, ToText(runner.report.life), 0, {},
+           "A run stands still there.");
+      Withdraw(runner, task, run, "The run stands still.", now);
+      continue;
+    }
+    const auto expected_ms =
+        static_cast<double>(durations_.Expect(entry->job.queue, step));
+    if (run.percent >= kTellingPercent && run.paced_at == Instant() &&
+        expected_ms > 0) {
+      const auto elapsed_ms = static_cast<double>(
+          std::chrono::floor<milliseconds>(now - run.started_at).count());
+      const double ratio = std::clamp(
+          elapsed_ms * 100 / (run.percent * expected_ms), 0.2, kMostSlowness);
+      runner.slowness += (ratio - runner.slowness) * kSmoothing;
+    }
+  }
+}
+
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -46,6 +46,11 @@
   milliseconds slow_limit{1500};
   // Period at which that is looked at.
   milliseconds relocation_period{500};
+  // A run at full pace that shows no progress for so long stands still: tasks
+  // of a few seconds show some with each report.
+  milliseconds stall_limit{1500};
+  // Pause of a runner on which a run stands still.
+  milliseconds stall_pause{4000};
   // Ended jobs are kept this long for callers that ask.
   milliseconds retention{120000};
 
@@ -157,6 +162,8 @@
                    Run& run,
                    int64_t listed_at_ms,
                    Instant now);
+  // Judges the runner and its runs by how fast they get on.
+  void JudgeProgress(Runner& runner, Instant now);
   void ReadStrays(Runner& runner, const RunnerReport& report, Instant now);
   void Pace(Runner& runner, Instant now);
   // Stops fillers that hardly get on where they are and would elsewhere.
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -67,6 +67,8 @@
   std::map<uint64_t, uint64_t> unstored_ends;  // Number to board version.
   uint32_t failure_streak = 0;  // Failed runs since the last that was done.
   Instant suspended_until;      // Gets no new runs before.
+  // How many times as long as expected its work takes, smoothed.
+  double slowness = 1.0;
 
   Resources Used() const;
   // Millicores of fillers, which do not count as used.
--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -11,9 +11,11 @@
 
 // Before any evidence a pair is taken to disturb somewhat: about half of all
 // pairs do, by a weight of four to ten.
-constexpr placement::CoefficientPrior kPrior{2.0, 4.0};
-// Deviation of the change of a calm task's log tail over half a second.
-constexpr double kNoise = 0.2;
+constexpr placement::CoefficientPrior kPrior{1.5, 4.0};
+// Deviation of the change of slack over half a second: of waves of the task's
+// own load, and as a part of the slack, for tails are rough figures.
+constexpr double kWaveNoise = 0.25;
+constexpr double kRelativeNoise = 0.1;
 // The gauges cover the last half second; samples nearer to each other overlap,
 // and over a longer time the task's own load moves.
 constexpr milliseconds kShortestGap(450);
@@ -25,13 +27,10 @@
 
 void Interference::Observe(const TaskKey& serving,
                            const std::string& serving_image,
-                           int64_t tail_ms,
+                           double slack,
                            const std::vector<FillerUse>& uses,
                            Instant at) {
-  if (tail_ms <= 0) {
-    return;
-  }
-  Sample sample{std::log(static_cast<double>(tail_ms)), {}, at};
+  Sample sample{slack, {}, at};
   for (const FillerUse& use : uses) {
     sample.shares[use.image] = use.share;
   }
@@ -61,10 +60,12 @@
     if (is_new) {
       belief.weights.Grow(kPrior);
     }
-    features.push_back({coefficient->second, change});
+    features.push_back({coefficient->second, -change});
   }
   std::ranges::sort(features, {}, &placement::Feature::coefficient);
-  belief.weights.Observe(features, sample.log_tail - previous.log_tail, kNoise);
+  belief.weights.Observe(
+      features, sample.slack - previous.slack,
+      kWaveNoise + kRelativeNoise * std::max(sample.slack, previous.slack));
 }
 
 double Interference::Weight(const std::string& serving_image,
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -20,30 +20,32 @@
   friend bool operator==(const FillerUse&, const FillerUse&) = default;
 };
 
-// Learns by how much fillers of one image raise the tail latency of serving
-// tasks of another: the logarithm of the tail grows by a weight times the share
-// that the fillers use. Most pairs do not disturb each other at all, and the
-// load of a serving task moves its tail too; so only changes between two
-// samples of one task, half a second apart, are evidence.
+// Learns by how much fillers of one image slow serving tasks of another. What a
+// queue leaves free falls in step with the load on it, and its tail latency
+// grows as the inverse of that: so the slack of a task, its target divided by
+// its tail, falls by a weight times the share that the fillers use. Most pairs
+// do not disturb each other at all, and the load of a serving task moves its
+// slack too; so only changes between two samples of one task, half a second
+// apart, are evidence.
 class Interference {
  public:
   // Takes in one sample of a serving task. `uses` has each image once.
   void Observe(const TaskKey& serving,
                const std::string& serving_image,
-               int64_t tail_ms,
+               double slack,
                const std::vector<FillerUse>& uses,
                Instant at);
   // Forgets the samples of a task that moves or ends.
   void Forget(const TaskKey& serving) { samples_.erase(serving); }
 
-  // Returns how much the logarithm of the tail is expected to grow with the
-  // whole of the runner's processors in use; never negative.
+  // Returns by how much the slack is expected to fall with the whole of the
+  // runner's processors in use; never negative.
   double Weight(const std::string& serving_image,
                 const std::string& filler_image) const;
 
  private:
   struct Sample {
-    double log_tail = 0;
+    double slack = 0;
     std::map<std::string, double> shares;
     Instant at;
   };
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -1,7 +1,6 @@
 #include "jobs/pace_plan.h"
 
 #include <algorithm>
-#include <cmath>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -9,12 +8,12 @@
 namespace papayadrift::jobs {
 namespace {
 
-// Part of the target that the tail is kept below: the gauge is rough, and waves
-// rise between two reports.
-constexpr double kLimitPart = 0.7;
-// Fillers of less weight are left alone: at full use of a runner they would
-// raise a tail by two thirds.
-constexpr double kHarmlessWeight = 0.5;
+// Slack that serving tasks keep: the gauge is rough, and waves rise between two
+// reports.
+constexpr double kLeastSlack = 1.4;
+// Fillers of less weight are left alone: a usual one would take less than a
+// tenth of slack.
+constexpr double kHarmlessWeight = 0.7;
 // Paces are given in steps, so that small changes of the gauge cost no orders.
 constexpr uint32_t kStepPercent = 10;
 constexpr uint32_t kFullPercent = 100;
@@ -44,6 +43,11 @@
 
 }  // namespace
 
+double SlackOf(const Run& run) {
+  return static_cast<double>(run.tail_target_ms) /
+         static_cast<double>(std::max<int64_t>(1, run.gauge));
+}
+
 std::vector<FillerUse> FillerUsesOf(const Runner& runner) {
   std::map<std::string, double> shares;
   for (const Run& run : runner.runs | std::views::values) {
@@ -68,11 +72,9 @@
     if (!run.is_serving || !run.is_accepted || run.gauge <= 0) {
       continue;
     }
-    ServingState state{
-        run.image, std::log(static_cast<double>(run.gauge)),
-        std::log(kLimitPart * static_cast<double>(run.tail_target_ms))};
+    ServingState state{run.image, SlackOf(run)};
     for (const FillerUse& use : uses) {
-      state.calm_log_tail -=
+      state.calm_slack +=
           interference.Weight(run.image, use.image) * use.share;
     }
     states.push_back(std::move(state));
@@ -104,14 +106,14 @@
       const double weight =
           interference.Weight(serving.image, it->second.image);
       if (weight > kHarmlessWeight) {
-        const double room = serving.log_limit - serving.calm_log_tail;
+        const double room = serving.calm_slack - kLeastSlack;
         pace = std::clamp(room / (weight * share), 0.0, pace);
       }
     }
     percents[it->first] = static_cast<uint32_t>(pace * kFullPercent) /
                           kStepPercent * kStepPercent;
     for (ServingState& serving : servings) {
-      serving.calm_log_tail +=
+      serving.calm_slack -=
           interference.Weight(serving.image, it->second.image) * share * pace;
     }
   }
@@ -126,7 +128,7 @@
   for (const ServingState& serving :
        ServingStatesOf(runner, interference)) {
     const double added = interference.Weight(serving.image, image) * share;
-    const double room = serving.log_limit - serving.calm_log_tail -
+    const double room = serving.calm_slack - kLeastSlack -
                         FullEffect(runner, interference, serving);
     excess += std::clamp(added - std::max(0.0, room), 0.0, added);
   }
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -16,13 +16,15 @@
 
 namespace papayadrift::jobs {
 
-// A serving task on a runner, in logarithms of milliseconds.
+// A serving task on a runner. Its slack is its target divided by its tail.
 struct ServingState {
   std::string image;
-  double calm_log_tail = 0;   // Expected without any filler.
-  double log_limit = 0;       // What the tail should stay below.
+  double calm_slack = 0;  // Expected without any filler.
 };
 
+// Returns the slack of a serving task as its gauge shows it.
+double SlackOf(const Run& run);
+
 // Returns the serving tasks of a runner as its last report shows them.
 std::vector<ServingState> ServingStatesOf(const Runner& runner,
                                           const Interference& interference);
@@ -37,8 +39,7 @@
                                       const Interference& interference,
                                       int64_t unix_ms);
 
-// Returns by how much the logarithms of tails would pass their limits if a
-// filler of this image began to use `share` of the runner at full pace.
+// Returns by how much the slack of tasks would fall below the least if a filler of this image began to use `share` of the runner at full pace.
 double ExcessWith(const Runner& runner,
                   const Interference& interference,
                   const std::string& image,
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -14,6 +14,9 @@
 // A runner that fails what it starts uses up the few attempts of a task.
 constexpr double kFailureCost = 1.0;
 constexpr double kAvoidedCost = 4.0;
+// A runner that takes longer by this factor is only unlucky with its tasks.
+constexpr double kUsualSlowness = 1.4;
+constexpr double kSlownessCost = 1.0;
 // A second task of the same step is lost together with the first.
 constexpr double kSameStepCost = 0.05;
 // Of a tail that passes its limit by a factor of e; fillers that would cause
@@ -66,6 +69,7 @@
   double cost = static_cast<double>(load) / capacity;
   cost += kSameStepCost * same_step;
   cost += kFailureCost * runner.failure_streak;
+  cost += kSlownessCost * std::max(0.0, runner.slowness - kUsualSlowness);
   if (!step.preferred_rack.empty() && !runner.HasLabel(step.preferred_rack)) {
     cost += kWrongRackCost;
   }
