Jobs: Follows the delay of tail gauges

Cause: a tail answers to a change of load over about a second, the gauge of use at once; changes of both over half a second gave weights two to three times too low. Change: uses are followed with that delay, in learning and in pacing.

--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -756,10 +756,11 @@
 }
 
 void Board::Pace(Runner& runner, Instant now) {
-  const std::vector<FillerUse> uses = FillerUsesOf(runner);
+  FollowFillerUses(runner, now);
   for (const auto& [task, run] : runner.runs) {
     if (run.is_serving && run.is_accepted && run.gauge > 0) {
-      interference_.Observe(task, run.image, SlackOf(run), uses, now);
+      interference_.Observe(task, run.image, SlackOf(run), runner.filler_uses,
+                            now);
     }
   }
   std::vector<Order>& orders = pace_orders_[runner.report.life];
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -65,6 +65,9 @@
   uint64_t handled_ends = 0;                   // Highest number taken in.
   uint64_t recorded_ends = 0;                  // Highest number that is stored.
   std::map<uint64_t, uint64_t> unstored_ends;  // Number to board version.
+  // Use by fillers, by image, as it shows in tails: in shares of the runner.
+  std::map<std::string, double> filler_uses;
+  Instant filler_uses_at;
   uint32_t failure_streak = 0;  // Failed runs since the last that was done.
   Instant suspended_until;      // Gets no new runs before.
   // How many times as long as expected its work takes, smoothed.
--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 // Before any evidence a pair is taken to disturb somewhat: about half of all
-// pairs do, by a weight of four to ten.
-constexpr placement::CoefficientPrior kPrior{1.5, 4.0};
+// pairs do, by a weight of six to fourteen.
+constexpr placement::CoefficientPrior kPrior{3.0, 6.0};
 // Deviation of the change of slack over half a second: of waves of the task's
 // own load, and as a part of the slack, for tails are rough figures.
 constexpr double kWaveNoise = 0.25;
@@ -28,12 +28,9 @@
 void Interference::Observe(const TaskKey& serving,
                            const std::string& serving_image,
                            double slack,
-                           const std::vector<FillerUse>& uses,
+                           const std::map<std::string, double>& uses,
                            Instant at) {
-  Sample sample{slack, {}, at};
-  for (const FillerUse& use : uses) {
-    sample.shares[use.image] = use.share;
-  }
+  Sample sample{slack, uses, at};
   const auto [it, is_first] = samples_.try_emplace(serving, sample);
   if (is_first || at - it->second.at < kShortestGap) {
     return;
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <vector>
 
 #include "base/instant.h"
 #include "jobs/job.h"
@@ -12,14 +11,6 @@
 
 namespace papayadrift::jobs {
 
-// Processor time that fillers of one image use, as a share of the runner's.
-struct FillerUse {
-  std::string image;
-  double share = 0;
-
-  friend bool operator==(const FillerUse&, const FillerUse&) = default;
-};
-
 // Learns by how much fillers of one image slow serving tasks of another. What a
 // queue leaves free falls in step with the load on it, and its tail latency
 // grows as the inverse of that: so the slack of a task, its target divided by
@@ -29,11 +20,12 @@
 // apart, are evidence.
 class Interference {
  public:
-  // Takes in one sample of a serving task. `uses` has each image once.
+  // Takes in one sample of a serving task. `uses` is the share of the runner
+  // that fillers of each image use, as far as it shows in the tail by now.
   void Observe(const TaskKey& serving,
                const std::string& serving_image,
                double slack,
-               const std::vector<FillerUse>& uses,
+               const std::map<std::string, double>& uses,
                Instant at);
   // Forgets the samples of a task that moves or ends.
   void Forget(const TaskKey& serving) { samples_.erase(serving); }
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -10,10 +10,15 @@
 
 // Slack that serving tasks keep: the gauge is rough, and waves rise between two
 // reports.
-constexpr double kLeastSlack = 1.4;
+constexpr double kLeastSlack = 1.3;
 // Fillers of less weight are left alone: a usual one would take less than a
 // tenth of slack.
-constexpr double kHarmlessWeight = 0.7;
+constexpr double kHarmlessWeight = 1.5;
+// Gauges are renewed each half second, and a tail goes half of the way to where
+// a change of load will bring it in that time.
+constexpr milliseconds kGaugePeriod(450);
+constexpr double kGaugeStep = 0.5;
+constexpr double kLeastUse = 0.001;
 // Paces are given in steps, so that small changes of the gauge cost no orders.
 constexpr uint32_t kStepPercent = 10;
 constexpr uint32_t kFullPercent = 100;
@@ -48,34 +53,35 @@
          static_cast<double>(std::max<int64_t>(1, run.gauge));
 }
 
-std::vector<FillerUse> FillerUsesOf(const Runner& runner) {
-  std::map<std::string, double> shares;
+void FollowFillerUses(Runner& runner, Instant now) {
+  if (now - runner.filler_uses_at < kGaugePeriod) {
+    return;
+  }
+  runner.filler_uses_at = now;
+  for (double& share : runner.filler_uses | std::views::values) {
+    share *= 1 - kGaugeStep;
+  }
   for (const Run& run : runner.runs | std::views::values) {
     if (run.is_filler && run.is_accepted) {
-      shares[run.image] +=
-          static_cast<double>(run.gauge) / CapacityOf(runner);
+      runner.filler_uses[run.image] += kGaugeStep *
+                                       static_cast<double>(run.gauge) /
+                                       CapacityOf(runner);
     }
   }
-  std::vector<FillerUse> uses;
-  std::ranges::transform(shares, std::back_inserter(uses),
-                         [](const auto& it) {
-                           return FillerUse{it.first, it.second};
-                         });
-  return uses;
+  std::erase_if(runner.filler_uses,
+                [](const auto& use) { return use.second < kLeastUse; });
 }
 
 std::vector<ServingState> ServingStatesOf(const Runner& runner,
                                           const Interference& interference) {
-  const std::vector<FillerUse> uses = FillerUsesOf(runner);
   std::vector<ServingState> states;
   for (const Run& run : runner.runs | std::views::values) {
     if (!run.is_serving || !run.is_accepted || run.gauge <= 0) {
       continue;
     }
     ServingState state{run.image, SlackOf(run)};
-    for (const FillerUse& use : uses) {
-      state.calm_slack +=
-          interference.Weight(run.image, use.image) * use.share;
+    for (const auto& [image, share] : runner.filler_uses) {
+      state.calm_slack += interference.Weight(run.image, image) * share;
     }
     states.push_back(std::move(state));
   }
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -29,8 +29,9 @@
 std::vector<ServingState> ServingStatesOf(const Runner& runner,
                                           const Interference& interference);
 
-// Returns the use of fillers, by image, as the gauges show it.
-std::vector<FillerUse> FillerUsesOf(const Runner& runner);
+// Takes the gauges of a new report into the runner's filler uses. Tails answer
+// to a change of load with a delay, which the uses share.
+void FollowFillerUses(Runner& runner, Instant now);
 
 // Returns the share in percent at which each filler of the runner may work. The
 // most urgent get what the serving tasks leave: all at an even pace would all be
