Jobs: Keeps serving tasks of one image together, and late work behind

Cause: each runner had serving tasks of several images, so that nearly every filler disturbed one of them; jobs that were late already took the room of those that were not. Change: serving tasks go where their image is; work that can't be done by its target comes after work that can.

--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -34,6 +34,7 @@
   uint32_t occurrence = 0;
   uint32_t step = 0;
   const Queue* queue = nullptr;
+  int64_t rest_ms = 0;
 };
 
 Board::Board(const BoardSettings& settings, Instant now, NoteListener notes)
@@ -567,13 +568,14 @@
     if (queue == nullptr) {
       continue;
     }
-    const int64_t chain_ms = LongestChainMs(entry.job, durations_);
+    const std::vector<int64_t> chains = ChainsFromMs(entry.job, durations_);
+    const int64_t longest_ms = chains.empty() ? 0 : std::ranges::max(chains);
     for (uint32_t k = 0; k < entry.job.occurrences; ++k) {
-      const WorkRank rank =
-          RankOf(entry.job, *queue, k, chain_ms, unix_ms);
       for (uint32_t s = 0; s < entry.job.steps.size(); ++s) {
         if (IsStepReady(entry, k, s, unix_ms)) {
-          ready.push_back({rank, &id, &entry, k, s, queue});
+          ready.push_back({RankOf(entry.job, *queue, k, longest_ms, chains[s],
+                                  unix_ms),
+                           &id, &entry, k, s, queue, chains[s]});
         }
       }
     }
@@ -609,7 +611,7 @@
                   uint32_t number,
                   const Step& step,
                   const Runner& place,
-                  const WorkRank& rank,
+                  const ReadyStep& ready,
                   Instant now) {
   TaskProgress& progress = *FindTask(task);
   progress.phase = TaskPhase::kClaimed;
@@ -620,8 +622,9 @@
   run.send_due = now;
   run.checkpoint = progress.checkpoint;
   run.progressed_at = now;
-  run.target_ms = rank.target_ms;
-  run.useless_ms = rank.useless_ms;
+  run.rest_ms = ready.rest_ms;
+  run.target_ms = ready.rank.target_ms;
+  run.useless_ms = ready.rank.useless_ms;
   Note(BoardNote::Kind::kRunClaimed, ToText(task), number,
        ToText(place.report.life));
   fleet_.Get(place.report.life).runs[task] = std::move(run);
@@ -653,7 +656,7 @@
       ++waiting_tasks_;
       continue;
     }
-    Claim(task, tasks[i].run + 1, step, *place, ready.rank, now);
+    Claim(task, tasks[i].run + 1, step, *place, ready, now);
   }
 }
 
@@ -684,7 +687,7 @@
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
     Claim({*ready.id, ready.occurrence, ready.step, i}, number + 1, step,
-          *fleet_.Find(places[i]), ready.rank, now);
+          *fleet_.Find(places[i]), ready, now);
   }
   return true;
 }
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -18,7 +18,6 @@
 #include "jobs/job.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
-#include "jobs/work_order.h"
 
 namespace papayadrift::jobs {
 
@@ -152,7 +151,7 @@
              uint32_t number,
              const Step& step,
              const Runner& place,
-             const WorkRank& rank,
+             const ReadyStep& ready,
              Instant now);
 
   void ReadLists(Runner& runner, const RunnerReport& report, Instant now);
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -100,7 +100,10 @@
   }
   std::ranges::sort(fillers, {}, [unix_ms](const auto* it) {
     const Run& run = it->second;
-    return std::tuple(unix_ms > run.useless_ms, run.target_ms, it->first);
+    const int64_t rest_ms = run.rest_ms * (100 - run.percent) / 100;
+    return std::tuple(unix_ms > run.useless_ms,
+                      unix_ms + rest_ms > run.target_ms, run.target_ms,
+                      it->first);
   });
   std::vector<ServingState> servings =
       ServingStatesOf(runner, interference);
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -24,7 +24,8 @@
 constexpr double kExcessCost = 3.0;
 // Serving tasks of one image share what disturbs them: side by side they leave
 // other runners to the fillers that do.
-constexpr double kOtherImageCost = 0.3;
+constexpr double kOtherImageCost = 0.5;
+constexpr double kSameImageGain = 0.6;
 // Of what a serving task asks for, the share that it uses at its usual load.
 constexpr int64_t kServingUsePercent = 50;
 
@@ -82,12 +83,14 @@
                        static_cast<double>(step.need.millicores) / capacity);
   }
   if (step.tail_target_ms > 0) {
-    const auto is_other = [&](const Run& run) {
-      return run.is_serving && run.image != step.image;
+    const auto has_serving = [&](bool is_same) {
+      return std::ranges::any_of(
+          runner.runs | std::views::values, [&](const Run& run) {
+            return run.is_serving && (run.image == step.image) == is_same;
+          });
     };
-    cost += kOtherImageCost *
-            static_cast<double>(std::ranges::count_if(
-                runner.runs | std::views::values, is_other));
+    cost += has_serving(false) ? kOtherImageCost : 0;
+    cost -= has_serving(true) ? kSameImageGain : 0;
   }
   return cost;
 }
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -12,17 +12,17 @@
 
 }  // namespace
 
-int64_t LongestChainMs(const Job& job, const DurationBook& durations) {
-  std::vector<int64_t> ends;
-  ends.reserve(job.steps.size());
-  for (const Step& step : job.steps) {
-    int64_t begin = 0;
-    for (const uint32_t earlier : step.depends_on) {
-      begin = std::max(begin, ends[earlier]);
+std::vector<int64_t> ChainsFromMs(const Job& job,
+                                  const DurationBook& durations) {
+  std::vector<int64_t> chains(job.steps.size(), 0);
+  // Steps depend on earlier ones only.
+  for (size_t i = job.steps.size(); i-- > 0;) {
+    chains[i] += durations.Expect(job.queue, job.steps[i]);
+    for (const uint32_t earlier : job.steps[i].depends_on) {
+      chains[earlier] = std::max(chains[earlier], chains[i]);
     }
-    ends.push_back(begin + durations.Expect(job.queue, step));
   }
-  return ends.empty() ? 0 : std::ranges::max(ends);
+  return chains;
 }
 
 int64_t DueMs(const Job& job, uint32_t occurrence) {
@@ -34,6 +34,7 @@
                 const Queue& queue,
                 uint32_t occurrence,
                 int64_t longest_chain_ms,
+                int64_t rest_ms,
                 int64_t now_unix_ms) {
   const int64_t due = DueMs(job, occurrence);
   const int64_t allowed =
@@ -43,7 +44,8 @@
   const bool is_lasting =
       std::ranges::any_of(job.steps, &Step::is_long_running);
   return WorkRank{!is_lasting && now_unix_ms > due + kUsefulTargets * allowed,
-                  queue.priority, due + allowed,
+                  queue.priority,
+                  now_unix_ms + rest_ms > due + allowed, due + allowed,
                   due + kUsefulTargets * allowed};
 }
 
