Cluster: Elects at once when a leader leaves, and stops fillers that may harm

Change: a leader that stops says so in its topic; what was stored before a start is no sign of life; beside a task that is over its target for one second only fillers that are surely harmless work on, after two seconds none.

--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -19,7 +19,7 @@
 // Time that is left to the caller's answer itself.
 constexpr milliseconds kAnswerMargin(100);
 // Candidates stand at different moments, so that one is elected at once.
-constexpr uint64_t kCandidacySpreadMs = 300;
+constexpr uint64_t kCandidacySpreadMs = 200;
 // Without an answer of the store for this long, callers are better served
 // elsewhere: a few answers' time and the readiness checks' period.
 constexpr milliseconds kStoreSilence(2500);
@@ -125,6 +125,11 @@
   progress_->CatchUp([this, begun_at](bool is_caught_up) {
     if (is_caught_up) {
       store_seen_at_ = std::max(store_seen_at_, begun_at);
+      if (!std::exchange(has_looked_, true)) {
+        // What was stored before is no sign that the leader still lives.
+        leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence +
+                          settings_.first_look;
+      }
       ConsiderCandidacy();
     }
     ScheduleWatch(settings_.watch_period);
@@ -138,7 +143,13 @@
   const milliseconds turn(
       StableHash(settings_.leader.node, leader_record_.term) %
       kCandidacySpreadMs);
-  if (ports_.clock.Now() - leader_seen_at_ < settings_.leader_silence + turn) {
+  // Nobody has to be waited for if the last leader said that it leaves, or was
+  // this process before it started again.
+  const bool is_vacant = leader_record_.term == 0 ||
+                         leader_record_.has_resigned ||
+                         leader_record_.node == settings_.leader.node;
+  if (!is_vacant && ports_.clock.Now() - leader_seen_at_ <
+                        settings_.leader_silence + turn) {
     return;
   }
   leader_ =
--- a/src/libs/cluster/job_front.h
+++ b/src/libs/cluster/job_front.h
@@ -22,10 +22,12 @@
 struct JobFrontSettings {
   LeaderSettings leader;
   // Period at which a front that does not lead looks at the leader's signs.
-  milliseconds watch_period{400};
+  milliseconds watch_period{300};
   // A leader that showed nothing for this long is taken for lost: several of
   // its beats.
-  milliseconds leader_silence{1500};
+  milliseconds leader_silence{1300};
+  // What a process that has just started needs to see a sign of a leader.
+  milliseconds first_look{700};
   // What was read this recently may answer a caller without another read.
   milliseconds state_freshness{100};
   milliseconds count_freshness{700};
@@ -103,6 +105,7 @@
   jobs::Directory directory_;
   jobs::LeaderRecord leader_record_;
   Instant leader_seen_at_;
+  bool has_looked_ = false;  // All that was stored at the start is read.
   std::unique_ptr<keyed_log::TopicFollower> jobs_;
   std::unique_ptr<keyed_log::TopicFollower> progress_;
   std::shared_ptr<Leader> leader_;
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -454,7 +454,25 @@
   pending_reports_ = std::move(waiting);
 }
 
+void Leader::Resign() {
+  record_.has_resigned = true;
+  ports_.log.Write(
+      keyed_log::Append{
+          kProgressTopic,
+          {{kLeaderKey, jobs::Encode(record_)}},
+          std::nullopt,
+          // An append under way has this number; the store puts them in order.
+          keyed_log::Writer{kLeaderWriter, record_.term,
+                            sequence_ + (is_writing_ ? 1 : 0)}},
+      ports_.clock.Now() + kAppendLimit, [](const keyed_log::AppendResult&) {
+        // If it is lost, silence tells the others.
+      });
+}
+
 void Leader::Stop() {
+  if (is_leading_) {
+    Resign();
+  }
   End("The process gives the term up.");
 }
 
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -27,7 +27,7 @@
   // Shortest time between two appends: what comes meanwhile shares the next.
   milliseconds append_gap{10};
   // An idle leader shows that it is there this often.
-  milliseconds beat_period{400};
+  milliseconds beat_period{300};
   // Longest time without a look at leases and orders that are due.
   milliseconds idle_step{50};
   // Time that an agent has to carry out orders.
@@ -57,7 +57,8 @@
   // progress topic behind `progress_end`.
   void Campaign(const jobs::LeaderRecord& last, uint64_t progress_end);
   void SetRoutes(const jobs::RouteTable& routes);
-  // Gives the term up; what is stored by then holds.
+  // Gives the term up, so that another process can be elected at once; what is
+  // stored by then holds.
   void Stop();
 
   bool is_leading() const { return is_leading_; }
@@ -96,6 +97,7 @@
   void SendOrders();
   void Answer(const PendingReport& report);
   void AnswerReports();
+  void Resign();
   void End(std::string_view reason);
   void LogNote(const jobs::BoardNote& note) const;
   // Runs `action` after `delay` if the term goes on.
--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -177,6 +177,11 @@
     run->is_accepted = true;
     run->accepted_at_ms = std::min(run->accepted_at_ms, report.listed_at_ms);
     run->gauge = active.gauge;
+    if (!run->is_serving || run->gauge <= run->tail_target_ms) {
+      run->over_since.reset();
+    } else if (!run->over_since) {
+      run->over_since = now;
+    }
     if (!active.checkpoint.empty()) {
       run->checkpoint = active.checkpoint;
     }
@@ -768,7 +773,7 @@
   }
   std::vector<Order>& orders = pace_orders_[runner.report.life];
   orders.clear();
-  for (const auto& [task, percent] : PlanPaces(runner, interference_, unix_ms_)) {
+  for (const auto& [task, percent] : PlanPaces(runner, interference_, now, unix_ms_)) {
     Run& run = runner.runs.at(task);
     const bool is_rise = percent > run.pace_percent;
     if (percent == run.pace_percent ||
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -35,7 +35,8 @@
   return std::tie(value.outcome, value.occurrences);
 }
 static auto Fields(LeaderRecord& value) {
-  return std::tie(value.term, value.node, value.address, value.beat);
+  return std::tie(value.term, value.node, value.address, value.beat,
+                  value.has_resigned);
 }
 static auto Fields(ActiveRun& value) {
   return std::tie(value.task, value.run, value.checkpoint, value.percent,
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -34,6 +34,8 @@
   uint32_t percent = 0;
   uint32_t pace_percent = 100;  // As last ordered.
   Instant paced_at;
+  // Since the tail of a serving task is over its target.
+  std::optional<Instant> over_since;
   Instant slow_since;       // Since it may not work at full pace.
   Instant started_at;       // When its start was accepted.
   int64_t rest_ms = 0;      // Expected of its chain when it was claimed.
--- a/src/libs/jobs/leader_record.h
+++ b/src/libs/jobs/leader_record.h
@@ -12,6 +12,7 @@
   std::string node;
   std::string address;  // "ip:port" for agents.
   uint64_t beat = 0;    // Counts the signs of life within the term.
+  bool has_resigned = false;  // Nobody leads until another is elected.
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -14,6 +14,11 @@
 // Fillers of less weight are left alone: a usual one would take less than a
 // tenth of slack.
 constexpr double kHarmlessWeight = 1.5;
+// The same beside a task that has been over its target for a while, and the
+// time after which the weights are taken to be wrong. Users allow four seconds.
+constexpr double kSurelyHarmlessWeight = 0.3;
+constexpr milliseconds kShortOver(1000);
+constexpr milliseconds kLongOver(2000);
 // Gauges are renewed each half second, and a tail goes half of the way to where
 // a change of load will bring it in that time.
 constexpr milliseconds kGaugePeriod(450);
@@ -33,6 +38,18 @@
   return static_cast<double>(run.need.millicores) / CapacityOf(runner);
 }
 
+// How long the serving task that suffers longest is over its target.
+milliseconds LongestOver(const Runner& runner, Instant now) {
+  milliseconds longest(0);
+  for (const Run& run : runner.runs | std::views::values) {
+    if (run.over_since) {
+      longest = std::max(
+          longest, std::chrono::floor<milliseconds>(now - *run.over_since));
+    }
+  }
+  return longest;
+}
+
 double FullEffect(const Runner& runner,
                   const Interference& interference,
                   const ServingState& serving) {
@@ -90,7 +107,20 @@
 
 std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
                                       const Interference& interference,
+                                      Instant now,
                                       int64_t unix_ms) {
+  const milliseconds over = LongestOver(runner, now);
+  if (over >= kLongOver) {
+    std::map<TaskKey, uint32_t> none;
+    for (const auto& [task, run] : runner.runs) {
+      if (run.is_filler && run.is_accepted && !run.is_withdrawn) {
+        none[task] = 0;
+      }
+    }
+    return none;
+  }
+  const double harmless =
+      over >= kShortOver ? kSurelyHarmlessWeight : kHarmlessWeight;
   std::vector<const std::pair<const TaskKey, Run>*> fillers;
   for (const auto& it : runner.runs) {
     if (it.second.is_filler && it.second.is_accepted &&
@@ -114,7 +144,7 @@
     for (const ServingState& serving : servings) {
       const double weight =
           interference.Weight(serving.image, it->second.image);
-      if (weight > kHarmlessWeight) {
+      if (weight > harmless) {
         const double room = serving.calm_slack - kLeastSlack;
         pace = std::clamp(room / (weight * share), 0.0, pace);
       }
