Tests: Covers paces, places, the order of work and leaders that stop

Cause: these decisions had no tests of their own. Change: each replays the load that it answers: waves, bursts, hanging and slow runners, late work.

--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -148,8 +148,8 @@
   const bool is_vacant = leader_record_.term == 0 ||
                          leader_record_.has_resigned ||
                          leader_record_.node == settings_.leader.node;
-  if (!is_vacant && ports_.clock.Now() - leader_seen_at_ <
-                        settings_.leader_silence + turn) {
+  if (!is_vacant &&
+      ports_.clock.Now() - leader_seen_at_ < settings_.leader_silence + turn) {
     return;
   }
   leader_ =
--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -578,9 +578,9 @@
     for (uint32_t k = 0; k < entry.job.occurrences; ++k) {
       for (uint32_t s = 0; s < entry.job.steps.size(); ++s) {
         if (IsStepReady(entry, k, s, unix_ms)) {
-          ready.push_back({RankOf(entry.job, *queue, k, longest_ms, chains[s],
-                                  unix_ms),
-                           &id, &entry, k, s, queue, chains[s]});
+          ready.push_back(
+              {RankOf(entry.job, *queue, k, longest_ms, chains[s], unix_ms),
+               &id, &entry, k, s, queue, chains[s]});
         }
       }
     }
@@ -681,7 +681,8 @@
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     const Runner* place = ChooseRunner(
-        trial, interference_, {task, &step, ready.queue->service, false, std::nullopt}, now);
+        trial, interference_,
+        {task, &step, ready.queue->service, false, std::nullopt}, now);
     if (place == nullptr) {
       waiting_tasks_ += tasks.size();
       return false;
@@ -773,7 +774,8 @@
   }
   std::vector<Order>& orders = pace_orders_[runner.report.life];
   orders.clear();
-  for (const auto& [task, percent] : PlanPaces(runner, interference_, now, unix_ms_)) {
+  for (const auto& [task, percent] :
+       PlanPaces(runner, interference_, now, unix_ms_)) {
     Run& run = runner.runs.at(task);
     const bool is_rise = percent > run.pace_percent;
     if (percent == run.pace_percent ||
@@ -792,9 +794,7 @@
   }
 }
 
-void Board::ObserveDuration(const TaskKey& task,
-                            const Run& run,
-                            Instant now) {
+void Board::ObserveDuration(const TaskKey& task, const Run& run, Instant now) {
   const Entry* entry = FindOrNull(jobs_, task.job);
   const bool was_slowed = run.paced_at != Instant();
   if (entry == nullptr || run.is_long_running || was_slowed ||
@@ -822,9 +822,9 @@
   if (place == nullptr || place == &runner) {
     return false;
   }
-  const double share =
-      static_cast<double>(run.need.millicores) /
-      static_cast<double>(std::max<int64_t>(1, place->report.capacity.millicores));
+  const double share = static_cast<double>(run.need.millicores) /
+                       static_cast<double>(std::max<int64_t>(
+                           1, place->report.capacity.millicores));
   return ExcessWith(*place, interference_, run.image, share) <= 0;
 }
 
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -13,9 +13,9 @@
 static auto Fields(Step& value) {
   return std::tie(value.count, value.need, value.estimated_ms, value.depends_on,
                   value.is_checkpointing, value.is_gang, value.is_long_running,
-                  value.is_filler, value.image, value.required_label, value.preferred_rack,
-                  value.most_per_runner, value.most_unavailable,
-                  value.tail_target_ms);
+                  value.is_filler, value.image, value.required_label,
+                  value.preferred_rack, value.most_per_runner,
+                  value.most_unavailable, value.tail_target_ms);
 }
 static auto Fields(Job& value) {
   return std::tie(value.queue, value.payload, value.steps, value.first_due_ms,
--- a/src/libs/jobs/duration_book.cpp
+++ b/src/libs/jobs/duration_book.cpp
@@ -7,7 +7,8 @@
 namespace papayadrift::jobs {
 namespace {
 
-// Runs after which the mean goes before the estimate, and over which it forgets.
+// Runs after which the mean goes before the estimate, and over which it
+// forgets.
 constexpr int64_t kEnoughRuns = 3;
 constexpr int64_t kMemoryRuns = 50;
 
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -36,11 +36,11 @@
   Instant paced_at;
   // Since the tail of a serving task is over its target.
   std::optional<Instant> over_since;
-  Instant slow_since;       // Since it may not work at full pace.
-  Instant started_at;       // When its start was accepted.
-  int64_t rest_ms = 0;      // Expected of its chain when it was claimed.
-  int64_t target_ms = 0;    // Unix time at which its job should be done.
-  int64_t useless_ms = 0;   // And from which that is worth nothing.
+  Instant slow_since;      // Since it may not work at full pace.
+  Instant started_at;      // When its start was accepted.
+  int64_t rest_ms = 0;     // Expected of its chain when it was claimed.
+  int64_t target_ms = 0;   // Unix time at which its job should be done.
+  int64_t useless_ms = 0;  // And from which that is worth nothing.
   bool is_filler = false;
   bool is_serving = false;  // Has a tail target.
   bool is_long_running = false;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -39,7 +39,7 @@
   bool is_gang = false;  // Its tasks run all together or not at all.
   bool is_long_running = false;
   bool is_filler = false;  // Takes only processor time that others leave.
-  std::string image;  // Tasks of one image behave alike.
+  std::string image;       // Tasks of one image behave alike.
   std::string required_label;
   std::string preferred_rack;
   uint32_t most_per_runner = 0;   // 0: no limit.
--- a/src/libs/jobs/leader_record.h
+++ b/src/libs/jobs/leader_record.h
@@ -10,8 +10,8 @@
 struct LeaderRecord {
   uint64_t term = 0;  // 0: there was none yet.
   std::string node;
-  std::string address;  // "ip:port" for agents.
-  uint64_t beat = 0;    // Counts the signs of life within the term.
+  std::string address;        // "ip:port" for agents.
+  uint64_t beat = 0;          // Counts the signs of life within the term.
   bool has_resigned = false;  // Nobody leads until another is elected.
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -80,9 +80,8 @@
   }
   for (const Run& run : runner.runs | std::views::values) {
     if (run.is_filler && run.is_accepted) {
-      runner.filler_uses[run.image] += kGaugeStep *
-                                       static_cast<double>(run.gauge) /
-                                       CapacityOf(runner);
+      runner.filler_uses[run.image] +=
+          kGaugeStep * static_cast<double>(run.gauge) / CapacityOf(runner);
     }
   }
   std::erase_if(runner.filler_uses,
@@ -135,8 +134,7 @@
                       unix_ms + rest_ms > run.target_ms, run.target_ms,
                       it->first);
   });
-  std::vector<ServingState> servings =
-      ServingStatesOf(runner, interference);
+  std::vector<ServingState> servings = ServingStatesOf(runner, interference);
   std::map<TaskKey, uint32_t> percents;
   for (const auto* it : fillers) {
     const double share = FullShare(runner, it->second);
@@ -164,8 +162,7 @@
                   const std::string& image,
                   double share) {
   double excess = 0;
-  for (const ServingState& serving :
-       ServingStatesOf(runner, interference)) {
+  for (const ServingState& serving : ServingStatesOf(runner, interference)) {
     const double added = interference.Weight(serving.image, image) * share;
     const double room = serving.calm_slack - kLeastSlack -
                         FullEffect(runner, interference, serving);
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -34,15 +34,16 @@
 void FollowFillerUses(Runner& runner, Instant now);
 
 // Returns the share in percent at which each filler of the runner may work. The
-// most urgent get what the serving tasks leave: all at an even pace would all be
-// late. Beside a task that stays over its target nothing works that may be the
-// cause, and in the end nothing at all.
+// most urgent get what the serving tasks leave: all at an even pace would all
+// be late. Beside a task that stays over its target nothing works that may be
+// the cause, and in the end nothing at all.
 std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
                                       const Interference& interference,
                                       Instant now,
                                       int64_t unix_ms);
 
-// Returns by how much the slack of tasks would fall below the least if a filler of this image began to use `share` of the runner at full pace.
+// Returns by how much the slack of tasks would fall below the least if a filler
+// of this image began to use `share` of the runner at full pace.
 double ExcessWith(const Runner& runner,
                   const Interference& interference,
                   const std::string& image,
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -44,9 +44,8 @@
   const bool is_lasting =
       std::ranges::any_of(job.steps, &Step::is_long_running);
   return WorkRank{!is_lasting && now_unix_ms > due + kUsefulTargets * allowed,
-                  queue.priority,
-                  now_unix_ms + rest_ms > due + allowed, due + allowed,
-                  due + kUsefulTargets * allowed};
+                  queue.priority, now_unix_ms + rest_ms > due + allowed,
+                  due + allowed, due + kUsefulTargets * allowed};
 }
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/work_order.h
+++ b/src/libs/jobs/work_order.h
@@ -19,8 +19,8 @@
 struct WorkRank {
   bool is_too_late = false;  // Its outcome is worth nothing any more.
   uint32_t priority = 0;
-  bool is_late = false;  // It can't be done by its target any more.
-  int64_t target_ms = 0;  // Unix time at which the occurrence should be done.
+  bool is_late = false;    // It can't be done by its target any more.
+  int64_t target_ms = 0;   // Unix time at which the occurrence should be done.
   int64_t useless_ms = 0;  // And from which that is worth nothing.
 
   friend auto operator<=>(const WorkRank&, const WorkRank&) = default;
@@ -31,7 +31,6 @@
 std::vector<int64_t> ChainsFromMs(const Job& job,
                                   const DurationBook& durations);
 
-
 // `rest_ms` is the chain that begins with the step in question.
 WorkRank RankOf(const Job& job,
                 const Queue& queue,
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -65,6 +65,23 @@
   first->Stop();
 }
 
+TEST_F(LeaderTest, LeaderThatStopsSaysSo) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign({}, 0);
+  log_.Settle();
+  leader->Stop();
+  log_.Settle();
+  std::optional<jobs::LeaderRecord> last;
+  log_.ReadNewest(
+      kProgressTopic, {}, Instant(), [&](const keyed_log::ReadResult& result) {
+        last = jobs::Decode<jobs::LeaderRecord>(
+            std::get<keyed_log::Records>(result).records.at(0).record.value);
+      });
+  log_.Settle();
+  ASSERT_TRUE(last);
+  EXPECT_TRUE(last->has_resigned);
+}
+
 TEST_F(LeaderTest, LeaderPublishesWhereItIs) {
   const auto leader = MakeLeader("node-1");
   leader->Campaign({}, 0);
--- a/tests/auto/jobs/board_test.cpp
+++ b/tests/auto/jobs/board_test.cpp
@@ -297,6 +297,24 @@
   EXPECT_EQ(std::get<StartOrder>(batches[0].second[0]).run, 1U);
 }
 
+// Replays a runner that hangs with what it runs.
+TEST_F(BoardTest, MovesARunThatStandsStill) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(1, 1000));
+  const auto start = Orders(0);
+  ASSERT_EQ(CountStarts(start), 1U);
+  board_.OnOrderResult(kFirst, start[0].second, {OrderVerdict::kDone, 1},
+                       At(1));
+  bool is_stopped = false;
+  for (int64_t now_ms = 100; now_ms < 4000 && !is_stopped; now_ms += 300) {
+    Report(kFirst, now_ms, {{Task(0), 1, "", 10, 0}});
+    for (const auto& [life, order] : Orders(now_ms)) {
+      is_stopped = std::holds_alternative<StopOrder>(order);
+    }
+  }
+  EXPECT_TRUE(is_stopped);
+}
+
 TEST_F(BoardTest, KeepsARunnerThatFailsEverythingOutForAWhile) {
   Report(kFirst, 0);
   for (const char* id : {"x", "y"}) {
--- /dev/null
+++ b/tests/auto/jobs/interference_test.cpp
@@ -0,0 +1,50 @@
+#include "jobs/interference.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+namespace papayadrift::jobs {
+namespace {
+
+Instant At(int64_t ms) {
+  return Instant(milliseconds(ms));
+}
+
+const TaskKey kServing{JobId("a"), 0, 0, 0};
+
+// Replays a filler that comes and goes beside a serving task whose own load
+// swings; it takes `weight` of slack for the whole of the runner.
+double Learn(double weight) {
+  Interference interference;
+  for (int64_t i = 0; i < 60; ++i) {
+    const double share = i / 5 % 2 == 0 ? 0.0 : 0.2;
+    const double wave = std::sin(static_cast<double>(i) / 5.0);
+    interference.Observe(kServing, "serving", 3.0 + wave - weight * share,
+                         {{"filler", share}}, At(i * 500));
+  }
+  return interference.Weight("serving", "filler");
+}
+
+TEST(InterferenceTest, TellsWhatDisturbsFromWhatDoesNot) {
+  EXPECT_GT(Learn(8.0), 4.0);
+  EXPECT_LT(Learn(0.0), 1.5);
+}
+
+TEST(InterferenceTest, IsCarefulWithWhatItDoesNotKnow) {
+  const Interference interference;
+  EXPECT_GT(interference.Weight("serving", "filler"), 1.5);
+}
+
+TEST(InterferenceTest, SamplesThatOverlapAreNoEvidence) {
+  Interference interference;
+  const double before = interference.Weight("serving", "filler");
+  for (int64_t i = 0; i < 40; ++i) {
+    interference.Observe(kServing, "serving", 3.0,
+                         {{"filler", i % 2 == 0 ? 0.0 : 0.2}}, At(i * 10));
+  }
+  EXPECT_EQ(interference.Weight("serving", "filler"), before);
+}
+
+}  // namespace
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -0,0 +1,101 @@
+#include "jobs/runner_choice.h"
+
+#include <gtest/gtest.h>
+
+namespace papayadrift::jobs {
+namespace {
+
+const RunnerLife kFirst{"node-1", "i", 1};
+const RunnerLife kSecond{"node-2", "i", 1};
+
+class RunnerChoiceTest : public testing::Test {
+ protected:
+  RunnerChoiceTest() {
+    for (const RunnerLife& life : {kFirst, kSecond}) {
+      Runner& runner = fleet_.Get(life);
+      runner.report.life = life;
+      runner.report.service = "s";
+      runner.report.capacity = {10000, 10000, 0};
+      runner.is_heard = true;
+    }
+    step_.need = {2000, 100, 0};
+  }
+
+  const Runner* Choose() {
+    return ChooseRunner(
+        fleet_, interference_,
+        {TaskKey{JobId("a"), 0, 0, 0}, &step_, "s", false, avoided_},
+        Instant());
+  }
+
+  void AddServing(const RunnerLife& life, const std::string& image) {
+    jobs::Run run;
+    run.need = {2000, 100, 0};
+    run.image = image;
+    run.is_serving = true;
+    run.is_accepted = true;
+    run.gauge = 30;
+    run.tail_target_ms = 50;
+    fleet_.Get(life).runs[{JobId("b"), 0, 0, next_++}] = run;
+  }
+
+  Fleet fleet_;
+  Interference interference_;
+  Step step_;
+  std::optional<RunnerLife> avoided_;
+  uint32_t next_ = 0;
+};
+
+TEST_F(RunnerChoiceTest, TakesOnlyRunnersWithRoom) {
+  step_.need = {10001, 1, 0};
+  EXPECT_EQ(Choose(), nullptr);
+}
+
+TEST_F(RunnerChoiceTest, AvoidsWhereTheTaskFailed) {
+  avoided_ = kFirst;
+  EXPECT_EQ(Choose()->report.life, kSecond);
+  avoided_ = kSecond;
+  EXPECT_EQ(Choose()->report.life, kFirst);
+}
+
+TEST_F(RunnerChoiceTest, PutsServingTasksOfOneImageTogether) {
+  AddServing(kSecond, "x");
+  AddServing(kFirst, "y");
+  step_.image = "x";
+  step_.tail_target_ms = 50;
+  EXPECT_EQ(Choose()->report.life, kSecond);
+}
+
+// Replays a burst of batch work beside services: it goes where nobody serves.
+TEST_F(RunnerChoiceTest, PutsFillersWhereTheyDisturbLeast) {
+  AddServing(kFirst, "x");
+  step_.is_filler = true;
+  step_.image = "f";
+  EXPECT_EQ(Choose()->report.life, kSecond);
+}
+
+TEST_F(RunnerChoiceTest, FillersTakeOnlyWhatOthersLeave) {
+  for (int i = 0; i < 5; ++i) {
+    AddServing(kFirst, "x");
+    AddServing(kSecond, "x");
+  }
+  step_.is_filler = true;
+  step_.need = {4900, 100, 0};
+  EXPECT_NE(Choose(), nullptr);
+  step_.need = {5100, 100, 0};
+  EXPECT_EQ(Choose(), nullptr);
+}
+
+TEST_F(RunnerChoiceTest, LeavesOutRunnersThatFellSilent) {
+  fleet_.Get(kFirst).heard_at = Instant() - kReportFreshness * 2;
+  fleet_.Get(kSecond).report.state = RunnerState::kDraining;
+  EXPECT_EQ(Choose(), nullptr);
+}
+
+TEST_F(RunnerChoiceTest, AvoidsSlowRunners) {
+  fleet_.Get(kFirst).slowness = 5.0;
+  EXPECT_EQ(Choose()->report.life, kSecond);
+}
+
+}  // namespace
+}  // namespace papayadrift::jobs
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -20,7 +20,8 @@
   job.steps[1].estimated_ms = 40;
   job.steps[2].estimated_ms = 10;
   job.steps[2].depends_on = {0, 1};
-  EXPECT_EQ(LongestChainMs(job), 110);
+  EXPECT_EQ(ChainsFromMs(job, DurationBook()),
+            (std::vector<int64_t>{110, 50, 10}));
 }
 
 TEST(WorkOrderTest, LateBurstDoesNotPassWorkThatCanBeInTime) {
@@ -29,15 +30,40 @@
   queue.target_extra_ms = 100;
   const Job fresh = JobOf(9000, 1000);
   const Job stale = JobOf(0, 1000);
-  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 10000),
-            RankOf(stale, queue, 0, 1000, 10000));
+  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 1000, 10000),
+            RankOf(stale, queue, 0, 1000, 1000, 10000));
+}
+
+// Replays a burst of large jobs: one that can still be in time passes one that
+// can't, though that came first.
+TEST(WorkOrderTest, LateWorkLetsWorkPassThatIsNot) {
+  Queue queue;
+  queue.target_factor = 2;
+  const Job late = JobOf(0, 1000);
+  const Job fresh = JobOf(1500, 1000);
+  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 1000, 1600),
+            RankOf(late, queue, 0, 1000, 1000, 1600));
+}
+
+TEST(DurationBookTest, ObservedRunsGoBeforeTheEstimate) {
+  DurationBook book;
+  Step step;
+  step.estimated_ms = 200;
+  step.image = "i";
+  EXPECT_EQ(book.Expect("q", step), 200);
+  for (int i = 0; i < 3; ++i) {
+    book.Observe("q", step, 1700);
+  }
+  EXPECT_EQ(book.Expect("q", step), 1700);
+  step.image = "other";
+  EXPECT_EQ(book.Expect("q", step), 200);
 }
 
 TEST(WorkOrderTest, LastingWorkIsNeverTooLate) {
   Queue queue;
   Job lasting = JobOf(0, 0);
   lasting.steps[0].is_long_running = true;
-  EXPECT_FALSE(RankOf(lasting, queue, 0, 0, 1000000).is_too_late);
+  EXPECT_FALSE(RankOf(lasting, queue, 0, 0, 0, 1000000).is_too_late);
 }
 
 TEST(WorkOrderTest, OccurrencesAreDueOneAfterTheOther) {
