Cluster: Lets fronts that the store turns away ask another front

Cause: a front that the store refused held callers until their deadline and answered 503 while other fronts were served; in an outage of the whole store callers waited too, though it was known. Change: fronts publish their addresses and pass on what they can't answer; with no front left to ask the caller is refused at once, with Retry-After 2 s; old jobs are dropped; numbers of fronts and leaders on the metrics address.

--- /dev/null
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -0,0 +1,65 @@
+#include "cluster/cluster_metrics.h"
+
+namespace papayadrift::cluster {
+namespace {
+
+const char* ToText(SubmitResult result) {
+  switch (result) {
+    case SubmitResult::kAccepted:
+      return "accepted";
+    case SubmitResult::kNotStored:
+      return "not_stored";
+    case SubmitResult::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+ClusterMetrics::ClusterMetrics(metrics::Registry& registry)
+    : registry_(registry),
+      submit_seconds_(registry.AddHistogram(
+          "papayadrift_submit_seconds",
+          "Time from a job's arrival to the answer whether it is stored.")),
+      store_seconds_(registry.AddHistogram(
+          "papayadrift_progress_append_seconds",
+          "Time in which the store answers the leader's appends.")),
+      term_(registry.AddGauge("papayadrift_leader_term",
+                              "Term in which this process leads.")),
+      open_jobs_(registry.AddGauge("papayadrift_open_jobs",
+                                   "Jobs that the leader has not ended.")),
+      waiting_tasks_(registry.AddGauge(
+          "papayadrift_waiting_tasks",
+          "Tasks whose turn has come and that no runner has room for.")) {}
+
+void ClusterMetrics::OnSubmitted(SubmitResult result, microseconds duration) {
+  submit_seconds_.Record(duration);
+  registry_
+      .AddCounter("papayadrift_jobs_submitted_total",
+                  "Jobs that callers handed in, by what they were told.",
+                  {{"outcome", ToText(result)}})
+      .Add();
+}
+
+void ClusterMetrics::OnNote(const jobs::BoardNote& note) {
+  registry_
+      .AddCounter("papayadrift_board_changes_total",
+                  "Decisions and changes of belief of the leader.",
+                  {{"change", std::string(jobs::ToText(note.kind))}})
+      .Add();
+}
+
+void ClusterMetrics::OnBoard(uint64_t term,
+                             size_t open_jobs,
+                             size_t waiting_tasks) {
+  term_.Set(static_cast<int64_t>(term));
+  open_jobs_.Set(static_cast<int64_t>(open_jobs));
+  waiting_tasks_.Set(static_cast<int64_t>(waiting_tasks));
+}
+
+void ClusterMetrics::OnStored(microseconds duration) {
+  store_seconds_.Record(duration);
+}
+
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/src/libs/cluster/cluster_metrics.h
@@ -0,0 +1,35 @@
+#ifndef PAPAYADRIFT_CLUSTER_CLUSTER_METRICS_H_
+#define PAPAYADRIFT_CLUSTER_CLUSTER_METRICS_H_
+
+#include <string>
+
+#include "base/instant.h"
+#include "cluster/job_front.h"
+#include "jobs/board.h"
+#include "metrics/registry.h"
+
+namespace papayadrift::cluster {
+
+// Numbers of a front and of the leader in it.
+class ClusterMetrics {
+ public:
+  explicit ClusterMetrics(metrics::Registry& registry);
+
+  void OnSubmitted(SubmitResult result, microseconds duration);
+  void OnNote(const jobs::BoardNote& note);
+  // What the leader holds; zero in a process that does not lead.
+  void OnBoard(uint64_t term, size_t open_jobs, size_t waiting_tasks);
+  void OnStored(microseconds duration);
+
+ private:
+  metrics::Registry& registry_;
+  metrics::Histogram& submit_seconds_;
+  metrics::Histogram& store_seconds_;
+  metrics::Gauge& term_;
+  metrics::Gauge& open_jobs_;
+  metrics::Gauge& waiting_tasks_;
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_CLUSTER_METRICS_H_
--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 
@@ -16,26 +17,42 @@
 
 // Pause before a write that the store refused is tried again.
 constexpr milliseconds kRefusedPause(80);
+// Time that another front has for a question.
+constexpr milliseconds kQuestionLimit(1000);
+constexpr milliseconds kPublishPause(500);
 // Time that is left to the caller's answer itself.
 constexpr milliseconds kAnswerMargin(100);
 // Candidates stand at different moments, so that one is elected at once.
 constexpr uint64_t kCandidacySpreadMs = 200;
 // Without an answer of the store for this long, callers are better served
 // elsewhere: a few answers' time and the readiness checks' period.
-constexpr milliseconds kStoreSilence(2500);
+constexpr milliseconds kStoreSilence(1500);
 
 }  // namespace
 
 // A record of a caller on its way into the store.
 struct JobFront::PendingWrite {
+  RelayCall call;  // The same for another front.
   keyed_log::Append append;
   Instant deadline;
   bool may_be_stored = false;
+  bool is_relayed = false;
   std::function<void(SubmitResult)> done;
 };
 
 JobFront::JobFront(const JobFrontSettings& settings, const Ports& ports)
-    : settings_(settings), ports_(ports), watch_timer_(ports.loop) {
+    : settings_(settings),
+      ports_(ports),
+      metrics_(std::make_unique<ClusterMetrics>(ports.metrics)),
+      relay_(ports, settings.leader.address),
+      watch_timer_(ports.loop) {
+  fronts_ = std::make_unique<keyed_log::TopicFollower>(
+      keyed_log::FollowerSettings{kLeaderTopic}, ports.log, ports.clock,
+      [this](const keyed_log::Record& record) {
+        if (record.key.starts_with(kFrontPrefix)) {
+          relay_.AddPeer(record.key, record.value);
+        }
+      });
   jobs_ = std::make_unique<keyed_log::TopicFollower>(
       keyed_log::FollowerSettings{kJobsTopic}, ports.log, ports.clock,
       [this](const keyed_log::Record& record) { OnJobRecord(record); });
@@ -49,6 +66,8 @@
 void JobFront::Start() {
   leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence;
   store_seen_at_ = ports_.clock.Now();
+  PublishAddress();
+  FollowFronts();
   Watch();
 }
 
@@ -79,10 +98,15 @@
 
 void JobFront::OnJobRecord(const keyed_log::Record& record) {
   if (const auto id = JobOfKey(kJobPrefix, record.key)) {
+    if (record.value.empty()) {
+      directory_.Forget(*id);
+      return;
+    }
     if (const auto job = jobs::Decode<jobs::Job>(record.value)) {
       directory_.OnJob(*id, *job);
     }
-  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key)) {
+  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key);
+             cancelled && !record.value.empty()) {
     directory_.OnCancelled(*cancelled);
   }
 }
@@ -152,8 +176,8 @@
       ports_.clock.Now() - leader_seen_at_ < settings_.leader_silence + turn) {
     return;
   }
-  leader_ =
-      std::make_shared<Leader>(settings_.leader, ports_, directory_, [this] {
+  leader_ = std::make_shared<Leader>(
+      settings_.leader, ports_, *metrics_, directory_, [this] {
         leader_seen_at_ = ports_.clock.Now();
         boost::asio::post(ports_.loop, [this] { leader_.reset(); });
       });
@@ -163,6 +187,10 @@
 
 void JobFront::Refresh(milliseconds freshness, std::function<void(bool)> done) {
   const Instant begun_at = ports_.clock.Now();
+  if (!is_leading() && ports_.log.is_out()) {
+    done(false);
+    return;
+  }
   if (is_leading() ||
       std::min(jobs_->caught_up_at(), progress_->caught_up_at()) + freshness >=
           begun_at) {
@@ -183,6 +211,10 @@
 
 void JobFront::Write(const std::shared_ptr<PendingWrite>& write) {
   const Instant begun_at = ports_.clock.Now();
+  if (ports_.log.is_out()) {
+    RelayWrite(write);
+    return;
+  }
   if (begun_at + kAnswerMargin >= write->deadline) {
     write->done(write->may_be_stored ? SubmitResult::kUnknown
                                      : SubmitResult::kNotStored);
@@ -220,8 +252,13 @@
   auto write = std::make_shared<PendingWrite>();
   write->append.topic = kJobsTopic;
   write->append.records.push_back({KeyOf(kJobPrefix, id), jobs::Encode(job)});
+  write->call = {RelayKind::kSubmit, job.queue, id,
+                 write->append.records[0].value, 0};
   write->deadline = deadline;
-  write->done = [this, id, job, done = std::move(done)](SubmitResult result) {
+  const Instant begun_at = ports_.clock.Now();
+  write->done = [this, id, job, begun_at,
+                 done = std::move(done)](SubmitResult result) {
+    metrics_->OnSubmitted(result, ports_.clock.Now() - begun_at);
     if (result == SubmitResult::kAccepted) {
       directory_.OnJob(id, job);
     }
@@ -240,17 +277,26 @@
     done(*known);
     return;
   }
-  Refresh(settings_.state_freshness,
-          [this, queue, id, done = std::move(done)](bool is_fresh) {
-            const auto state = directory_.StateOf(queue, id);
-            if (state) {
-              done(*state);
-            } else if (is_fresh) {
-              done(JobUnknown{});
-            } else {
-              done(std::monostate{});
-            }
-          });
+  Refresh(settings_.state_freshness, [this, queue, id,
+                                      done = std::move(done)](bool is_fresh) {
+    const auto state = directory_.StateOf(queue, id);
+    if (state) {
+      done(*state);
+    } else if (is_fresh) {
+      done(JobUnknown{});
+    } else {
+      RelayQuestion(RelayKind::kState, queue, id,
+                    [done](const RelayAnswer* answer) {
+                      if (answer == nullptr) {
+                        done(std::monostate{});
+                      } else if (answer->has_job) {
+                        done(static_cast<jobs::JobState>(answer->value));
+                      } else {
+                        done(JobUnknown{});
+                      }
+                    });
+    }
+  });
 }
 
 void JobFront::Cancel(const std::string& queue,
@@ -258,7 +304,8 @@
                       Instant deadline,
                       std::function<void(CancelResult)> done) {
   State(queue, id,
-        [this, id, deadline, done = std::move(done)](const StateResult& state) {
+        [this, queue, id, deadline,
+         done = std::move(done)](const StateResult& state) {
           if (std::holds_alternative<std::monostate>(state)) {
             done(CancelResult::kFailed);
             return;
@@ -270,6 +317,7 @@
           auto write = std::make_shared<PendingWrite>();
           write->append.topic = kJobsTopic;
           write->append.records.push_back({KeyOf(kCancelPrefix, id), "x"});
+          write->call = {RelayKind::kCancel, queue, id, {}, 0};
           write->deadline = deadline;
           write->done = [this, id, done](SubmitResult result) {
             if (result == SubmitResult::kAccepted) {
@@ -284,14 +332,142 @@
 
 void JobFront::CountQueued(const std::string& queue,
                            std::function<void(std::optional<size_t>)> done) {
-  Refresh(settings_.count_freshness,
-          [this, queue, done = std::move(done)](bool is_fresh) {
-            if (is_fresh) {
-              done(directory_.CountQueued(queue));
-            } else {
-              done(std::nullopt);
-            }
-          });
+  Refresh(settings_.count_freshness, [this, queue,
+                                      done = std::move(done)](bool is_fresh) {
+    if (is_fresh) {
+      done(directory_.CountQueued(queue));
+      return;
+    }
+    RelayQuestion(
+        RelayKind::kCount, queue, JobId(), [done](const RelayAnswer* answer) {
+          done(answer == nullptr ? std::nullopt
+                                 : std::optional<size_t>(answer->value));
+        });
+  });
+}
+
+void JobFront::RelayWrite(const std::shared_ptr<PendingWrite>& write) {
+  const auto give_up = [write] {
+    write->done(write->may_be_stored ? SubmitResult::kUnknown
+                                     : SubmitResult::kNotStored);
+  };
+  if (write->is_relayed || !relay_.has_peers()) {
+    // The store is out for all that is known: the caller is told at once.
+    give_up();
+    return;
+  }
+  write->is_relayed = true;
+  relay_.Send(
+      write->call, leader_record_.address, write->deadline - kAnswerMargin,
+      [write, give_up](const Relay::Outcome& outcome) {
+        write->may_be_stored |= outcome.may_be_done;
+        if (!outcome.answer) {
+          give_up();
+          return;
+        }
+        const bool is_submission = write->call.kind == RelayKind::kSubmit;
+        const auto result =
+            is_submission ? static_cast<SubmitResult>(outcome.answer->value)
+            : static_cast<CancelResult>(outcome.answer->value) ==
+                    CancelResult::kCancelled
+                ? SubmitResult::kAccepted
+                : SubmitResult::kUnknown;
+        write->may_be_stored |= result == SubmitResult::kUnknown;
+        if (result == SubmitResult::kAccepted) {
+          write->done(result);
+        } else {
+          give_up();
+        }
+      });
+}
+
+void JobFront::RelayQuestion(RelayKind kind,
+                             const std::string& queue,
+                             const JobId& id,
+                             std::function<void(const RelayAnswer*)> done) {
+  relay_.Send({kind, queue, id, {}, 0}, leader_record_.address,
+              ports_.clock.Now() + kQuestionLimit,
+              [done = std::move(done)](const Relay::Outcome& outcome) {
+                done(outcome.answer ? &*outcome.answer : nullptr);
+              });
+}
+
+void JobFront::HandleRelay(const http::Request& request,
+                           const async_http::Respond& respond) {
+  const auto call = DecodeRelayCall(request.body);
+  if (!call) {
+    respond({400, {}, {}});
+    return;
+  }
+  const auto answer = [respond](const RelayAnswer& it) {
+    respond({200, {}, Encode(it)});
+  };
+  if (ports_.log.is_out()) {
+    answer(RelayAnswer{});
+    return;
+  }
+  const Instant deadline =
+      ports_.clock.Now() + milliseconds(call->remaining_ms);
+  switch (call->kind) {
+    case RelayKind::kSubmit: {
+      const auto job = jobs::Decode<jobs::Job>(call->job);
+      if (!job) {
+        respond({400, {}, {}});
+        return;
+      }
+      Submit(call->id, *job, deadline, [answer](SubmitResult result) {
+        answer({true, static_cast<uint32_t>(result), true});
+      });
+      return;
+    }
+    case RelayKind::kState:
+      State(call->queue, call->id, [answer](const StateResult& result) {
+        const auto* state = std::get_if<jobs::JobState>(&result);
+        answer({!std::holds_alternative<std::monostate>(result),
+                state == nullptr ? 0 : static_cast<uint32_t>(*state),
+                state != nullptr});
+      });
+      return;
+    case RelayKind::kCancel:
+      Cancel(call->queue, call->id, deadline, [answer](CancelResult result) {
+        answer({true, static_cast<uint32_t>(result), true});
+      });
+      return;
+    case RelayKind::kCount:
+      CountQueued(call->queue, [answer](std::optional<size_t> count) {
+        answer({count.has_value(), static_cast<uint32_t>(count.value_or(0)),
+                true});
+      });
+      return;
+  }
+}
+
+void JobFront::PublishAddress() {
+  ports_.log.Write(
+      {kLeaderTopic,
+       {{std::string(kFrontPrefix) + settings_.leader.node,
+         settings_.leader.address}},
+       std::nullopt,
+       std::nullopt},
+      ports_.clock.Now() + kQuestionLimit,
+      [this](const keyed_log::AppendResult& result) {
+        if (std::holds_alternative<keyed_log::Stored>(result)) {
+          return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(ports_.loop,
+                                                                 kPublishPause);
+        timer->async_wait(
+            [this, timer](boost::system::error_code) { PublishAddress(); });
+      });
+}
+
+void JobFront::FollowFronts() {
+  fronts_->CatchUp([this](bool) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        ports_.loop, settings_.fronts_period);
+    timer->async_wait(
+        [this, timer](boost::system::error_code) { FollowFronts(); });
+  });
 }
 
 void JobFront::HandleReport(const http::Request& request,
--- a/src/libs/cluster/job_front.h
+++ b/src/libs/cluster/job_front.h
@@ -11,6 +11,7 @@
 
 #include "cluster/leader.h"
 #include "cluster/ports.h"
+#include "cluster/relay.h"
 #include "jobs/directory.h"
 #include "jobs/job.h"
 #include "jobs/leader_record.h"
@@ -31,6 +32,8 @@
   // What was read this recently may answer a caller without another read.
   milliseconds state_freshness{100};
   milliseconds count_freshness{700};
+  // Period at which other fronts are looked up.
+  milliseconds fronts_period{3000};
 
   friend bool operator==(const JobFrontSettings&,
                          const JobFrontSettings&) = default;
@@ -81,7 +84,11 @@
                    std::function<void(std::optional<size_t>)> done);
   void HandleReport(const http::Request& request,
                     const async_http::Respond& respond);
+  // Answers another front that the store turns away.
+  void HandleRelay(const http::Request& request,
+                   const async_http::Respond& respond);
 
+  ClusterMetrics& metrics() { return *metrics_; }
   const Leader* leader() const { return leader_.get(); }
   const jobs::LeaderRecord& leader_record() const { return leader_record_; }
 
@@ -95,12 +102,21 @@
   void ScheduleWatch(milliseconds delay);
   void ConsiderCandidacy();
   void Write(const std::shared_ptr<PendingWrite>& write);
+  void RelayWrite(const std::shared_ptr<PendingWrite>& write);
+  // Asks another front for what this one can't read.
+  void RelayQuestion(RelayKind kind,
+                     const std::string& queue,
+                     const JobId& id,
+                     std::function<void(const RelayAnswer*)> done);
+  void PublishAddress();
+  void FollowFronts();
   // Reads what was stored of jobs and progress up to now, if what is known is
   // older than `freshness`.
   void Refresh(milliseconds freshness, std::function<void(bool)> done);
 
   const JobFrontSettings settings_;
   const Ports ports_;
+  const std::unique_ptr<ClusterMetrics> metrics_;
   jobs::RouteTable routes_;
   jobs::Directory directory_;
   jobs::LeaderRecord leader_record_;
@@ -108,6 +124,8 @@
   bool has_looked_ = false;  // All that was stored at the start is read.
   std::unique_ptr<keyed_log::TopicFollower> jobs_;
   std::unique_ptr<keyed_log::TopicFollower> progress_;
+  std::unique_ptr<keyed_log::TopicFollower> fronts_;
+  Relay relay_;
   std::shared_ptr<Leader> leader_;
   boost::asio::steady_timer watch_timer_;
   bool is_stopping_ = false;
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "base/hash.h"
+#include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 
@@ -21,38 +22,14 @@
 // Pause before an append that was refused is repeated.
 constexpr milliseconds kRefusedPause(60);
 constexpr int kCandidacyTries = 3;
+// Old jobs are dropped this often and so many at once: 8,700 jobs a day end.
+constexpr milliseconds kForgetPeriod(5000);
+constexpr size_t kMostForgotten = 200;
 constexpr milliseconds kReloadPause(100);
 // The store holds the answer back for this long while no job comes: so that a
 // connection that has gone silent is noticed soon.
 constexpr milliseconds kJobsWait(1000);
 
-std::string Text(const jobs::BoardNote::Kind kind) {
-  using Kind = jobs::BoardNote::Kind;
-  switch (kind) {
-    case Kind::kRunClaimed:
-      return "claimed";
-    case Kind::kRunEnded:
-      return "ended";
-    case Kind::kRunWithdrawn:
-      return "withdrawn";
-    case Kind::kRunLost:
-      return "lost";
-    case Kind::kJobEnded:
-      return "ended";
-    case Kind::kRunnerJoined:
-      return "joined";
-    case Kind::kRunnerGone:
-      return "gone";
-    case Kind::kRunnerDraining:
-      return "draining";
-    case Kind::kRunnerSuspended:
-      return "suspended";
-    case Kind::kRunPaced:
-      return "paced";
-  }
-  return "unknown";
-}
-
 Event EventOf(const jobs::BoardNote::Kind kind) {
   using Kind = jobs::BoardNote::Kind;
   switch (kind) {
@@ -74,12 +51,14 @@
 
 Leader::Leader(const LeaderSettings& settings,
                const Ports& ports,
+               ClusterMetrics& metrics,
                jobs::Directory& directory,
                OnEnd on_end)
     : settings_(settings),
       ports_(ports),
       directory_(directory),
       on_end_(std::move(on_end)),
+      metrics_(metrics),
       step_timer_(ports.loop) {}
 
 void Leader::After(milliseconds delay, std::function<void()> action) {
@@ -200,6 +179,10 @@
 
 void Leader::OnJobRecord(const keyed_log::Record& record) {
   if (const auto id = JobOfKey(kJobPrefix, record.key)) {
+    if (record.value.empty()) {
+      directory_.Forget(*id);
+      return;
+    }
     if (auto job = jobs::Decode<jobs::Job>(record.value)) {
       directory_.OnJob(*id, *job);
       if (board_) {
@@ -209,7 +192,8 @@
         loaded_jobs_.try_emplace(*id, std::move(*job));
       }
     }
-  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key)) {
+  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key);
+             cancelled && !record.value.empty()) {
     directory_.OnCancelled(*cancelled);
     if (board_) {
       board_->Cancel(*cancelled, ports_.clock.Now());
@@ -295,6 +279,8 @@
   Flush();
   SendOrders();
   AnswerReports();
+  ForgetOldJobs();
+  metrics_.OnBoard(record_.term, board_->open_jobs(), board_->waiting_tasks());
   ScheduleStep(settings_.idle_step);
 }
 
@@ -304,7 +290,7 @@
     return;
   }
   const bool is_beat_due = now - confirmed_at_ >= settings_.beat_period;
-  if (!board_->has_changes() && !is_beat_due) {
+  if (!board_->has_changes() && forgotten_.empty() && !is_beat_due) {
     return;
   }
   if (now - written_at_ < settings_.append_gap) {
@@ -321,7 +307,10 @@
         {KeyOf(kProgressPrefix, id), jobs::Encode(progress)});
     directory_.OnProgress(id, progress);
   }
-  if (changes.jobs.empty()) {
+  for (const JobId& id : std::exchange(forgotten_, {})) {
+    append->records.push_back({KeyOf(kProgressPrefix, id), {}});
+  }
+  if (append->records.empty()) {
     ++record_.beat;
     append->records.push_back({kLeaderKey, jobs::Encode(record_)});
   }
@@ -349,6 +338,7 @@
                        const keyed_log::AppendResult& result) {
   if (std::holds_alternative<keyed_log::Stored>(result)) {
     confirmed_at_ = begun_at;
+    metrics_.OnStored(ports_.clock.Now() - begun_at);
     ++sequence_;
     is_writing_ = false;
     board_->OnStored(version);
@@ -367,6 +357,41 @@
   After(kRefusedPause, [this, append, version] { Write(append, version); });
 }
 
+void Leader::ForgetOldJobs() {
+  const Instant now = ports_.clock.Now();
+  if (is_forgetting_ || now - forgot_at_ < kForgetPeriod) {
+    return;
+  }
+  forgot_at_ = now;
+  const std::vector<JobId> ids = board_->ExpiredJobs(now, kMostForgotten);
+  if (ids.empty()) {
+    return;
+  }
+  is_forgetting_ = true;
+  keyed_log::Append append{kJobsTopic, {}, std::nullopt, std::nullopt};
+  for (const JobId& id : ids) {
+    append.records.push_back({KeyOf(kJobPrefix, id), {}});
+    append.records.push_back({KeyOf(kCancelPrefix, id), {}});
+  }
+  ports_.log.Write(
+      append, now + kAppendLimit,
+      [weak = weak_from_this(), ids](const keyed_log::AppendResult& result) {
+        const auto self = weak.lock();
+        if (!self || self->has_ended_) {
+          return;
+        }
+        self->is_forgetting_ = false;
+        if (!std::holds_alternative<keyed_log::Stored>(result)) {
+          return;  // Tried again with the next period.
+        }
+        for (const JobId& id : ids) {
+          self->board_->Forget(id);
+          self->directory_.Forget(id);
+          self->forgotten_.push_back(id);
+        }
+      });
+}
+
 void Leader::SendOrders() {
   const Instant now = ports_.clock.Now();
   for (auto& [life, orders] : board_->TakeOrders(now)) {
@@ -501,8 +526,9 @@
 }
 
 void Leader::LogNote(const jobs::BoardNote& note) const {
+  metrics_.OnNote(note);
   ports_.logger.Log(EventOf(note.kind),
-                    {{"change", Text(note.kind)},
+                    {{"change", std::string(ToText(note.kind))},
                      {"subject", note.subject},
                      {"run", static_cast<int64_t>(note.run)},
                      {"runner", note.place},
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -20,6 +20,8 @@
 
 namespace papayadrift::cluster {
 
+class ClusterMetrics;
+
 struct LeaderSettings {
   std::string node;
   std::string address;  // "ip:port" at which agents report.
@@ -48,6 +50,7 @@
 
   Leader(const LeaderSettings& settings,
          const Ports& ports,
+         ClusterMetrics& metrics,
          jobs::Directory& directory,
          OnEnd on_end);
   Leader(const Leader&) = delete;
@@ -95,6 +98,9 @@
                  Instant begun_at,
                  const keyed_log::AppendResult& result);
   void SendOrders();
+  // Drops jobs that ended long ago: first from the topic of jobs, so that no
+  // later leader takes one for new.
+  void ForgetOldJobs();
   void Answer(const PendingReport& report);
   void AnswerReports();
   void Resign();
@@ -121,7 +127,11 @@
   std::unique_ptr<keyed_log::TopicFollower> jobs_feed_;
   std::unique_ptr<keyed_log::TopicFollower> progress_feed_;
   std::optional<jobs::Board> board_;
+  ClusterMetrics& metrics_;
   bool is_writing_ = false;
+  bool is_forgetting_ = false;
+  Instant forgot_at_;
+  std::vector<JobId> forgotten_;  // Their progress is still stored.
   Instant written_at_;
   Instant stepped_at_;
   boost::asio::steady_timer step_timer_;
--- /dev/null
+++ b/src/libs/cluster/relay.cpp
@@ -0,0 +1,118 @@
+#include "cluster/relay.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <variant>
+
+#include "cluster/topics.h"
+#include "records/packing.h"
+
+namespace papayadrift::cluster {
+namespace {
+
+// Time that one front has to answer: some appends to a slow store.
+constexpr milliseconds kPeerLimit(800);
+
+}  // namespace
+
+// Found by argument-dependent lookup, so not in an unnamed namespace.
+static auto Fields(RelayCall& value) {
+  return std::tie(value.kind, value.queue, value.id, value.job,
+                  value.remaining_ms);
+}
+static auto Fields(RelayAnswer& value) {
+  return std::tie(value.is_known, value.value, value.has_job);
+}
+
+std::string Encode(const RelayCall& call) {
+  return records::PackToBytes(call);
+}
+
+std::string Encode(const RelayAnswer& answer) {
+  return records::PackToBytes(answer);
+}
+
+std::optional<RelayCall> DecodeRelayCall(std::string_view bytes) {
+  return records::UnpackFromBytes<RelayCall>(bytes);
+}
+
+std::optional<RelayAnswer> DecodeRelayAnswer(std::string_view bytes) {
+  return records::UnpackFromBytes<RelayAnswer>(bytes);
+}
+
+struct Relay::Attempt {
+  RelayCall call;
+  std::vector<std::string> addresses;  // Those left, the next last.
+  Instant deadline;
+  Done done;
+  Outcome outcome;
+};
+
+Relay::Relay(const Ports& ports, std::string own_address)
+    : ports_(ports), own_address_(std::move(own_address)) {}
+
+void Relay::AddPeer(const std::string& node, const std::string& address) {
+  if (address == own_address_ || address.empty()) {
+    return;
+  }
+  peers_[node] = address;
+}
+
+void Relay::Send(const RelayCall& call,
+                 const std::string& preferred,
+                 Instant deadline,
+                 Done done) {
+  auto attempt = std::make_shared<Attempt>();
+  attempt->call = call;
+  attempt->deadline = deadline;
+  attempt->done = std::move(done);
+  for (const auto& [node, address] : peers_) {
+    if (address != preferred) {
+      attempt->addresses.push_back(address);
+    }
+  }
+  if (!preferred.empty() && preferred != own_address_) {
+    attempt->addresses.push_back(preferred);
+  }
+  TryNext(attempt);
+}
+
+void Relay::TryNext(const std::shared_ptr<Attempt>& attempt) {
+  const Instant now = ports_.clock.Now();
+  if (attempt->addresses.empty() || now >= attempt->deadline) {
+    attempt->done(attempt->outcome);
+    return;
+  }
+  const std::string address = std::move(attempt->addresses.back());
+  attempt->addresses.pop_back();
+  const Instant limit = std::min(attempt->deadline, now + kPeerLimit);
+  attempt->call.remaining_ms =
+      std::chrono::floor<milliseconds>(limit - now).count();
+  http::Request request;
+  request.method = "POST";
+  request.path = kRelayPath;
+  request.body = Encode(attempt->call);
+  ports_.client.Send(
+      address, request, limit,
+      [this, attempt](const http::ClientResult& result) {
+        const auto* failure = std::get_if<http::ClientFailure>(&result);
+        if (failure == nullptr) {
+          const auto& response = std::get<http::Response>(result);
+          const auto answer = DecodeRelayAnswer(response.body);
+          if (answer && answer->is_known) {
+            attempt->outcome.answer = answer;
+            attempt->done(attempt->outcome);
+            return;
+          }
+          // One that can't be read may still have acted.
+          attempt->outcome.may_be_done |= !answer && response.status == 200;
+        } else if (*failure != http::ClientFailure::kNotConnected &&
+                   *failure != http::ClientFailure::kRefused) {
+          attempt->outcome.may_be_done = true;
+        }
+        TryNext(attempt);
+      });
+}
+
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/src/libs/cluster/relay.h
@@ -0,0 +1,80 @@
+#ifndef PAPAYADRIFT_CLUSTER_RELAY_H_
+#define PAPAYADRIFT_CLUSTER_RELAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/identifiers.h"
+#include "cluster/ports.h"
+
+// Calls that a front can't answer itself, as the store turns it away, go to
+// another front that the store still serves.
+
+namespace papayadrift::cluster {
+
+enum class RelayKind { kSubmit, kState, kCancel, kCount };
+
+struct RelayCall {
+  RelayKind kind = RelayKind::kState;
+  std::string queue;
+  JobId id;
+  std::string job;           // Encoded; of a submission.
+  int64_t remaining_ms = 0;  // Time that the caller still waits.
+
+  friend bool operator==(const RelayCall&, const RelayCall&) = default;
+};
+
+struct RelayAnswer {
+  // Whether the other front knows; if not, it has done nothing.
+  bool is_known = false;
+  // A SubmitResult, JobState, CancelResult or count, by the kind of call.
+  uint32_t value = 0;
+  bool has_job = true;  // Of a question about a job.
+
+  friend bool operator==(const RelayAnswer&, const RelayAnswer&) = default;
+};
+
+std::string Encode(const RelayCall& call);
+std::string Encode(const RelayAnswer& answer);
+std::optional<RelayCall> DecodeRelayCall(std::string_view bytes);
+std::optional<RelayAnswer> DecodeRelayAnswer(std::string_view bytes);
+
+// The other fronts, and calls to them.
+class Relay {
+ public:
+  // What came of a call: an answer, nothing done, or not known.
+  struct Outcome {
+    std::optional<RelayAnswer> answer;
+    bool may_be_done = false;
+  };
+  using Done = std::function<void(const Outcome&)>;
+
+  Relay(const Ports& ports, std::string own_address);
+
+  void AddPeer(const std::string& node, const std::string& address);
+  bool has_peers() const { return !peers_.empty(); }
+  // Asks one front after the other until one knows; `preferred` comes first.
+  void Send(const RelayCall& call,
+            const std::string& preferred,
+            Instant deadline,
+            Done done);
+
+ private:
+  struct Attempt;
+
+  void TryNext(const std::shared_ptr<Attempt>& attempt);
+
+  const Ports ports_;
+  const std::string own_address_;
+  std::map<std::string, std::string> peers_;  // Address by node.
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_RELAY_H_
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -306,6 +306,9 @@
         is_finding_ = false;
         if (const auto* read = std::get_if<keyed_log::Records>(&result)) {
           for (const keyed_log::StoredRecord& stored : read->records) {
+            if (stored.record.key != kLeaderKey) {
+              continue;
+            }
             const auto leader =
                 jobs::Decode<jobs::LeaderRecord>(stored.record.value);
             if (leader && leader->term > leader_.term) {
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -20,6 +20,8 @@
 inline constexpr char kLeaderTopic[] = "leader";
 
 inline constexpr char kLeaderKey[] = "leader";
+// Addresses of the fronts, in the topic of the leader.
+inline constexpr std::string_view kFrontPrefix = "front/";
 inline constexpr std::string_view kJobPrefix = "j/";
 inline constexpr std::string_view kCancelPrefix = "c/";
 inline constexpr std::string_view kProgressPrefix = "p/";
@@ -30,6 +32,7 @@
 // Paths between the processes of a cluster.
 inline constexpr char kReportPath[] = "/internal/v1/reports";
 inline constexpr char kOrdersPath[] = "/internal/v1/orders";
+inline constexpr char kRelayPath[] = "/internal/v1/relay";
 
 inline std::string KeyOf(std::string_view prefix, const JobId& id) {
   return std::string(prefix) + id.text();
--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -37,6 +37,33 @@
   int64_t rest_ms = 0;
 };
 
+std::string_view ToText(BoardNote::Kind kind) {
+  using Kind = BoardNote::Kind;
+  switch (kind) {
+    case Kind::kRunClaimed:
+      return "claimed";
+    case Kind::kRunEnded:
+      return "ended";
+    case Kind::kRunWithdrawn:
+      return "withdrawn";
+    case Kind::kRunLost:
+      return "lost";
+    case Kind::kJobEnded:
+      return "ended";
+    case Kind::kRunnerJoined:
+      return "joined";
+    case Kind::kRunnerGone:
+      return "gone";
+    case Kind::kRunnerDraining:
+      return "draining";
+    case Kind::kRunnerSuspended:
+      return "suspended";
+    case Kind::kRunPaced:
+      return "paced";
+  }
+  return "unknown";
+}
+
 Board::Board(const BoardSettings& settings, Instant now, NoteListener notes)
     : settings_(settings), begun_at_(now), notes_(std::move(notes)) {}
 
@@ -83,6 +110,7 @@
   entry->progress = std::move(progress);
   if (entry->progress.outcome != JobOutcome::kOpen) {
     open_.erase(id);
+    entry->ended_at = begun_at_;
   }
   const auto& occurrences = entry->progress.occurrences;
   for (uint32_t k = 0; k < occurrences.size(); ++k) {
@@ -448,6 +476,7 @@
 void Board::CloseJob(const JobId& id, JobOutcome outcome, Instant now) {
   Entry& entry = jobs_.at(id);
   entry.progress.outcome = outcome;
+  entry.ended_at = now;
   open_.erase(id);
   Change(id);
   Note(BoardNote::Kind::kJobEnded, id.text(), 0, {},
@@ -698,6 +727,18 @@
   return true;
 }
 
+std::vector<JobId> Board::ExpiredJobs(Instant now, size_t most) const {
+  std::vector<JobId> expired;
+  for (const auto& [id, entry] : jobs_) {
+    if (expired.size() < most && !open_.contains(id) &&
+        !changed_jobs_.contains(id) &&
+        now - entry.ended_at > settings_.retention) {
+      expired.push_back(id);
+    }
+  }
+  return expired;
+}
+
 Board::Changes Board::TakeChanges() {
   Changes changes{version_, {}};
   for (const JobId& id : changed_jobs_) {
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -51,7 +52,7 @@
   // Pause of a runner on which a run stands still.
   milliseconds stall_pause{4000};
   // Ended jobs are kept this long for callers that ask.
-  milliseconds retention{120000};
+  milliseconds retention{180000};
 
   friend bool operator==(const BoardSettings&, const BoardSettings&) = default;
 };
@@ -77,6 +78,9 @@
   std::string reason;  // What decided it.
 };
 
+// Returns for example "claimed", for logs and metrics.
+std::string_view ToText(BoardNote::Kind kind);
+
 using NoteListener = std::function<void(const BoardNote&)>;
 
 // All jobs and runners as the leader sees them, and every decision about them.
@@ -115,6 +119,11 @@
   // Lets leases lapse and claims room for work that is ready.
   void Advance(Instant now, int64_t unix_ms);
 
+  // Jobs that ended longer ago than they have to be kept, at most so many.
+  std::vector<JobId> ExpiredJobs(Instant now, size_t most) const;
+  // Drops a job that has ended; what is stored of it must be dropped before.
+  void Forget(const JobId& id) { jobs_.erase(id); }
+
   Changes TakeChanges();
   bool has_changes() const { return !changed_jobs_.empty(); }
   // Version that covers every change made so far.
@@ -133,6 +142,7 @@
     Job job;
     JobProgress progress;
     std::map<TaskKey, RunnerLife> failed_on;
+    Instant ended_at;  // Of a job that is not open.
   };
   struct ReadyStep;
 
--- a/src/libs/keyed_log/answer_limit.cpp
+++ b/src/libs/keyed_log/answer_limit.cpp
@@ -6,10 +6,10 @@
 namespace {
 
 // The store answers in milliseconds; the lower bound leaves room for a busy
-// process that reads the answer late, the upper one for an answer that takes a
-// hundred times as long.
+// process that reads the answer late, the upper one for answers that take a
+// hundred times as long; the end of an outage is seen within it.
 constexpr milliseconds kShortest(150);
-constexpr milliseconds kLongest(2000);
+constexpr milliseconds kLongest(1000);
 // Multiple of the smoothed latency: few answers take longer.
 constexpr int kLatencies = 8;
 constexpr int kSmoothing = 8;  // Answers that the smoothed latency averages.
--- a/src/libs/keyed_log/keyed_log.h
+++ b/src/libs/keyed_log/keyed_log.h
@@ -93,6 +93,9 @@
  public:
   virtual ~KeyedLog() = default;
 
+  // Whether the store has answered none of the last calls: another is likely
+  // to fail too.
+  virtual bool is_out() const = 0;
   virtual void Write(const Append& append,
                      Instant deadline,
                      std::function<void(AppendResult)> done) = 0;
--- a/tests/auto/keyed_log/fake_keyed_log.h
+++ b/tests/auto/keyed_log/fake_keyed_log.h
@@ -17,6 +17,7 @@
 // repeats are treated as the platform treats them.
 class FakeKeyedLog : public KeyedLog {
  public:
+  bool is_out() const override { return is_down_; }
   void Write(const Append& append,
              Instant deadline,
              std::function<void(AppendResult)> done) override;
