Cluster: A leader that the store does not confirm sends agents away

Change: without a stored append for 1.3 s reports are answered with 409, upon which agents look the leader up.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -432,7 +432,10 @@
     return;
   }
   const Instant now = ports_.clock.Now();
-  if (!is_leading_ || !board_->OnReport(*report, now)) {
+  const bool is_taken = is_leading_ && board_->OnReport(*report, now);
+  // A leader that the store no longer confirms may have a successor: agents
+  // have to look for it while their leases last.
+  if (!is_taken || now - confirmed_at_ > settings_.confirmation_limit) {
     respond({409, {}, {}});
     return;
   }
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -30,6 +30,9 @@
   milliseconds append_gap{10};
   // An idle leader shows that it is there this often.
   milliseconds beat_period{300};
+  // Time without a stored append after which agents are sent to look for
+  // another leader: about when one may have been elected.
+  milliseconds confirmation_limit{1300};
   // Longest time without a look at leases and orders that are due.
   milliseconds idle_step{50};
   // Time that an agent has to carry out orders.
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -67,6 +67,26 @@
   first->Stop();
 }
 
+// A leader that was cut off from the store once kept all agents to itself until
+// their leases had lapsed, while another had been elected.
+TEST_F(LeaderTest, LeaderThatIsNotConfirmedSendsAgentsAway) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign({}, 0);
+  log_.Settle();
+  jobs::RunnerReport report;
+  report.life = {"agent", "instance", 1};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  int status = 0;
+  const auto respond = [&](const http::Response& it) { status = it.status; };
+  leader->HandleReport(request, respond);
+  EXPECT_EQ(status, 200);
+  clock_.Advance(LeaderSettings().confirmation_limit + milliseconds(1));
+  leader->HandleReport(request, respond);
+  EXPECT_EQ(status, 409);
+  leader->Stop();
+}
+
 TEST_F(LeaderTest, LeaderThatStopsSaysSo) {
   const auto leader = MakeLeader("node-1");
   leader->Campaign({}, 0);
