--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -83,6 +83,10 @@
          ports_.clock.Now() - store_seen_at_ < kStoreSilence;
 }
 
+milliseconds JobFront::store_age() const {
+  return std::chrono::floor<milliseconds>(ports_.clock.Now() - store_seen_at_);
+}
+
 void JobFront::SetRoutes(const jobs::RouteTable& routes) {
   if (routes.version <= routes_.version) {
     return;
--- a/src/libs/cluster/job_front.h
+++ b/src/libs/cluster/job_front.h
@@ -65,6 +65,8 @@
   const jobs::RouteTable& routes() const { return routes_; }
   // Whether it makes sense to send callers here.
   bool is_ready() const;
+  // Time since the last call began that the store answered.
+  milliseconds store_age() const;
   // Gives leadership up, if it has it.
   void Stop();
 
--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -660,7 +660,12 @@
   run.target_ms = ready.rank.target_ms;
   run.useless_ms = ready.rank.useless_ms;
   Note(BoardNote::Kind::kRunClaimed, ToText(task), number,
-       ToText(place.report.life));
+       ToText(place.report.life),
+       "Its report was " +
+           std::to_string(
+               std::chrono::floor<milliseconds>(now - place.heard_at).count()) +
+           " ms old, under configuration " + std::to_string(routes_.version) +
+           ".");
   fleet_.Get(place.report.life).runs[task] = std::move(run);
 }
 
