--- a/tests/auto/jobs/pace_plan_test.cpp
+++ b/tests/auto/jobs/pace_plan_test.cpp
@@ -44,8 +44,8 @@
   void Teach(const std::string& serving, const std::string& filler, double w) {
     for (int64_t i = 0; i < 60; ++i) {
       const double share = i / 4 % 2 == 0 ? 0.0 : 0.2;
-      interference_.Observe({JobId("t" + serving + filler), 0, 0, 0}, serving,
-                            4.0 - w * share, {{filler, share}}, At(i * 500));
+      interference_.Observe({JobId(filler), 0, 0, 0}, serving, 4.0 - w * share,
+                            {{filler, share}}, At(i * 500));
     }
   }
 
