Jobs: Starts fillers that waited long, and moves those that stand long

A job's next step waited behind fillers that were paced down to nothing and held all that serving tasks left. Change: a filler starts without room after 1.5 s, one for each step; one that is slow for four seconds moves though its work is not saved.

--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -674,6 +674,11 @@
   const Service* service = routes_.FindService(ready.queue->service);
   auto& tasks =
       ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
+  const std::pair position(ready.occurrence, ready.step);
+  const auto [since, is_new] =
+      ready.entry->waiting_since.try_emplace(position, now);
+  bool has_waited =
+      step.is_filler && now - since->second >= settings_.longest_wait;
   bool has_room = true;
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].phase != TaskPhase::kWaiting) {
@@ -685,17 +690,20 @@
       PlacementRequest request{task, &step, ready.queue->service,
                                service != nullptr && service->guards_capacity,
                                std::nullopt};
+      request.has_waited = has_waited;
       if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
         request.avoided = *failed;
       }
       place = ChooseRunner(fleet_, interference_, request, now);
       has_room = place != nullptr;
+      has_waited = false;
     }
     if (place == nullptr) {
       ++waiting_tasks_;
       continue;
     }
     Claim(task, tasks[i].run + 1, step, *place, ready, now);
+    since->second = now;
   }
 }
 
@@ -888,7 +896,8 @@
                            run.pace_percent < settings_.slow_percent &&
                            now - run.slow_since >= settings_.slow_limit;
       if (is_slow && open_.contains(task.job) &&
-          (!run.checkpoint.empty() || run.percent <= kMostUnsavedPercent) &&
+          (!run.checkpoint.empty() || run.percent <= kMostUnsavedPercent ||
+           now - run.slow_since >= settings_.very_slow_limit) &&
           WouldGainElsewhere(runner, task, run, now)) {
         Withdraw(runner, task, run, "It would get on faster elsewhere.", now);
         // One at a time, as each takes room from the next.
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -44,6 +44,11 @@
   // elsewhere; what it has saved goes with it.
   uint32_t slow_percent = 30;
   milliseconds slow_limit{1500};
+  // One whose work is not saved moves too once it has been slow for so long.
+  milliseconds very_slow_limit{4000};
+  // A filler starts without room after this time, one for each step: users
+  // allow three seconds.
+  milliseconds longest_wait{1500};
   // Period at which that is looked at.
   milliseconds relocation_period{500};
   // A run at full pace that shows no progress for so long stands still: tasks
@@ -143,6 +148,8 @@
     JobProgress progress;
     std::map<TaskKey, RunnerLife> failed_on;
     Instant ended_at;  // Of a job that is not open.
+    // Since when tasks of a step wait for room: by occurrence and step.
+    std::map<std::pair<uint32_t, uint32_t>, Instant> waiting_since;
   };
   struct ReadyStep;
 
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -47,12 +47,13 @@
   return left;
 }
 
-bool HasRoom(const Runner& runner, const Step& step) {
+bool HasRoom(const Runner& runner, const Step& step, bool has_waited) {
   Resources need = step.need;
   const Resources free = runner.report.capacity - runner.Used();
   if (step.is_filler) {
     need.millicores = 0;
-    return FitsIn(need, free) && step.need.millicores <= MillicoresLeft(runner);
+    return FitsIn(need, free) &&
+           (has_waited || step.need.millicores <= MillicoresLeft(runner));
   }
   return FitsIn(need, free);
 }
@@ -115,7 +116,7 @@
     if (!IsOpenFor(runner, request.service, now) ||
         (!step.required_label.empty() &&
          !runner.HasLabel(step.required_label)) ||
-        !HasRoom(runner, step)) {
+        !HasRoom(runner, step, request.has_waited)) {
       continue;
     }
     const uint32_t same_step = TasksOfStep(runner, request.task);
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -21,6 +21,8 @@
   std::string service;
   bool guards_capacity = false;
   std::optional<RunnerLife> avoided;  // Where it failed last.
+  // A filler that waits long starts also where nothing is left for it by now.
+  bool has_waited = false;
 };
 
 // Reports older than this do not count as knowledge of a runner: three of the
--- a/tests/auto/jobs/board_test.cpp
+++ b/tests/auto/jobs/board_test.cpp
@@ -315,6 +315,23 @@
   EXPECT_TRUE(is_stopped);
 }
 
+// A job of fillers once stood still behind others that were paced down to
+// nothing, and held all that serving tasks left.
+TEST_F(BoardTest, FillersThatWaitLongStartWithoutRoom) {
+  Job job = JobOf(1, 3000);
+  job.steps[0].is_filler = true;
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), job);
+  board_.AddJob(JobId("b"), job);
+  EXPECT_EQ(CountStarts(Orders(0)), 1U);
+  size_t starts = 0;
+  for (int64_t now_ms = 300; now_ms <= 1800; now_ms += 300) {
+    Report(kFirst, now_ms, {{Task(0), 1, "", 0, 0}});
+    starts += CountStarts(Orders(now_ms));
+  }
+  EXPECT_EQ(starts, 1U);
+}
+
 TEST_F(BoardTest, KeepsARunnerThatFailsEverythingOutForAWhile) {
   Report(kFirst, 0);
   for (const char* id : {"x", "y"}) {
