--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -515,6 +515,14 @@
     }
     return;
   }
+  if (const auto* pace = std::get_if<PaceOrder>(&order)) {
+    Run* run = FindOrNull(runner->runs, pace->task);
+    if (run != nullptr && run->number == pace->run &&
+        result.verdict != OrderVerdict::kDone) {
+      run->pace_unsure_until = now + settings_.late_order_limit;
+    }
+    return;
+  }
   const auto* start = std::get_if<StartOrder>(&order);
   Run* run = start == nullptr ? nullptr : FindOrNull(runner->runs, start->task);
   if (run == nullptr || run->number != start->run) {
@@ -832,8 +840,10 @@
        PlanPaces(runner, interference_, now, unix_ms_)) {
     Run& run = runner.runs.at(task);
     const bool is_rise = percent > run.pace_percent;
-    if (percent == run.pace_percent ||
-        (is_rise && now - run.paced_at < settings_.pace_settle)) {
+    const bool is_repeat = percent == run.pace_percent;
+    if (is_repeat ? now >= run.pace_unsure_until ||
+                        now - run.paced_at < settings_.pace_repeat
+                  : is_rise && now - run.paced_at < settings_.pace_settle) {
       continue;
     }
     if (percent < settings_.slow_percent &&
@@ -916,7 +926,7 @@
     const Entry* entry = FindOrNull(jobs_, task.job);
     if (entry == nullptr || run.is_long_running || !run.is_accepted ||
         run.is_withdrawn || run.started_at == Instant() ||
-        run.pace_percent == 0) {
+        run.pace_percent == 0 || now < run.pace_unsure_until) {
       continue;
     }
     const Step& step = entry->job.steps[task.step];
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -40,6 +40,10 @@
   milliseconds failure_pause{1000};
   // A pace rises again only once the last change shows in the gauges.
   milliseconds pace_settle{600};
+  // Longest time after which a runner still carries out an order that it did
+  // not answer, and the period at which a pace is given again meanwhile.
+  milliseconds late_order_limit{12000};
+  milliseconds pace_repeat{1000};
   // A filler below this pace for so long is stopped if it would get on better
   // elsewhere; what it has saved goes with it.
   uint32_t slow_percent = 30;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -34,6 +34,9 @@
   uint32_t percent = 0;
   uint32_t pace_percent = 100;  // As last ordered.
   Instant paced_at;
+  // A pace that was not answered may take effect late and over later ones; it
+  // is given again until then.
+  Instant pace_unsure_until;
   // Since the tail of a serving task is over its target.
   std::optional<Instant> over_since;
   Instant slow_since;      // Since it may not work at full pace.
--- a/tests/auto/jobs/board_test.cpp
+++ b/tests/auto/jobs/board_test.cpp
@@ -315,6 +315,35 @@
   EXPECT_TRUE(is_stopped);
 }
 
+// Replays a runner that leaves orders unanswered: a pace that may have been
+// lost is given again.
+TEST_F(BoardTest, RepeatsAPaceThatWasNotAnswered) {
+  Job serving = JobOf(1, 1000);
+  serving.steps[0].image = "s";
+  serving.steps[0].tail_target_ms = 50;
+  serving.steps[0].is_long_running = true;
+  Job filler = JobOf(1, 1000);
+  filler.steps[0].image = "f";
+  filler.steps[0].is_filler = true;
+  board_.AddJob(JobId("b"), serving);
+  board_.AddJob(JobId("a"), filler);
+  Report(kFirst, 1);
+  Orders(1);
+  const std::vector<ActiveRun> active = {
+      {Task(0), 1, "", 5, 1000}, {{JobId("b"), 0, 0, 0}, 1, "", 100, 200}};
+  size_t paces = 0;
+  for (int64_t now_ms = 500; now_ms <= 4000; now_ms += 500) {
+    Report(kFirst, now_ms, active);
+    for (const auto& [life, order] : Orders(now_ms)) {
+      if (std::holds_alternative<PaceOrder>(order)) {
+        ++paces;
+        board_.OnOrderResult(life, order, {}, At(now_ms));
+      }
+    }
+  }
+  EXPECT_GE(paces, 3U);
+}
+
 // A job of fillers once stood still behind others that were paced down to
 // nothing, and held all that serving tasks left.
 TEST_F(BoardTest, FillersThatWaitLongStartWithoutRoom) {
