Cluster: Carries the orders of a batch out side by side

Cause: orders went to the runner one after the other, so that one that it left unanswered held the others up for 0.6 s. Change: up to eight at once, 250 ms for each.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -20,6 +20,9 @@
 // Connections in a row that the runner's VM refused: one may meet a restart of
 // the listener.
 constexpr uint32_t kRefusedCallsOfEnded = 2;
+// Calls of one batch that the runner gets at once: one that it leaves
+// unanswered must not hold up the others. It takes 64 connections.
+constexpr size_t kMostCallsAtOnce = 8;
 // Longest time that unrecorded ends keep the next list waiting.
 constexpr milliseconds kRecordPause(300);
 
@@ -34,12 +37,13 @@
 
 }  // namespace
 
-// Orders of one batch on their way to the runner, one after the other.
+// Orders of one batch on their way to the runner.
 struct RunnerAgent::OrderCall {
   jobs::OrderBatch batch;
   jobs::OrderAnswer answer;
   async_http::Respond respond;
-  uint64_t generation = 0;
+  size_t next = 0;  // Of the orders, not begun yet.
+  size_t under_way = 0;
 };
 
 RunnerAgent::RunnerAgent(const RunnerAgentSettings& settings,
@@ -342,42 +346,54 @@
   auto call = std::make_shared<OrderCall>();
   call->batch = std::move(*batch);
   call->respond = respond;
-  call->generation = generation_;
+  call->answer.results.resize(call->batch.orders.size());
   if (call->batch.term > term_) {
     term_ = call->batch.term;
   }
   CarryNext(call);
 }
 
+std::optional<jobs::OrderVerdict> RunnerAgent::KnownVerdict(
+    const OrderCall& call,
+    const jobs::Order& order) const {
+  const bool is_start = std::holds_alternative<jobs::StartOrder>(order);
+  if (call.batch.term < term_) {
+    return jobs::OrderVerdict::kSuperseded;
+  }
+  if (!announced_ || has_ended_ || call.batch.life != life() ||
+      (is_start && announced_->state != jobs::RunnerState::kReady)) {
+    return jobs::OrderVerdict::kRefused;
+  }
+  if (is_start && !HasLease()) {
+    return jobs::OrderVerdict::kLate;
+  }
+  return std::nullopt;
+}
+
 void RunnerAgent::CarryNext(const std::shared_ptr<OrderCall>& call) {
-  using Verdict = jobs::OrderVerdict;
-  std::vector<jobs::OrderResult>& results = call->answer.results;
-  while (results.size() < call->batch.orders.size()) {
-    const jobs::Order& order = call->batch.orders[results.size()];
-    std::optional<Verdict> known;
-    if (call->batch.term < term_) {
-      known = Verdict::kSuperseded;
-    } else if (!announced_ || has_ended_ || call->batch.life != life() ||
-               (std::holds_alternative<jobs::StartOrder>(order) &&
-                announced_->state != jobs::RunnerState::kReady)) {
-      known = Verdict::kRefused;
-    } else if (std::holds_alternative<jobs::StartOrder>(order) && !HasLease()) {
-      known = Verdict::kLate;
-    }
-    if (known) {
-      results.push_back({*known, NowMs()});
+  const std::vector<jobs::Order>& orders = call->batch.orders;
+  while (call->next < orders.size() && call->under_way < kMostCallsAtOnce) {
+    const size_t i = call->next++;
+    ++call->under_way;
+    const auto finish = [this, call, i](jobs::OrderVerdict verdict) {
+      call->answer.results[i] = {verdict, NowMs()};
+      --call->under_way;
+    };
+    if (const auto known = KnownVerdict(*call, orders[i])) {
+      finish(*known);
       continue;
     }
-    runner_.Carry(announced_->address, announced_->instance, order,
+    runner_.Carry(announced_->address, announced_->instance, orders[i],
                   call->batch.term, runner_clock_ms_ ? LeaseOnRunner() : 0,
-                  ports_.clock.Now() + settings_.runner_limit,
-                  [this, call](Verdict verdict) {
-                    call->answer.results.push_back({verdict, NowMs()});
+                  ports_.clock.Now() + settings_.order_limit,
+                  [this, call, finish](jobs::OrderVerdict verdict) {
+                    finish(verdict);
                     CarryNext(call);
                   });
-    return;
   }
-  call->respond({200, {}, jobs::Encode(call->answer)});
+  if (call->next == orders.size() && call->under_way == 0) {
+    call->respond({200, {}, jobs::Encode(call->answer)});
+  }
 }
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -27,6 +27,8 @@
   milliseconds hold_wait{400};
   // Time that the runner has to answer, beyond that.
   milliseconds runner_limit{600};
+  // Time that it has for an order, which costs it next to nothing.
+  milliseconds order_limit{250};
 
   friend bool operator==(const RunnerAgentSettings&,
                          const RunnerAgentSettings&) = default;
@@ -71,6 +73,10 @@
   void ScheduleReport(milliseconds delay);
   void OnReported(uint64_t generation, const http::ClientResult& result);
   void FindLeader();
+  // What is known of an order without asking the runner.
+  std::optional<jobs::OrderVerdict> KnownVerdict(
+      const OrderCall& call,
+      const jobs::Order& order) const;
   void CarryNext(const std::shared_ptr<OrderCall>& call);
 
   const RunnerAgentSettings settings_;
