Cluster: Answers as a leader only while the store confirms it

Cause: a leader cut off from the store answered callers from what it knew, up to nine seconds old, and 410 for a job that another front had stored just before. Change: an unconfirmed leader asks like any other front; a leader reads the jobs again before it says that there is none. The board's sources are split in two; both programs share one main; unused members are gone.

--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -189,15 +189,25 @@
   leader_->Campaign(leader_record_, progress_->next());
 }
 
-void JobFront::Refresh(milliseconds freshness, std::function<void(bool)> done) {
+void JobFront::Refresh(milliseconds freshness,
+                       bool is_job_known,
+                       std::function<void(bool)> done) {
   const Instant begun_at = ports_.clock.Now();
   if (!is_leading() && ports_.log.is_out()) {
     done(false);
     return;
   }
-  if (is_leading() ||
-      std::min(jobs_->caught_up_at(), progress_->caught_up_at()) + freshness >=
-          begun_at) {
+  if (is_leading()) {
+    if (is_job_known) {
+      done(true);
+    } else {
+      // Another front may have stored it just now.
+      jobs_->CatchUp(std::move(done));
+    }
+    return;
+  }
+  if (std::min(jobs_->caught_up_at(), progress_->caught_up_at()) + freshness >=
+      begun_at) {
     done(true);
     return;
   }
@@ -281,26 +291,27 @@
     done(*known);
     return;
   }
-  Refresh(settings_.state_freshness, [this, queue, id,
-                                      done = std::move(done)](bool is_fresh) {
-    const auto state = directory_.StateOf(queue, id);
-    if (state) {
-      done(*state);
-    } else if (is_fresh) {
-      done(JobUnknown{});
-    } else {
-      RelayQuestion(RelayKind::kState, queue, id,
-                    [done](const RelayAnswer* answer) {
-                      if (answer == nullptr) {
-                        done(std::monostate{});
-                      } else if (answer->has_job) {
-                        done(static_cast<jobs::JobState>(answer->value));
-                      } else {
-                        done(JobUnknown{});
-                      }
-                    });
-    }
-  });
+  Refresh(settings_.state_freshness, known.has_value(),
+          [this, queue, id, done = std::move(done)](bool is_fresh) {
+            const auto state = directory_.StateOf(queue, id);
+            if (state) {
+              done(*state);
+            } else if (is_fresh) {
+              done(JobUnknown{});
+            } else {
+              RelayQuestion(
+                  RelayKind::kState, queue, id,
+                  [done](const RelayAnswer* answer) {
+                    if (answer == nullptr) {
+                      done(std::monostate{});
+                    } else if (answer->has_job) {
+                      done(static_cast<jobs::JobState>(answer->value));
+                    } else {
+                      done(JobUnknown{});
+                    }
+                  });
+            }
+          });
 }
 
 void JobFront::Cancel(const std::string& queue,
@@ -336,18 +347,19 @@
 
 void JobFront::CountQueued(const std::string& queue,
                            std::function<void(std::optional<size_t>)> done) {
-  Refresh(settings_.count_freshness, [this, queue,
-                                      done = std::move(done)](bool is_fresh) {
-    if (is_fresh) {
-      done(directory_.CountQueued(queue));
-      return;
-    }
-    RelayQuestion(
-        RelayKind::kCount, queue, JobId(), [done](const RelayAnswer* answer) {
-          done(answer == nullptr ? std::nullopt
-                                 : std::optional<size_t>(answer->value));
-        });
-  });
+  Refresh(settings_.count_freshness, true,
+          [this, queue, done = std::move(done)](bool is_fresh) {
+            if (is_fresh) {
+              done(directory_.CountQueued(queue));
+              return;
+            }
+            RelayQuestion(RelayKind::kCount, queue, JobId(),
+                          [done](const RelayAnswer* answer) {
+                            done(answer == nullptr
+                                     ? std::nullopt
+                                     : std::optional<size_t>(answer->value));
+                          });
+          });
 }
 
 void JobFront::RelayWrite(const std::shared_ptr<PendingWrite>& write) {
--- a/src/libs/cluster/job_front.h
+++ b/src/libs/cluster/job_front.h
@@ -45,8 +45,8 @@
   kUnknown,    // It may be stored.
 };
 
-// Nothing stands for: the store could not be read.
-struct JobUnknown {};
+struct JobUnknown {};  // No such job was accepted.
+// std::monostate: neither the store nor another front could be asked.
 using StateResult = std::variant<jobs::JobState, JobUnknown, std::monostate>;
 enum class CancelResult { kCancelled, kNoSuchJob, kFailed };
 
@@ -90,14 +90,11 @@
   void HandleRelay(const http::Request& request,
                    const async_http::Respond& respond);
 
-  ClusterMetrics& metrics() { return *metrics_; }
-  const Leader* leader() const { return leader_.get(); }
-  const jobs::LeaderRecord& leader_record() const { return leader_record_; }
-
  private:
   struct PendingWrite;
 
-  bool is_leading() const { return leader_ && leader_->is_leading(); }
+  // Whether this process leads, and so knows all there is to know.
+  bool is_leading() const { return leader_ && leader_->is_confirmed(); }
   void OnJobRecord(const keyed_log::Record& record);
   void OnProgressRecord(const keyed_log::Record& record);
   void Watch();
@@ -113,8 +110,10 @@
   void PublishAddress();
   void FollowFronts();
   // Reads what was stored of jobs and progress up to now, if what is known is
-  // older than `freshness`.
-  void Refresh(milliseconds freshness, std::function<void(bool)> done);
+  // older than `freshness`. A leader reads only when a job is not known to it.
+  void Refresh(milliseconds freshness,
+               bool is_job_known,
+               std::function<void(bool)> done);
 
   const JobFrontSettings settings_;
   const Ports ports_;
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -424,6 +424,11 @@
   }
 }
 
+bool Leader::is_confirmed() const {
+  return is_leading_ &&
+         ports_.clock.Now() - confirmed_at_ <= settings_.confirmation_limit;
+}
+
 void Leader::HandleReport(const http::Request& request,
                           const async_http::Respond& respond) {
   const auto report = jobs::Decode<jobs::RunnerReport>(request.body);
@@ -435,7 +440,7 @@
   const bool is_taken = is_leading_ && board_->OnReport(*report, now);
   // A leader that the store no longer confirms may have a successor: agents
   // have to look for it while their leases last.
-  if (!is_taken || now - confirmed_at_ > settings_.confirmation_limit) {
+  if (!is_taken || !is_confirmed()) {
     respond({409, {}, {}});
     return;
   }
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -68,6 +68,9 @@
   void Stop();
 
   bool is_leading() const { return is_leading_; }
+  // Whether the store has confirmed the term lately. If not, another process
+  // may lead, and what this one knows may be out of date.
+  bool is_confirmed() const;
   uint64_t term() const { return record_.term; }
   const jobs::Board* board() const { return board_ ? &*board_ : nullptr; }
 
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -51,8 +51,6 @@
   void HandleOrders(const http::Request& request,
                     const async_http::Respond& respond);
 
-  const std::optional<Announcement>& runner() const { return announced_; }
-
  private:
   struct OrderCall;
 
--- /dev/null
+++ b/src/libs/jobs/board_runs.cpp
@@ -0,0 +1,564 @@
+// What a board makes of runs: reports of runners, orders to them, and how the
+// runs end. Jobs and places are in board.cpp.
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "base/lookup.h"
+#include "jobs/board.h"
+#include "jobs/pace_plan.h"
+#include "jobs/runner_choice.h"
+
+namespace papayadrift::jobs {
+
+bool Board::OnReport(const RunnerReport& report, Instant now) {
+  const RunnerLife& life = report.life;
+  if (fleet_.IsOutlived(life)) {
+    return false;
+  }
+  for (const RunnerLife& older : fleet_.OlderLives(life)) {
+    Lose(older, "A later life of the runner has begun.", now);
+  }
+  if (report.state == RunnerState::kGone) {
+    Lose(life, "The agent says that the runner has ended.", now);
+    return true;
+  }
+  Runner& runner = fleet_.Get(life);
+  const bool is_new = !runner.is_heard;
+  const bool was_ready = is_new || runner.report.state == RunnerState::kReady;
+  runner.report = report;
+  runner.report.active.clear();
+  runner.report.ended.clear();
+  runner.is_heard = true;
+  runner.heard_at = now;
+  runner.alive_until = std::max(runner.alive_until, now);
+  if (is_new) {
+    Note(BoardNote::Kind::kRunnerJoined, ToText(life), 0, report.service);
+  }
+  if (was_ready && report.state == RunnerState::kDraining) {
+    Note(BoardNote::Kind::kRunnerDraining, ToText(life));
+  }
+  if (report.listed_at_ms > 0) {
+    ReadLists(runner, report, now);
+    JudgeProgress(runner, now);
+    Pace(runner, now);
+  }
+  return true;
+}
+
+void Board::ReadLists(Runner& runner, const RunnerReport& report, Instant now) {
+  for (const ActiveRun& active : report.active) {
+    Run* run = FindOrNull(runner.runs, active.task);
+    if (run == nullptr || run->number != active.run) {
+      continue;
+    }
+    run->is_accepted = true;
+    run->accepted_at_ms = std::min(run->accepted_at_ms, report.listed_at_ms);
+    run->gauge = active.gauge;
+    if (!run->is_serving || run->gauge <= run->tail_target_ms) {
+      run->over_since.reset();
+    } else if (!run->over_since) {
+      run->over_since = now;
+    }
+    if (!active.checkpoint.empty()) {
+      run->checkpoint = active.checkpoint;
+    }
+    if (active.percent != run->percent || run->pace_percent == 0) {
+      run->percent = active.percent;
+      run->progressed_at = now;
+    }
+  }
+  ReadStrays(runner, report, now);
+  for (const EndedRun& ended : report.ended) {
+    ReadEnd(runner, ended, now);
+  }
+  std::vector<TaskKey> absent;
+  for (const TaskKey& task : runner.runs | std::views::keys) {
+    const Run& run = runner.runs.at(task);
+    const bool is_listed =
+        std::ranges::any_of(report.active, [&](const ActiveRun& active) {
+          return active.task == task && active.run == run.number;
+        });
+    if (!is_listed) {
+      absent.push_back(task);
+    }
+  }
+  for (const TaskKey& task : absent) {
+    // Reading the absence of one member of a gang may remove others.
+    if (Run* run = FindOrNull(runner.runs, task)) {
+      ReadAbsence(runner, task, *run, report.listed_at_ms, now);
+    }
+  }
+}
+
+void Board::ReadStrays(Runner& runner,
+                       const RunnerReport& report,
+                       Instant now) {
+  std::map<TaskKey, StrayRun> strays;
+  for (const ActiveRun& active : report.active) {
+    const Run* run = FindOrNull(runner.runs, active.task);
+    if (run != nullptr && run->number == active.run) {
+      continue;
+    }
+    const StrayRun* known = FindOrNull(runner.strays, active.task);
+    StrayRun stray;
+    if (known != nullptr && known->number == active.run) {
+      stray = *known;
+    } else {
+      stray.number = active.run;
+      stray.send_due = now;
+      if (const Step* step = FindStep(active.task)) {
+        stray.need = step->need;
+        if (step->is_filler) {
+          stray.need.millicores = 0;
+        }
+      }
+    }
+    strays.emplace(active.task, stray);
+  }
+  runner.strays = std::move(strays);
+}
+
+void Board::ReadEnd(Runner& runner, const EndedRun& ended, Instant now) {
+  if (ended.number <= runner.handled_ends) {
+    return;
+  }
+  runner.handled_ends = ended.number;
+  const Run* run = FindOrNull(runner.runs, ended.task);
+  if (run != nullptr && run->number == ended.run) {
+    if (ended.end == RunEnd::kDone) {
+      ObserveDuration(ended.task, *run, now);
+    }
+    const std::string checkpoint =
+        ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint;
+    runner.runs.erase(ended.task);
+    Note(BoardNote::Kind::kRunEnded, ToText(ended.task), ended.run,
+         ToText(runner.report.life),
+         ended.end == RunEnd::kDone     ? "done"
+         : ended.end == RunEnd::kFailed ? "failed"
+                                        : "interrupted");
+    if (ended.end == RunEnd::kDone) {
+      runner.failure_streak = 0;
+    } else if (ended.end == RunEnd::kFailed) {
+      CountFailure(runner, ended.task, now);
+    }
+    EndOfRun(ended.task, ended.end, checkpoint, runner.report.life, now);
+  }
+  runner.unstored_ends.emplace(ended.number, version_);
+  if (version_ <= stored_version_) {
+    OnStored(stored_version_);
+  }
+}
+
+void Board::CountFailure(Runner& runner, const TaskKey& task, Instant now) {
+  constexpr uint32_t kMostDoublings = 3;
+  ++runner.failure_streak;
+  if (Entry* entry = FindOrNull(jobs_, task.job)) {
+    entry->failed_on[task] = runner.report.life;
+  }
+  if (runner.failure_streak < 2) {
+    return;
+  }
+  const uint32_t doublings =
+      std::min(runner.failure_streak - 2, kMostDoublings);
+  runner.suspended_until = now + settings_.failure_pause * (1 << doublings);
+  Note(BoardNote::Kind::kRunnerSuspended, ToText(runner.report.life), 0, {},
+       std::to_string(runner.failure_streak) + " runs in a row failed there.");
+}
+
+void Board::EndOfRun(const TaskKey& task,
+                     RunEnd end,
+                     const std::string& checkpoint,
+                     const RunnerLife& life,
+                     Instant now) {
+  const Step* step = FindStep(task);
+  TaskProgress* progress = FindTask(task);
+  if (step == nullptr || progress == nullptr ||
+      progress->phase != TaskPhase::kClaimed) {
+    return;
+  }
+  if (!open_.contains(task.job)) {
+    Release(task, checkpoint);
+    return;
+  }
+  if (end == RunEnd::kDone && !step->is_long_running) {
+    Entry& entry = jobs_.at(task.job);
+    auto& tasks = entry.progress.occurrences[task.occurrence].steps[task.step];
+    if (step->is_gang) {
+      // One end stands for all members.
+      for (TaskProgress& member : tasks) {
+        member.phase = TaskPhase::kDone;
+      }
+      WithdrawGang(task, now);
+    }
+    progress->phase = TaskPhase::kDone;
+    progress->life = {};
+    progress->checkpoint.clear();
+    Change(task.job);
+    CheckCompletion(task.job, now);
+    return;
+  }
+  Release(task, checkpoint);
+  if (end == RunEnd::kFailed && !step->is_long_running) {
+    Fail(task, life, now);
+  } else if (step->is_gang) {
+    WithdrawGang(task, now);
+  }
+}
+
+void Board::Fail(const TaskKey& task, const RunnerLife& life, Instant now) {
+  Entry& entry = jobs_.at(task.job);
+  TaskProgress* progress = FindTask(task);
+  ++progress->failures;
+  Change(task.job);
+  const Queue* queue = routes_.Find(entry.job.queue);
+  const uint32_t most = queue == nullptr ? UINT32_MAX : queue->most_failures;
+  uint32_t failures = progress->failures;
+  if (entry.job.steps[task.step].is_gang) {
+    failures = 0;
+    for (const TaskProgress& member :
+         entry.progress.occurrences[task.occurrence].steps[task.step]) {
+      failures += member.failures;
+    }
+    WithdrawGang(task, now);
+  }
+  if (failures >= most) {
+    Note(BoardNote::Kind::kRunEnded, ToText(task), progress->run, ToText(life),
+         "The last of " + std::to_string(most) + " attempts failed.");
+    CloseJob(task.job, JobOutcome::kFailed, now);
+  }
+}
+
+void Board::Release(const TaskKey& task, const std::string& checkpoint) {
+  TaskProgress* progress = FindTask(task);
+  if (progress == nullptr || progress->phase != TaskPhase::kClaimed) {
+    return;
+  }
+  progress->phase = TaskPhase::kWaiting;
+  progress->life = {};
+  if (!checkpoint.empty()) {
+    progress->checkpoint = checkpoint;
+  }
+  Change(task.job);
+}
+
+void Board::Withdraw(Runner& runner,
+                     const TaskKey& task,
+                     Run& run,
+                     std::string reason,
+                     Instant now) {
+  if (run.is_withdrawn) {
+    return;
+  }
+  run.is_withdrawn = true;
+  run.send_due = now;
+  Note(BoardNote::Kind::kRunWithdrawn, ToText(task), run.number,
+       ToText(runner.report.life), std::move(reason));
+}
+
+void Board::WithdrawGang(const TaskKey& task, Instant now) {
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    for (auto& [other, run] : runner.runs) {
+      if (other.job == task.job && other.occurrence == task.occurrence &&
+          other.step == task.step && other.index != task.index) {
+        Withdraw(runner, other, run, "Another member of the gang has ended.",
+                 now);
+      }
+    }
+  }
+}
+
+void Board::ReadAbsence(Runner& runner,
+                        const TaskKey& task,
+                        Run& run,
+                        int64_t listed_at_ms,
+                        Instant now) {
+  if (run.is_withdrawn && run.is_stop_accepted &&
+      listed_at_ms >= run.stop_accepted_at_ms) {
+    const std::string checkpoint = run.checkpoint;
+    runner.runs.erase(task);
+    Release(task, checkpoint);
+    return;
+  }
+  if (!run.is_withdrawn && run.is_accepted &&
+      listed_at_ms >= run.accepted_at_ms) {
+    Withdraw(runner, task, run, "The runner no longer lists the run.", now);
+  }
+}
+
+void Board::Lose(const RunnerLife& life,
+                 const std::string& reason,
+                 Instant now) {
+  Runner* runner = fleet_.Find(life);
+  if (runner == nullptr) {
+    return;
+  }
+  Note(BoardNote::Kind::kRunnerGone, ToText(life), 0, {}, reason);
+  const std::map<TaskKey, Run> runs = std::move(runner->runs);
+  fleet_.Remove(life);
+  pace_orders_.erase(life);
+  for (const auto& [task, run] : runs) {
+    Note(BoardNote::Kind::kRunLost, ToText(task), run.number, ToText(life),
+         reason);
+    Release(task, run.checkpoint);
+    const Step* step = FindStep(task);
+    if (step != nullptr && step->is_gang) {
+      WithdrawGang(task, now);
+    }
+  }
+}
+
+void Board::OnLeaseGranted(const RunnerLife& life, Instant until) {
+  if (Runner* runner = fleet_.Find(life)) {
+    runner->alive_until = std::max(runner->alive_until, LapseOf(until));
+  }
+}
+
+void Board::OnOrderResult(const RunnerLife& life,
+                          const Order& order,
+                          const OrderResult& result,
+                          Instant now) {
+  Runner* runner = fleet_.Find(life);
+  if (runner == nullptr || result.verdict == OrderVerdict::kSuperseded) {
+    return;
+  }
+  if (const auto* stop = std::get_if<StopOrder>(&order)) {
+    Run* run = FindOrNull(runner->runs, stop->task);
+    if (run != nullptr && run->number == stop->run &&
+        result.verdict != OrderVerdict::kUnanswered) {
+      run->is_stop_accepted = true;
+      run->stop_accepted_at_ms = result.known_at_ms;
+    }
+    return;
+  }
+  if (const auto* pace = std::get_if<PaceOrder>(&order)) {
+    Run* run = FindOrNull(runner->runs, pace->task);
+    if (run != nullptr && run->number == pace->run &&
+        result.verdict != OrderVerdict::kDone) {
+      run->pace_unsure_until = now + settings_.late_order_limit;
+    }
+    return;
+  }
+  const auto* start = std::get_if<StartOrder>(&order);
+  Run* run = start == nullptr ? nullptr : FindOrNull(runner->runs, start->task);
+  if (run == nullptr || run->number != start->run) {
+    return;
+  }
+  switch (result.verdict) {
+    case OrderVerdict::kDone:
+      run->is_accepted = true;
+      run->accepted_at_ms = result.known_at_ms;
+      run->progressed_at = now;
+      run->started_at = now;
+      return;
+    case OrderVerdict::kUnanswered:
+    case OrderVerdict::kLate:
+    case OrderVerdict::kSuperseded:
+      return;  // Sent again when it is due.
+    case OrderVerdict::kOld:
+      Withdraw(*runner, start->task, *run, "The runner knows a later run.",
+               now);
+      return;
+    case OrderVerdict::kNoRoom:
+    case OrderVerdict::kBadTicket:
+    case OrderVerdict::kUnhealthy:
+    case OrderVerdict::kRefused:
+      runner->suspended_until =
+          std::max(runner->suspended_until, now + settings_.refusal_pause);
+      Withdraw(*runner, start->task, *run, "The runner refused the start.",
+               now);
+      if (run->sends == 1) {
+        // The only send did nothing, so nothing is left to stop.
+        const TaskKey task = start->task;
+        const std::string checkpoint = run->checkpoint;
+        runner->runs.erase(task);
+        Release(task, checkpoint);
+      }
+      return;
+  }
+}
+
+std::optional<Order> Board::NextOrder(const Runner& runner,
+                                      const TaskKey& task,
+                                      Run& run,
+                                      Instant now) {
+  if (now < run.send_due || run.claim_version > stored_version_) {
+    return std::nullopt;
+  }
+  if (!run.is_withdrawn) {
+    if (run.is_accepted) {
+      return std::nullopt;
+    }
+    if (runner.report.state != RunnerState::kReady ||
+        run.sends >= settings_.most_sends) {
+      run.is_withdrawn = true;
+      Note(BoardNote::Kind::kRunWithdrawn, ToText(task), run.number,
+           ToText(runner.report.life), "The start was not answered in time.");
+    }
+  }
+  run.send_due = now + settings_.resend_period;
+  if (run.is_withdrawn) {
+    return StopOrder{task, run.number};
+  }
+  ++run.sends;
+  return StartOrder{
+      task, run.number, jobs_.at(task.job).job.payload, run.checkpoint, {}};
+}
+
+std::vector<std::pair<RunnerLife, std::vector<Order>>> Board::TakeOrders(
+    Instant now) {
+  std::vector<std::pair<RunnerLife, std::vector<Order>>> batches;
+  for (auto& [life, runner] : fleet_.runners()) {
+    if (!runner.is_heard || now - runner.heard_at > kReportFreshness) {
+      continue;
+    }
+    std::vector<Order> orders;
+    for (auto& [task, run] : runner.runs) {
+      if (auto order = NextOrder(runner, task, run, now)) {
+        orders.push_back(std::move(*order));
+      }
+    }
+    for (auto& [task, stray] : runner.strays) {
+      if (now >= stray.send_due) {
+        stray.send_due = now + settings_.resend_period;
+        orders.emplace_back(StopOrder{task, stray.number});
+      }
+    }
+    const auto paced = pace_orders_.extract(life);
+    if (!paced.empty()) {
+      std::ranges::move(paced.mapped(), std::back_inserter(orders));
+    }
+    if (!orders.empty()) {
+      batches.emplace_back(life, std::move(orders));
+    }
+  }
+  return batches;
+}
+
+void Board::Pace(Runner& runner, Instant now) {
+  FollowFillerUses(runner, now);
+  for (const auto& [task, run] : runner.runs) {
+    if (run.is_serving && run.is_accepted && run.gauge > 0) {
+      interference_.Observe(task, run.image, SlackOf(run), runner.filler_uses,
+                            now);
+    }
+  }
+  std::vector<Order>& orders = pace_orders_[runner.report.life];
+  orders.clear();
+  for (const auto& [task, percent] :
+       PlanPaces(runner, interference_, now, unix_ms_)) {
+    Run& run = runner.runs.at(task);
+    const bool is_rise = percent > run.pace_percent;
+    const bool is_repeat = percent == run.pace_percent;
+    if (is_repeat ? now >= run.pace_unsure_until ||
+                        now - run.paced_at < settings_.pace_repeat
+                  : is_rise && now - run.paced_at < settings_.pace_settle) {
+      continue;
+    }
+    if (percent < settings_.slow_percent &&
+        run.pace_percent >= settings_.slow_percent) {
+      run.slow_since = now;
+    }
+    run.pace_percent = percent;
+    run.paced_at = now;
+    orders.emplace_back(PaceOrder{task, run.number, percent});
+    Note(BoardNote::Kind::kRunPaced, ToText(task), run.number,
+         ToText(runner.report.life), std::to_string(percent) + "%");
+  }
+}
+
+void Board::ObserveDuration(const TaskKey& task, const Run& run, Instant now) {
+  const Entry* entry = FindOrNull(jobs_, task.job);
+  const bool was_slowed = run.paced_at != Instant();
+  if (entry == nullptr || run.is_long_running || was_slowed ||
+      run.started_at == Instant() || run.number > 1) {
+    return;
+  }
+  durations_.Observe(
+      entry->job.queue, entry->job.steps[task.step],
+      std::chrono::floor<milliseconds>(now - run.started_at).count());
+}
+
+bool Board::WouldGainElsewhere(const Runner& runner,
+                               const TaskKey& task,
+                               const Run& run,
+                               Instant now) const {
+  const Entry& entry = jobs_.at(task.job);
+  const Step& step = entry.job.steps[task.step];
+  const Queue* queue = routes_.Find(entry.job.queue);
+  if (queue == nullptr || step.is_gang) {
+    return false;
+  }
+  const Runner* place =
+      ChooseRunner(fleet_, interference_,
+                   {task, &step, queue->service, runner.report.life}, now);
+  if (place == nullptr || place == &runner) {
+    return false;
+  }
+  const double share = static_cast<double>(run.need.millicores) /
+                       static_cast<double>(std::max<int64_t>(
+                           1, place->report.capacity.millicores));
+  return ExcessWith(*place, interference_, run.image, share) <= 0;
+}
+
+void Board::RelocateFillers(Instant now) {
+  if (now - relocated_at_ < settings_.relocation_period) {
+    return;
+  }
+  relocated_at_ = now;
+  // Work that is not saved is thrown away; little of it may be.
+  constexpr uint32_t kMostUnsavedPercent = 30;
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    for (auto& [task, run] : runner.runs) {
+      const bool is_slow = run.is_filler && run.is_accepted &&
+                           !run.is_withdrawn &&
+                           run.pace_percent < settings_.slow_percent &&
+                           now - run.slow_since >= settings_.slow_limit;
+      if (is_slow && open_.contains(task.job) &&
+          (!run.checkpoint.empty() || run.percent <= kMostUnsavedPercent ||
+           now - run.slow_since >= settings_.very_slow_limit) &&
+          WouldGainElsewhere(runner, task, run, now)) {
+        Withdraw(runner, task, run, "It would get on faster elsewhere.", now);
+        // One at a time, as each takes room from the next.
+        return;
+      }
+    }
+  }
+}
+
+void Board::JudgeProgress(Runner& runner, Instant now) {
+  constexpr double kSmoothing = 0.2;
+  // Below this a run has not shown yet how fast it is.
+  constexpr uint32_t kTellingPercent = 15;
+  constexpr double kMostSlowness = 10.0;
+  for (auto& [task, run] : runner.runs) {
+    const Entry* entry = FindOrNull(jobs_, task.job);
+    if (entry == nullptr || run.is_long_running || !run.is_accepted ||
+        run.is_withdrawn || run.started_at == Instant() ||
+        run.pace_percent == 0 || now < run.pace_unsure_until) {
+      continue;
+    }
+    const Step& step = entry->job.steps[task.step];
+    const milliseconds limit = settings_.stall_limit * 100 / run.pace_percent;
+    if (now - run.progressed_at >= limit) {
+      runner.suspended_until = now + settings_.stall_pause;
+      Note(BoardNote::Kind::kRunnerSuspended, ToText(runner.report.life), 0, {},
+           "A run stands still there.");
+      Withdraw(runner, task, run, "The run stands still.", now);
+      continue;
+    }
+    const auto expected_ms =
+        static_cast<double>(durations_.Expect(entry->job.queue, step));
+    if (run.percent >= kTellingPercent && run.paced_at == Instant() &&
+        expected_ms > 0) {
+      const auto elapsed_ms = static_cast<double>(
+          std::chrono::floor<milliseconds>(now - run.started_at).count());
+      const double ratio = std::clamp(
+          elapsed_ms * 100 / (run.percent * expected_ms), 0.2, kMostSlowness);
+      runner.slowness += (ratio - runner.slowness) * kSmoothing;
+    }
+  }
+}
+
+}  // namespace papayadrift::jobs
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -19,7 +19,6 @@
   TaskKey task;
   const Step* step = nullptr;
   std::string service;
-  bool guards_capacity = false;
   std::optional<RunnerLife> avoided;  // Where it failed last.
   // A filler that waits long starts also where nothing is left for it by now.
   bool has_waited = false;
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -84,6 +84,8 @@
   clock_.Advance(LeaderSettings().confirmation_limit + milliseconds(1));
   leader->HandleReport(request, respond);
   EXPECT_EQ(status, 409);
+  EXPECT_TRUE(leader->is_leading());
+  EXPECT_FALSE(leader->is_confirmed());
   leader->Stop();
 }
 
--- a/tests/auto/jobs/runner_choice_test.cpp
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -22,10 +22,9 @@
   }
 
   const Runner* Choose() {
-    return ChooseRunner(
-        fleet_, interference_,
-        {TaskKey{JobId("a"), 0, 0, 0}, &step_, "s", false, avoided_},
-        Instant());
+    return ChooseRunner(fleet_, interference_,
+                        {TaskKey{JobId("a"), 0, 0, 0}, &step_, "s", avoided_},
+                        Instant());
   }
 
   void AddServing(const RunnerLife& life, const std::string& image) {
