--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -48,37 +48,31 @@
       ports_(ports),
       metrics_(std::make_unique<ClusterMetrics>(ports.metrics)),
       job_writer_(kJobsTopic, ports.log, ports.clock),
-      relay_(ports, settings.leader.address),
-      watch_timer_(ports.loop) {
-  fronts_ = std::make_unique<keyed_log::TopicFollower>(
-      keyed_log::FollowerSettings{kLeaderTopic}, ports.log, ports.clock,
-      [this](const keyed_log::Record& record) {
-        if (record.key.starts_with(kFrontPrefix)) {
-          relay_.AddPeer(record.key, record.value);
-        }
-      });
-  jobs_ = std::make_unique<keyed_log::TopicFollower>(
-      keyed_log::FollowerSettings{kJobsTopic}, ports.log, ports.clock,
-      [this](const keyed_log::Record& record) { OnJobRecord(record); });
-  progress_ = std::make_unique<keyed_log::TopicFollower>(
-      keyed_log::FollowerSettings{kProgressTopic}, ports.log, ports.clock,
-      [this](const keyed_log::Record& record) { OnProgressRecord(record); });
-}
+      replica_(ports, directory_),
+      fronts_(settings.leader.node),
+      front_records_(
+          {kLeaderTopic},
+          ports.log,
+          ports.clock,
+          [this](const keyed_log::Record& record) { OnFrontRecord(record); }),
+      relay_(ports, fronts_, settings.leader.address),
+      watch_timer_(ports.loop) {}
 
 JobFront::~JobFront() = default;
 
 void JobFront::Start() {
   leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence;
   store_seen_at_ = ports_.clock.Now();
-  PublishAddress();
+  Announce();
   FollowFronts();
   Watch();
 }
 
 void JobFront::Stop() {
   is_stopping_ = true;
+  Withdraw();
   if (leader_) {
-    leader_->Stop();
+    leader_->Stop(fronts_.ChooseSuccessor());
   }
 }
 
@@ -104,32 +98,17 @@
   }
 }
 
-void JobFront::OnJobRecord(const keyed_log::Record& record) {
-  if (const auto id = JobOfKey(kJobPrefix, record.key)) {
-    if (record.value.empty()) {
-      directory_.Forget(*id);
-      return;
-    }
-    if (const auto job = jobs::Decode<jobs::Job>(record.value)) {
-      directory_.OnJob(*id, *job);
-    }
-  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key);
-             cancelled && !record.value.empty()) {
-    directory_.OnCancelled(*cancelled);
+void JobFront::OnFrontRecord(const keyed_log::Record& record) {
+  if (!record.key.starts_with(kFrontPrefix)) {
+    return;
   }
-}
-
-void JobFront::OnProgressRecord(const keyed_log::Record& record) {
-  leader_seen_at_ = ports_.clock.Now();
-  if (record.key == kLeaderKey) {
-    const auto leader = jobs::Decode<jobs::LeaderRecord>(record.value);
-    if (leader && leader->term >= leader_record_.term) {
-      leader_record_ = *leader;
-    }
-  } else if (const auto id = JobOfKey(kProgressPrefix, record.key)) {
-    if (const auto progress = jobs::Decode<jobs::JobProgress>(record.value)) {
-      directory_.OnProgress(*id, *progress);
-    }
+  if (record.value.empty()) {
+    fronts_.Remove(record.key.substr(kFrontPrefix.size()));
+  } else if (const auto front = DecodeFrontRecord(record.value)) {
+    fronts_.Put(*front);
+  } else {
+    ports_.logger.Log(Event::kMessageUnreadable,
+                      {{"from", "store"}, {"key", record.key}});
   }
 }
 
@@ -154,55 +133,103 @@
     return;
   }
   const Instant begun_at = ports_.clock.Now();
-  progress_->CatchUp([this, begun_at](bool is_caught_up) {
-    if (is_caught_up) {
-      store_seen_at_ = std::max(store_seen_at_, begun_at);
-      if (!std::exchange(has_looked_, true)) {
-        // What was stored before is no sign that the leader still lives.
-        leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence +
-                          settings_.first_look;
-      }
-      ScheduleWatch(ConsiderCandidacy());
+  replica_.CatchUpOnProgress([this, begun_at](bool is_caught_up) {
+    if (!is_caught_up) {
+      ScheduleWatch(settings_.watch_period);
       return;
     }
-    ScheduleWatch(settings_.watch_period);
+    store_seen_at_ = std::max(store_seen_at_, begun_at);
+    leader_seen_at_ = std::max(leader_seen_at_, replica_.leader_seen_at());
+    if (!std::exchange(has_looked_, true)) {
+      // What was stored before is no sign that the leader still lives.
+      leader_seen_at_ =
+          ports_.clock.Now() - settings_.leader_silence + settings_.first_look;
+    }
+    ConsiderCandidacy();
   });
 }
 
-milliseconds JobFront::ConsiderCandidacy() {
-  if (leader_ || is_stopping_) {
-    return settings_.watch_period;
-  }
-  const Instant now = ports_.clock.Now();
+Instant JobFront::StandsAt(Instant now) {
+  const jobs::LeaderRecord& last = replica_.leader();
   // Nobody has to be waited for if the last leader said that it leaves, or was
   // this process before it started again.
-  const bool is_vacant = leader_record_.term == 0 ||
-                         leader_record_.has_resigned ||
-                         leader_record_.node == settings_.leader.node;
+  const bool is_vacant =
+      last.term == 0 || last.has_resigned || last.node == settings_.leader.node;
   if (!is_vacant) {
     vacant_since_.reset();
-  } else if (!vacant_since_) {
+    const milliseconds turn(StableHash(settings_.leader.node, last.term) %
+                            kCandidacySpreadMs);
+    return leader_seen_at_ + settings_.leader_silence + turn +
+           settings_.handicap;
+  }
+  if (!vacant_since_) {
     vacant_since_ = now;
   }
-  const milliseconds turn(
-      StableHash(settings_.leader.node, leader_record_.term) %
-      kCandidacySpreadMs);
-  const Instant stands_at =
-      settings_.handicap +
-      (vacant_since_ ? *vacant_since_
-                     : leader_seen_at_ + settings_.leader_silence + turn);
+  if (last.successor.empty()) {
+    return *vacant_since_ + settings_.handicap;
+  }
+  return last.successor == settings_.leader.node
+             ? *vacant_since_
+             : *vacant_since_ + settings_.succession_grace + settings_.handicap;
+}
+
+void JobFront::ConsiderCandidacy() {
+  if (leader_ || is_stopping_) {
+    ScheduleWatch(settings_.watch_period);
+    return;
+  }
+  const Instant now = ports_.clock.Now();
+  const Instant stands_at = StandsAt(now);
   if (now < stands_at) {
-    return std::min(settings_.watch_period,
-                    std::chrono::ceil<milliseconds>(stands_at - now));
+    ScheduleWatch(std::min(settings_.watch_period,
+                           std::chrono::ceil<milliseconds>(stands_at - now)));
+  } else if (vacant_since_) {
+    Stand();
+  } else {
+    AskLeader();
   }
+}
+
+void JobFront::AskLeader() {
+  http::Request request;
+  request.method = "GET";
+  request.path = kLeaderPath;
+  ports_.client.Send(
+      replica_.leader().address, request,
+      ports_.clock.Now() + settings_.inquiry_limit,
+      [this, term = replica_.leader().term](const http::ClientResult& result) {
+        const auto* response = std::get_if<http::Response>(&result);
+        if (response != nullptr && response->status == 200) {
+          leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence +
+                            settings_.watch_period;
+          ScheduleWatch(settings_.watch_period);
+        } else if (term == replica_.leader().term && !leader_ &&
+                   !is_stopping_) {
+          Stand();
+        } else {
+          ScheduleWatch(settings_.watch_period);
+        }
+      });
+}
+
+void JobFront::Stand() {
   leader_ = std::make_shared<Leader>(
-      settings_.leader, ports_, *metrics_, directory_, [this] {
+      settings_.leader, ports_, *metrics_, directory_, replica_, [this] {
         leader_seen_at_ = ports_.clock.Now();
         boost::asio::post(ports_.loop, [this] { leader_.reset(); });
       });
   leader_->SetRoutes(routes_);
-  leader_->Campaign(leader_record_, progress_->next());
-  return settings_.watch_period;
+  leader_->Campaign();
+  ScheduleWatch(settings_.watch_period);
+}
+
+void JobFront::HandleInquiry(const async_http::Respond& respond) const {
+  respond({is_leading() ? 200 : 409, {}, {}});
+}
+
+void JobFront::HandleSuccession(const async_http::Respond& respond) {
+  respond({is_stopping_ ? 409 : 200, {}, {}});
+  Watch();
 }
 
 void JobFront::Refresh(milliseconds freshness,
@@ -218,24 +245,23 @@
       done(true);
     } else {
       // Another front may have stored it just now.
-      jobs_->CatchUp(std::move(done));
+      replica_.CatchUpOnJobs(std::move(done));
     }
     return;
   }
-  if (std::min(jobs_->caught_up_at(), progress_->caught_up_at()) + freshness >=
-      begun_at) {
+  if (replica_.caught_up_at() + freshness >= begun_at) {
     done(true);
     return;
   }
   // The job first: its progress is stored after it.
-  progress_->CatchUp(
+  replica_.CatchUpOnProgress(
       [this, begun_at, done = std::move(done)](bool is_caught_up) {
         if (!is_caught_up) {
           done(false);
           return;
         }
         store_seen_at_ = std::max(store_seen_at_, begun_at);
-        jobs_->CatchUp(done);
+        replica_.CatchUpOnJobs(done);
       });
 }
 
@@ -408,7 +434,7 @@
   }
   write->is_relayed = true;
   relay_.Send(
-      write->call, leader_record_.address, write->deadline - kAnswerMargin,
+      write->call, replica_.leader().address, write->deadline - kAnswerMargin,
       [write, give_up](const Relay::Outcome& outcome) {
         write->may_be_stored |= outcome.may_be_done;
         if (!outcome.answer) {
@@ -435,7 +461,7 @@
                              const std::string& queue,
                              const JobId& id,
                              std::function<void(const RelayAnswer*)> done) {
-  relay_.Send({kind, queue, id, {}, 0}, leader_record_.address,
+  relay_.Send({kind, queue, id, {}, 0}, replica_.leader().address,
               ports_.clock.Now() + kQuestionLimit,
               [done = std::move(done)](const Relay::Outcome& outcome) {
                 done(outcome.answer ? &*outcome.answer : nullptr);
@@ -492,11 +518,12 @@
   }
 }
 
-void JobFront::PublishAddress() {
+void JobFront::Announce() {
+  const FrontRecord record{settings_.leader.node, settings_.leader.address,
+                           settings_.started_ms, settings_.millicores};
   ports_.log.Write(
       {kLeaderTopic,
-       {{std::string(kFrontPrefix) + settings_.leader.node,
-         settings_.leader.address}},
+       {{std::string(kFrontPrefix) + record.node, Encode(record)}},
        std::nullopt,
        std::nullopt},
       ports_.clock.Now() + kQuestionLimit,
@@ -506,13 +533,27 @@
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(ports_.loop,
                                                                  kPublishPause);
-        timer->async_wait(
-            [this, timer](boost::system::error_code) { PublishAddress(); });
+        timer->async_wait([this, timer](boost::system::error_code) {
+          if (!is_stopping_) {
+            Announce();
+          }
+        });
       });
 }
 
+void JobFront::Withdraw() {
+  ports_.log.Write({kLeaderTopic,
+                    {{std::string(kFrontPrefix) + settings_.leader.node, {}}},
+                    std::nullopt,
+                    std::nullopt},
+                   ports_.clock.Now() + kQuestionLimit,
+                   [](const keyed_log::AppendResult&) {
+                     // One that stays listed costs others a call in vain.
+                   });
+}
+
 void JobFront::FollowFronts() {
-  fronts_->CatchUp([this](bool) {
+  front_records_.CatchUp([this](bool) {
     auto timer = std::make_shared<boost::asio::steady_timer>(
         ports_.loop, settings_.fronts_period);
     timer->async_wait(
--- a/src/libs/cluster/job_front.h
+++ b/src/libs/cluster/job_front.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <variant>
 
+#include "cluster/front_list.h"
+#include "cluster/job_replica.h"
 #include "cluster/leader.h"
 #include "cluster/ports.h"
 #include "cluster/relay.h"
@@ -24,6 +26,8 @@
 
 struct JobFrontSettings {
   LeaderSettings leader;
+  int64_t started_ms = 0;      // Unix time at which the process began.
+  uint32_t millicores = 1000;  // Of its VM.
   // Period at which a front that does not lead looks at the leader's signs.
   milliseconds watch_period{300};
   // A leader that showed nothing for this long is taken for lost: several of
@@ -34,6 +38,11 @@
   milliseconds handicap{0};
   // What a process that has just started needs to see a sign of a leader.
   milliseconds first_look{700};
+  // After a leader has named its successor, the others wait this long for it.
+  milliseconds succession_grace{400};
+  // A leader that shows nothing in the store has this long to say that it leads
+  // before another process stands.
+  milliseconds inquiry_limit{200};
   // What was read this recently may answer a caller without another read.
   milliseconds state_freshness{100};
   milliseconds count_freshness{700};
@@ -91,6 +100,10 @@
                    std::function<void(std::optional<size_t>)> done);
   void HandleReport(const http::Request& request,
                     const async_http::Respond& respond);
+  // Whether this process leads, for another that is about to stand.
+  void HandleInquiry(const async_http::Respond& respond) const;
+  // The leader has left, and this process should lead.
+  void HandleSuccession(const async_http::Respond& respond);
   // Answers another front that the store turns away.
   void HandleRelay(const http::Request& request,
                    const async_http::Respond& respond);
@@ -100,12 +113,15 @@
 
   // Whether this process leads, and so knows all there is to know.
   bool is_leading() const { return leader_ && leader_->is_confirmed(); }
-  void OnJobRecord(const keyed_log::Record& record);
-  void OnProgressRecord(const keyed_log::Record& record);
   void Watch();
   void ScheduleWatch(milliseconds delay);
-  // Stands for leader if it is time to. Returns when to look again.
-  milliseconds ConsiderCandidacy();
+  // Time at which this process should stand for leader.
+  Instant StandsAt(Instant now);
+  // Stands for leader if it is time to, and looks again later if not.
+  void ConsiderCandidacy();
+  // Asks the leader whether it is there, and stands if not.
+  void AskLeader();
+  void Stand();
   void Write(const std::shared_ptr<PendingWrite>& write);
   // Ends a submission: one that may have been stored by an earlier attempt is
   // not known to be lost because a later one was refused.
@@ -116,7 +132,10 @@
                      const std::string& queue,
                      const JobId& id,
                      std::function<void(const RelayAnswer*)> done);
-  void PublishAddress();
+  void Announce();
+  // Tells the others that this process leaves.
+  void Withdraw();
+  void OnFrontRecord(const keyed_log::Record& record);
   void FollowFronts();
   // Reads what was stored of jobs and progress up to now, if what is known is
   // older than `freshness`. A leader reads only when a job is not known to it.
@@ -130,13 +149,12 @@
   keyed_log::GroupWriter job_writer_;
   jobs::RouteTable routes_;
   jobs::Directory directory_;
-  jobs::LeaderRecord leader_record_;
-  Instant leader_seen_at_;
+  JobReplica replica_;
+  Instant leader_seen_at_;  // When a sign of a leader was seen last.
   std::optional<Instant> vacant_since_;  // Since no leader is to be waited for.
   bool has_looked_ = false;  // All that was stored at the start is read.
-  std::unique_ptr<keyed_log::TopicFollower> jobs_;
-  std::unique_ptr<keyed_log::TopicFollower> progress_;
-  std::unique_ptr<keyed_log::TopicFollower> fronts_;
+  FrontList fronts_;
+  keyed_log::TopicFollower front_records_;
   // Jobs of which an attempt here may have been stored, the oldest first.
   std::deque<JobId> unsure_;
   Relay relay_;
--- /dev/null
+++ b/src/libs/cluster/job_replica.cpp
@@ -0,0 +1,106 @@
+#include "cluster/job_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cluster/topics.h"
+#include "jobs/codec.h"
+
+namespace papayadrift::cluster {
+
+JobReplica::JobReplica(const Ports& ports, jobs::Directory& directory)
+    : ports_(ports),
+      directory_(directory),
+      jobs_(
+          {kJobsTopic},
+          ports.log,
+          ports.clock,
+          [this](const keyed_log::Record& record) { OnJobRecord(record); },
+          [this] {
+            content_.jobs.clear();
+            content_.cancelled.clear();
+          }),
+      progress_(
+          {kProgressTopic},
+          ports.log,
+          ports.clock,
+          [this](const keyed_log::Record& record) { OnProgressRecord(record); },
+          [this] { content_.progress.clear(); }) {}
+
+void JobReplica::WaitForJobs(milliseconds wait, Done done) {
+  jobs_.Wait(wait, std::move(done));
+}
+
+Instant JobReplica::caught_up_at() const {
+  return std::min(jobs_.caught_up_at(), progress_.caught_up_at());
+}
+
+void JobReplica::OnJobRecord(const keyed_log::Record& record) {
+  if (const auto id = JobOfKey(kJobPrefix, record.key)) {
+    if (record.value.empty()) {
+      directory_.Forget(*id);
+      content_.jobs.erase(*id);
+      content_.cancelled.erase(*id);
+      return;
+    }
+    auto job = jobs::Decode<jobs::Job>(record.value);
+    if (!job) {
+      LogUnreadable(record);
+      return;
+    }
+    directory_.OnJob(*id, *job);
+    if (listener_.on_job) {
+      listener_.on_job(*id, *job);
+    }
+    content_.jobs.insert_or_assign(*id, std::move(*job));
+  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key);
+             cancelled && !record.value.empty()) {
+    directory_.OnCancelled(*cancelled);
+    content_.cancelled.insert(*cancelled);
+    if (listener_.on_cancel) {
+      listener_.on_cancel(*cancelled);
+    }
+  }
+}
+
+void JobReplica::OnProgressRecord(const keyed_log::Record& record) {
+  leader_seen_at_ = ports_.clock.Now();
+  if (record.key == kLeaderKey) {
+    const auto leader = jobs::Decode<jobs::LeaderRecord>(record.value);
+    if (!leader) {
+      LogUnreadable(record);
+    } else if (leader->term >= leader_.term) {
+      leader_ = *leader;
+    }
+  } else if (record.key == kLearnedKey) {
+    if (auto learned = jobs::Decode<jobs::Learned>(record.value)) {
+      content_.learned = std::move(*learned);
+    } else {
+      LogUnreadable(record);
+    }
+  } else if (record.key == kAgentsKey) {
+    if (auto agents = jobs::Decode<jobs::AgentList>(record.value)) {
+      content_.agents = std::move(*agents);
+    } else {
+      LogUnreadable(record);
+    }
+  } else if (const auto id = JobOfKey(kProgressPrefix, record.key)) {
+    if (record.value.empty()) {
+      content_.progress.erase(*id);
+    } else if (auto progress = jobs::Decode<jobs::JobProgress>(record.value)) {
+      directory_.OnProgress(*id, *progress);
+      content_.progress.insert_or_assign(*id, std::move(*progress));
+    } else {
+      LogUnreadable(record);
+    }
+  }
+}
+
+void JobReplica::LogUnreadable(const keyed_log::Record& record) const {
+  ports_.logger.Log(logging::Event::kMessageUnreadable,
+                    {{"from", "store"},
+                     {"key", record.key},
+                     {"bytes", static_cast<int64_t>(record.value.size())}});
+}
+
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/src/libs/cluster/job_replica.h
@@ -0,0 +1,76 @@
+#ifndef PAPAYADRIFT_CLUSTER_JOB_REPLICA_H_
+#define PAPAYADRIFT_CLUSTER_JOB_REPLICA_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "base/instant.h"
+#include "cluster/ports.h"
+#include "jobs/directory.h"
+#include "jobs/job.h"
+#include "jobs/leader_record.h"
+#include "jobs/learned.h"
+#include "keyed_log/topic_follower.h"
+
+namespace papayadrift::cluster {
+
+// What is stored of jobs, kept up to date by a process that may come to lead:
+// it can begin to at once, without reading everything then. Answers leaders
+// that follow each other quickly while the store is slow.
+class JobReplica {
+ public:
+  struct Content {
+    std::map<JobId, jobs::Job> jobs;
+    std::set<JobId> cancelled;
+    std::map<JobId, jobs::JobProgress> progress;
+    jobs::Learned learned;
+    jobs::AgentList agents;
+  };
+  // Told of what is read of jobs from then on.
+  struct Listener {
+    std::function<void(const JobId&, const jobs::Job&)> on_job;
+    std::function<void(const JobId&)> on_cancel;
+  };
+  using Done = keyed_log::TopicFollower::Done;
+
+  // `directory` is told of everything that is read.
+  JobReplica(const Ports& ports, jobs::Directory& directory);
+  JobReplica(const JobReplica&) = delete;
+  JobReplica& operator=(const JobReplica&) = delete;
+
+  void CatchUpOnProgress(Done done) { progress_.CatchUp(std::move(done)); }
+  void CatchUpOnJobs(Done done) { jobs_.CatchUp(std::move(done)); }
+  // Reads on; the store may hold the answer back for `wait`.
+  void WaitForJobs(milliseconds wait, Done done);
+  void SetListener(Listener listener) { listener_ = std::move(listener); }
+
+  const Content& content() const { return content_; }
+  // Offset behind the last record of progress in `content()`.
+  uint64_t progress_end() const { return progress_.next(); }
+  // Everything that was stored by then is in `content()`.
+  Instant caught_up_at() const;
+  const jobs::LeaderRecord& leader() const { return leader_; }
+  // When something was read last that a leader wrote.
+  Instant leader_seen_at() const { return leader_seen_at_; }
+
+ private:
+  void OnJobRecord(const keyed_log::Record& record);
+  void OnProgressRecord(const keyed_log::Record& record);
+  // A stored record that can't be read is left out.
+  void LogUnreadable(const keyed_log::Record& record) const;
+
+  const Ports ports_;
+  jobs::Directory& directory_;
+  Content content_;
+  Listener listener_;
+  jobs::LeaderRecord leader_;
+  Instant leader_seen_at_;
+  keyed_log::TopicFollower jobs_;
+  keyed_log::TopicFollower progress_;
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_JOB_REPLICA_H_
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 #include <variant>
 
@@ -26,6 +27,9 @@
 constexpr milliseconds kForgetPeriod(5000);
 constexpr size_t kMostForgotten = 200;
 constexpr milliseconds kReloadPause(100);
+// Time that an agent or a successor has to take in that a leader has changed;
+// whoever misses it looks into the store.
+constexpr milliseconds kTellLimit(500);
 // The store holds the answer back for this long while no job comes: so that a
 // connection that has gone silent is noticed soon.
 constexpr milliseconds kJobsWait(1000);
@@ -55,10 +59,12 @@
                const Ports& ports,
                ClusterMetrics& metrics,
                jobs::Directory& directory,
+               JobReplica& replica,
                OnEnd on_end)
     : settings_(settings),
       ports_(ports),
       directory_(directory),
+      replica_(replica),
       on_end_(std::move(on_end)),
       metrics_(metrics),
       step_timer_(ports.loop) {}
@@ -74,9 +80,9 @@
   });
 }
 
-void Leader::Campaign(const jobs::LeaderRecord& last, uint64_t progress_end) {
-  record_ = {last.term + 1, settings_.node, settings_.address, 0};
-  expected_end_ = progress_end;
+void Leader::Campaign() {
+  record_ = {replica_.leader().term + 1, settings_.node, settings_.address};
+  expected_end_ = replica_.progress_end();
   // Two candidates of one term must not look like repeats of one append.
   constexpr uint64_t kSequenceBits = 31;
   sequence_ =
@@ -85,6 +91,8 @@
                      ports_.clock.WallNow().time_since_epoch().count())) >>
       (64 - kSequenceBits);
   SendCandidacy(kCandidacyTries);
+  // All progress that the last leader stored is of jobs that are stored by now.
+  CatchUpOnJobs();
 }
 
 void Leader::SendCandidacy(int tries_left) {
@@ -119,7 +127,8 @@
   ports_.logger.Log(Event::kLeaderElected,
                     {{"term", static_cast<int64_t>(record_.term)}});
   PublishAddress();
-  Load();
+  is_elected_ = true;
+  BeginIfReady();
 }
 
 void Leader::PublishAddress() {
@@ -141,123 +150,114 @@
       });
 }
 
-void Leader::Load() {
-  jobs_feed_ = std::make_unique<keyed_log::TopicFollower>(
-      keyed_log::FollowerSettings{kJobsTopic}, ports_.log, ports_.clock,
-      [this](const keyed_log::Record& record) { OnJobRecord(record); });
-  progress_feed_ = std::make_unique<keyed_log::TopicFollower>(
-      keyed_log::FollowerSettings{kProgressTopic}, ports_.log, ports_.clock,
-      [this](const keyed_log::Record& record) {
-        if (record.key == kLearnedKey) {
-          if (auto learned = jobs::Decode<jobs::Learned>(record.value)) {
-            loaded_learned_ = std::move(*learned);
-          } else {
-            LogUnreadable(record);
-          }
-          return;
-        }
-        const auto id = JobOfKey(kProgressPrefix, record.key);
-        if (!id) {
-          return;
-        }
-        if (auto progress = jobs::Decode<jobs::JobProgress>(record.value)) {
-          directory_.OnProgress(*id, *progress);
-          loaded_progress_[*id] = std::move(*progress);
-        } else if (!record.value.empty()) {
-          LogUnreadable(record);
-        }
-      });
-  const auto retry = [this] { After(kReloadPause, [this] { Load(); }); };
-  progress_feed_->CatchUp([this, retry](bool is_caught_up) {
-    if (has_ended_) {
+void Leader::CatchUpOnJobs() {
+  replica_.CatchUpOnJobs([weak = weak_from_this()](bool is_caught_up) {
+    const auto self = weak.lock();
+    if (!self || self->has_ended_) {
       return;
     }
     if (!is_caught_up) {
-      retry();
+      self->After(kReloadPause, [self = self.get()] { self->CatchUpOnJobs(); });
       return;
     }
-    jobs_feed_->CatchUp([this, retry](bool is_caught_up) {
-      if (has_ended_) {
-        return;
-      }
-      if (is_caught_up) {
-        Begin();
-      } else {
-        retry();
-      }
-    });
+    self->has_read_jobs_ = true;
+    self->BeginIfReady();
   });
 }
 
-void Leader::OnJobRecord(const keyed_log::Record& record) {
-  if (const auto id = JobOfKey(kJobPrefix, record.key)) {
-    if (record.value.empty()) {
-      directory_.Forget(*id);
-      return;
-    }
-    if (auto job = jobs::Decode<jobs::Job>(record.value)) {
-      directory_.OnJob(*id, *job);
-      if (board_) {
-        board_->AddJob(*id, std::move(*job));
-        ScheduleStep(milliseconds(0));
-      } else {
-        loaded_jobs_.try_emplace(*id, std::move(*job));
-      }
-    } else {
-      LogUnreadable(record);
-    }
-  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key);
-             cancelled && !record.value.empty()) {
-    directory_.OnCancelled(*cancelled);
-    if (board_) {
-      board_->Cancel(*cancelled, ports_.clock.Now());
-      ScheduleStep(milliseconds(0));
-    } else {
-      loaded_cancels_.push_back(*cancelled);
-    }
+void Leader::BeginIfReady() {
+  if (is_elected_ && has_read_jobs_) {
+    Begin();
   }
 }
 
 void Leader::Begin() {
   const Instant now = ports_.clock.Now();
-  progress_feed_.reset();
+  const JobReplica::Content& content = replica_.content();
   board_.emplace(settings_.board, now,
                  [this](const jobs::BoardNote& note) { LogNote(note); });
   board_->SetRoutes(routes_);
-  board_->TakeUp(loaded_learned_);
+  board_->TakeUp(content.learned);
   learned_written_at_ = now;
-  for (auto& [id, job] : loaded_jobs_) {
-    board_->AddJob(id, std::move(job));
+  for (const auto& [id, job] : content.jobs) {
+    board_->AddJob(id, job);
   }
-  for (auto& [id, progress] : loaded_progress_) {
-    board_->Restore(id, std::move(progress));
+  for (const auto& [id, progress] : content.progress) {
+    board_->Restore(id, progress);
   }
-  for (const JobId& id : loaded_cancels_) {
+  for (const JobId& id : content.cancelled) {
     board_->Cancel(id, now);
   }
-  ports_.logger.Log(Event::kLeaderServes,
-                    {{"term", static_cast<int64_t>(record_.term)},
-                     {"jobs", static_cast<int64_t>(loaded_jobs_.size())},
-                     {"open_jobs", static_cast<int64_t>(board_->open_jobs())},
-                     {"learned_weights",
-                      static_cast<int64_t>(loaded_learned_.weights.size())}});
-  loaded_jobs_.clear();
-  loaded_progress_.clear();
-  loaded_cancels_.clear();
+  replica_.SetListener({[this](const JobId& id, const jobs::Job& job) {
+                          board_->AddJob(id, job);
+                          ScheduleStep(milliseconds(0));
+                        },
+                        [this](const JobId& id) {
+                          board_->Cancel(id, ports_.clock.Now());
+                          ScheduleStep(milliseconds(0));
+                        }});
+  // A job is dropped before its progress is.
+  for (const JobId& id : content.progress | std::views::keys) {
+    if (!content.jobs.contains(id)) {
+      forgotten_.push_back(id);
+    }
+  }
+  const auto unled =
+      std::chrono::floor<milliseconds>(now - replica_.leader_seen_at());
+  ports_.logger.Log(
+      Event::kLeaderServes,
+      {{"term", static_cast<int64_t>(record_.term)},
+       {"jobs", static_cast<int64_t>(content.jobs.size())},
+       {"open_jobs", static_cast<int64_t>(board_->open_jobs())},
+       {"learned_weights",
+        static_cast<int64_t>(content.learned.weights.size())},
+       {"agents", static_cast<int64_t>(content.agents.agents.size())},
+       {"ms_since_last_leader", static_cast<int64_t>(unled.count())}});
   is_leading_ = true;
+  stored_agents_ = content.agents;
+  TellAgents();
   FollowJobs();
   ScheduleStep(milliseconds(0));
 }
 
+void Leader::TellAgents() {
+  http::Request request;
+  request.method = "POST";
+  request.path = kLeaderPath;
+  request.body = jobs::Encode(record_);
+  const Instant deadline = ports_.clock.Now() + kTellLimit;
+  for (const jobs::AgentAddress& agent : stored_agents_.agents) {
+    ports_.client.Send(agent.address, request, deadline,
+                       [](const http::ClientResult&) {
+                         // Agents that miss it look into the store.
+                       });
+  }
+}
+
+jobs::AgentList Leader::KnownAgents() const {
+  std::map<std::string, std::string> addresses;
+  for (const auto& [life, runner] : board_->fleet().runners()) {
+    if (runner.is_heard) {
+      addresses[life.node] = runner.report.agent_address;
+    }
+  }
+  jobs::AgentList list;
+  for (auto& [node, address] : addresses) {
+    list.agents.push_back({node, std::move(address)});
+  }
+  return list;
+}
+
 void Leader::FollowJobs() {
-  jobs_feed_->Wait(kJobsWait, [this](bool is_read) {
-    if (has_ended_) {
+  replica_.WaitForJobs(kJobsWait, [weak = weak_from_this()](bool is_read) {
+    const auto self = weak.lock();
+    if (!self || !self->is_leading_) {
       return;
     }
     if (is_read) {
-      FollowJobs();
+      self->FollowJobs();
     } else {
-      After(kReloadPause, [this] { FollowJobs(); });
+      self->After(kReloadPause, [self = self.get()] { self->FollowJobs(); });
     }
   });
 }
@@ -319,20 +319,13 @@
   auto append = std::make_shared<keyed_log::Append>();
   append->topic = kProgressTopic;
   append->writer = keyed_log::Writer{kLeaderWriter, record_.term, sequence_};
-  const jobs::Board::Changes changes = board_->TakeChanges();
-  for (const auto& [id, progress] : changes.jobs) {
-    append->records.push_back(
-        {KeyOf(kProgressPrefix, id), jobs::Encode(progress)});
-    directory_.OnProgress(id, progress);
-  }
+  const uint64_t version = AppendChanges(*append);
   for (const JobId& id : std::exchange(forgotten_, {})) {
     append->records.push_back({KeyOf(kProgressPrefix, id), {}});
   }
   if (now - learned_written_at_ >= settings_.learned_period) {
     learned_written_at_ = now;
-    if (const jobs::Learned learned = board_->learned(); !learned.is_empty()) {
-      append->records.push_back({kLearnedKey, jobs::Encode(learned)});
-    }
+    AppendHandover(*append);
   }
   if (append->records.empty()) {
     ++record_.beat;
@@ -340,7 +333,27 @@
   }
   is_writing_ = true;
   written_at_ = now;
-  Write(append, changes.version);
+  Write(append, version);
+}
+
+uint64_t Leader::AppendChanges(keyed_log::Append& append) {
+  const jobs::Board::Changes changes = board_->TakeChanges();
+  for (const auto& [id, progress] : changes.jobs) {
+    append.records.push_back(
+        {KeyOf(kProgressPrefix, id), jobs::Encode(progress)});
+    directory_.OnProgress(id, progress);
+  }
+  return changes.version;
+}
+
+void Leader::AppendHandover(keyed_log::Append& append) {
+  if (const jobs::Learned learned = board_->learned(); !learned.is_empty()) {
+    append.records.push_back({kLearnedKey, jobs::Encode(learned)});
+  }
+  if (jobs::AgentList agents = KnownAgents(); agents != stored_agents_) {
+    stored_agents_ = std::move(agents);
+    append.records.push_back({kAgentsKey, jobs::Encode(stored_agents_)});
+  }
 }
 
 void Leader::Write(const std::shared_ptr<keyed_log::Append>& append,
@@ -366,7 +379,13 @@
     ++sequence_;
     is_writing_ = false;
     board_->OnStored(version);
-    Step();
+    if (!is_resigning_) {
+      Step();
+    } else if (record_.has_resigned) {
+      OnResigned();
+    } else {
+      Resign();
+    }
     return;
   }
   if (std::holds_alternative<keyed_log::Fenced>(result) ||
@@ -524,28 +543,54 @@
   pending_reports_ = std::move(waiting);
 }
 
+void Leader::Stop(const std::optional<FrontRecord>& successor) {
+  if (!is_leading_) {
+    End("The process gives the term up.");
+    return;
+  }
+  is_leading_ = false;
+  is_resigning_ = true;
+  successor_ = successor;
+  SendAgentsAway();
+  if (!is_writing_) {
+    Resign();
+  }
+}
+
 void Leader::Resign() {
   record_.has_resigned = true;
-  ports_.log.Write(
-      keyed_log::Append{
-          kProgressTopic,
-          {{kLeaderKey, jobs::Encode(record_)}},
-          std::nullopt,
-          // An append under way has this number; the store puts them in order.
-          keyed_log::Writer{kLeaderWriter, record_.term,
-                            sequence_ + (is_writing_ ? 1 : 0)}},
-      ports_.clock.Now() + kAppendLimit, [](const keyed_log::AppendResult&) {
-        // If it is lost, silence tells the others.
-      });
+  record_.successor = successor_ ? successor_->node : std::string();
+  auto append = std::make_shared<keyed_log::Append>();
+  append->topic = kProgressTopic;
+  append->writer = keyed_log::Writer{kLeaderWriter, record_.term, sequence_};
+  const uint64_t version = AppendChanges(*append);
+  AppendHandover(*append);
+  append->records.push_back({kLeaderKey, jobs::Encode(record_)});
+  is_writing_ = true;
+  Write(append, version);
 }
 
-void Leader::Stop() {
-  if (is_leading_) {
-    Resign();
+void Leader::OnResigned() {
+  if (successor_) {
+    http::Request request;
+    request.method = "POST";
+    request.path = kSuccessionPath;
+    ports_.client.Send(successor_->address, request,
+                       ports_.clock.Now() + kTellLimit,
+                       [](const http::ClientResult&) {
+                         // What is stored tells all fronts a little later.
+                       });
   }
   End("The process gives the term up.");
 }
 
+void Leader::SendAgentsAway() {
+  for (const PendingReport& report : pending_reports_) {
+    report.respond({409, {}, {}});
+  }
+  pending_reports_.clear();
+}
+
 void Leader::End(std::string_view reason) {
   if (has_ended_) {
     return;
@@ -556,27 +601,13 @@
   ports_.logger.Log(Event::kLeaderEnded,
                     {{"term", static_cast<int64_t>(record_.term)},
                      {"reason", std::string(reason)}});
-  for (const PendingReport& report : pending_reports_) {
-    report.respond({409, {}, {}});
-  }
-  pending_reports_.clear();
+  SendAgentsAway();
+  replica_.SetListener({});
   boost::system::error_code ignored;
   step_timer_.cancel(ignored);
-  // The feeds may be calling back right now.
-  boost::asio::post(ports_.loop, [self] {
-    self->jobs_feed_.reset();
-    self->progress_feed_.reset();
-  });
   on_end_();
 }
 
-void Leader::LogUnreadable(const keyed_log::Record& record) const {
-  ports_.logger.Log(Event::kMessageUnreadable,
-                    {{"from", "store"},
-                     {"key", record.key},
-                     {"bytes", static_cast<int64_t>(record.value.size())}});
-}
-
 void Leader::LogNote(const jobs::BoardNote& note) const {
   metrics_.OnNote(note);
   ports_.logger.Log(EventOf(note.kind),
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -11,12 +11,13 @@
 #include <vector>
 
 #include "async_http/server.h"
+#include "cluster/front_list.h"
+#include "cluster/job_replica.h"
 #include "cluster/ports.h"
 #include "jobs/board.h"
 #include "jobs/directory.h"
 #include "jobs/leader_record.h"
 #include "jobs/route_table.h"
-#include "keyed_log/topic_follower.h"
 
 namespace papayadrift::cluster {
 
@@ -58,17 +59,18 @@
          const Ports& ports,
          ClusterMetrics& metrics,
          jobs::Directory& directory,
+         JobReplica& replica,
          OnEnd on_end);
   Leader(const Leader&) = delete;
   Leader& operator=(const Leader&) = delete;
 
-  // Stands for the term after `last`, provided that nothing was written to the
-  // progress topic behind `progress_end`.
-  void Campaign(const jobs::LeaderRecord& last, uint64_t progress_end);
+  // Stands for the term after the last one that the replica shows, provided
+  // that nothing was written to the progress topic behind what it has read.
+  void Campaign();
   void SetRoutes(const jobs::RouteTable& routes);
-  // Gives the term up, so that another process can be elected at once; what is
-  // stored by then holds.
-  void Stop();
+  // Gives no more orders, and gives the term up once everything is stored that
+  // this leader has decided; `successor` is told to stand then.
+  void Stop(const std::optional<FrontRecord>& successor);
 
   bool is_leading() const { return is_leading_; }
   // Whether the store has confirmed the term lately. If not, another process
@@ -96,10 +98,14 @@
   void SendCandidacy(int tries_left);
   void OnElected();
   void PublishAddress();
-  void Load();
+  // Begins to lead once the term is won and the jobs are read.
+  void BeginIfReady();
   void Begin();
-  void OnJobRecord(const keyed_log::Record& record);
+  void CatchUpOnJobs();
   void FollowJobs();
+  // Tells all agents that the last leader knew where this one is.
+  void TellAgents();
+  jobs::AgentList KnownAgents() const;
   void ScheduleStep(milliseconds delay);
   void Step();
   void Flush();
@@ -116,17 +122,22 @@
   bool IsRecorded(const PendingReport& report) const;
   void Answer(const PendingReport& report);
   void AnswerReports();
+  // Adds what has changed of jobs; returns the version that covers it.
+  uint64_t AppendChanges(keyed_log::Append& append);
+  // Adds what the next leader takes over beside the jobs, if it has changed.
+  void AppendHandover(keyed_log::Append& append);
+  void SendAgentsAway();
   void Resign();
+  void OnResigned();
   void End(std::string_view reason);
   void LogNote(const jobs::BoardNote& note) const;
-  // A stored record that can't be read is left out.
-  void LogUnreadable(const keyed_log::Record& record) const;
   // Runs `action` after `delay` if the term goes on.
   void After(milliseconds delay, std::function<void()> action);
 
   const LeaderSettings settings_;
   const Ports ports_;
   jobs::Directory& directory_;
+  JobReplica& replica_;
   OnEnd on_end_;
   jobs::LeaderRecord record_;
   jobs::RouteTable routes_;
@@ -134,14 +145,13 @@
   uint64_t sequence_ = 0;
   // When the last append began by which the store confirmed the term.
   Instant confirmed_at_;
+  bool is_elected_ = false;
+  bool has_read_jobs_ = false;  // All that were stored before the candidacy.
   bool is_leading_ = false;
+  bool is_resigning_ = false;
   bool has_ended_ = false;
-  std::map<JobId, jobs::Job> loaded_jobs_;
-  std::vector<JobId> loaded_cancels_;
-  std::map<JobId, jobs::JobProgress> loaded_progress_;
-  jobs::Learned loaded_learned_;
-  std::unique_ptr<keyed_log::TopicFollower> jobs_feed_;
-  std::unique_ptr<keyed_log::TopicFollower> progress_feed_;
+  std::optional<FrontRecord> successor_;
+  jobs::AgentList stored_agents_;
   std::optional<jobs::Board> board_;
   ClusterMetrics& metrics_;
   bool is_writing_ = false;
--- a/src/libs/cluster/relay.cpp
+++ b/src/libs/cluster/relay.cpp
@@ -1,6 +1,7 @@
 #include "cluster/relay.h"
 
 #include <algorithm>
+#include <ranges>
 #include <tuple>
 #include <utility>
 #include <variant>
@@ -49,15 +50,10 @@
   Outcome outcome;
 };
 
-Relay::Relay(const Ports& ports, std::string own_address)
-    : ports_(ports), own_address_(std::move(own_address)) {}
-
-void Relay::AddPeer(const std::string& node, const std::string& address) {
-  if (address == own_address_ || address.empty()) {
-    return;
-  }
-  peers_[node] = address;
-}
+Relay::Relay(const Ports& ports,
+             const FrontList& fronts,
+             std::string own_address)
+    : ports_(ports), fronts_(fronts), own_address_(std::move(own_address)) {}
 
 void Relay::Send(const RelayCall& call,
                  const std::string& preferred,
@@ -67,9 +63,9 @@
   attempt->call = call;
   attempt->deadline = deadline;
   attempt->done = std::move(done);
-  for (const auto& [node, address] : peers_) {
-    if (address != preferred) {
-      attempt->addresses.push_back(address);
+  for (const FrontRecord& front : fronts_.fronts() | std::views::values) {
+    if (front.address != preferred) {
+      attempt->addresses.push_back(front.address);
     }
   }
   if (!preferred.empty() && preferred != own_address_) {
--- a/src/libs/cluster/relay.h
+++ b/src/libs/cluster/relay.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "base/identifiers.h"
+#include "cluster/front_list.h"
 #include "cluster/ports.h"
 
 // Calls that a front can't answer itself, as the store turns it away, go to
@@ -45,7 +45,7 @@
 std::optional<RelayCall> DecodeRelayCall(std::string_view bytes);
 std::optional<RelayAnswer> DecodeRelayAnswer(std::string_view bytes);
 
-// The other fronts, and calls to them.
+// Calls to other fronts.
 class Relay {
  public:
   // What came of a call: an answer, nothing done, or not known.
@@ -55,10 +55,9 @@
   };
   using Done = std::function<void(const Outcome&)>;
 
-  Relay(const Ports& ports, std::string own_address);
+  Relay(const Ports& ports, const FrontList& fronts, std::string own_address);
 
-  void AddPeer(const std::string& node, const std::string& address);
-  bool has_peers() const { return !peers_.empty(); }
+  bool has_peers() const { return !fronts_.fronts().empty(); }
   // Asks one front after the other until one knows; `preferred` comes first.
   void Send(const RelayCall& call,
             const std::string& preferred,
@@ -71,8 +70,8 @@
   void TryNext(const std::shared_ptr<Attempt>& attempt);
 
   const Ports ports_;
+  const FrontList& fronts_;
   const std::string own_address_;
-  std::map<std::string, std::string> peers_;  // Address by node.
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -284,12 +284,14 @@
   request.body = jobs::Encode(report);
   ports_.client.Send(
       leader_.address, request, ports_.clock.Now() + settings_.report_limit,
-      [this, generation = generation_](const http::ClientResult& result) {
-        OnReported(generation, result);
+      [this, generation = generation_,
+       leader_term = leader_.term](const http::ClientResult& result) {
+        OnReported(generation, leader_term, result);
       });
 }
 
 void RunnerAgent::OnReported(uint64_t generation,
+                             uint64_t leader_term,
                              const http::ClientResult& result) {
   is_reporting_ = false;
   const auto* response = std::get_if<http::Response>(&result);
@@ -298,7 +300,11 @@
     answer = jobs::Decode<jobs::ReportAnswer>(response->body);
   }
   if (!answer || answer->term < term_) {
-    FindLeader();
+    if (leader_.term > leader_term) {
+      Report();
+    } else {
+      FindLeaderSoon();
+    }
     return;
   }
   term_ = answer->term;
@@ -320,6 +326,43 @@
   }
 }
 
+bool RunnerAgent::LearnLeader(const jobs::LeaderRecord& leader,
+                              const char* source) {
+  if (leader.term <= leader_.term) {
+    return false;
+  }
+  leader_ = leader;
+  ports_.logger.Log(Event::kLeaderFound,
+                    {{"term", static_cast<int64_t>(leader_.term)},
+                     {"address", leader_.address},
+                     {"source", source}});
+  return true;
+}
+
+void RunnerAgent::HandleLeader(const http::Request& request,
+                               const async_http::Respond& respond) {
+  const auto leader = jobs::Decode<jobs::LeaderRecord>(request.body);
+  if (!leader) {
+    respond({400, {}, {}});
+    return;
+  }
+  respond({200, {}, {}});
+  if (LearnLeader(*leader, "leader")) {
+    ReportNow();
+  }
+}
+
+void RunnerAgent::FindLeaderSoon() {
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(ports_.loop, kFindPause);
+  timer->async_wait(
+      [this, timer, term = leader_.term](boost::system::error_code) {
+        if (leader_.term == term) {
+          FindLeader();
+        }
+      });
+}
+
 void RunnerAgent::FindLeader() {
   if (is_finding_) {
     return;
@@ -329,6 +372,7 @@
       kLeaderTopic, {}, ports_.clock.Now() + kFindLimit,
       [this](const keyed_log::ReadResult& result) {
         is_finding_ = false;
+        bool is_new = false;
         if (const auto* read = std::get_if<keyed_log::Records>(&result)) {
           for (const keyed_log::StoredRecord& stored : read->records) {
             if (stored.record.key != kLeaderKey) {
@@ -336,23 +380,18 @@
             }
             const auto leader =
                 jobs::Decode<jobs::LeaderRecord>(stored.record.value);
-            if (leader && leader->term > leader_.term) {
-              leader_ = *leader;
-              ports_.logger.Log(Event::kLeaderFound,
-                                {{"term", static_cast<int64_t>(leader_.term)},
-                                 {"address", leader_.address}});
+            if (leader) {
+              is_new = LearnLeader(*leader, "store");
             }
           }
         }
         if (leader_.address.empty()) {
-          auto timer = std::make_shared<boost::asio::steady_timer>(ports_.loop,
-                                                                   kFindPause);
-          timer->async_wait(
-              [this, timer](boost::system::error_code) { FindLeader(); });
+          FindLeaderSoon();
           return;
         }
+        // One that is known already was asked a moment ago.
         if (!is_reporting_) {
-          ScheduleReport(kFindPause);
+          ScheduleReport(is_new ? milliseconds(0) : kFindPause);
         }
       });
 }
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -53,6 +53,9 @@
   // is over, at the latest soon after `deadline`. Leases outlast a restart, so
   // nothing else is handed over.
   void Stop(Instant deadline, std::function<void()> done);
+  // A leader tells that it was elected.
+  void HandleLeader(const http::Request& request,
+                    const async_http::Respond& respond);
   void HandleOrders(const http::Request& request,
                     const async_http::Respond& respond);
 
@@ -74,7 +77,13 @@
   void Report();
   void ReportNow();
   void ScheduleReport(milliseconds delay);
-  void OnReported(uint64_t generation, const http::ClientResult& result);
+  void OnReported(uint64_t generation,
+                  uint64_t leader_term,
+                  const http::ClientResult& result);
+  // Takes over `leader` if it is later than the known one.
+  bool LearnLeader(const jobs::LeaderRecord& leader, const char* source);
+  // Looks into the store, unless a leader makes itself known before.
+  void FindLeaderSoon();
   void FindLeader();
   // What is known of an order without asking the runner.
   std::optional<jobs::OrderVerdict> KnownVerdict(
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -22,7 +22,9 @@
 inline constexpr char kLeaderKey[] = "leader";
 // What the leader has learned of the work, in the topic of progress.
 inline constexpr char kLearnedKey[] = "learned";
-// Addresses of the fronts, in the topic of the leader.
+// Addresses of the agents that report to the leader, in the same topic.
+inline constexpr char kAgentsKey[] = "agents";
+// Who the fronts are, in the topic of the leader.
 inline constexpr std::string_view kFrontPrefix = "front/";
 inline constexpr std::string_view kJobPrefix = "j/";
 inline constexpr std::string_view kCancelPrefix = "c/";
@@ -35,6 +37,11 @@
 inline constexpr char kReportPath[] = "/internal/v1/reports";
 inline constexpr char kOrdersPath[] = "/internal/v1/orders";
 inline constexpr char kRelayPath[] = "/internal/v1/relay";
+// POST at an agent: a leader tells of its term. GET at a front: whether it
+// leads.
+inline constexpr char kLeaderPath[] = "/internal/v1/leader";
+// POST at a front: it should stand for leader.
+inline constexpr char kSuccessionPath[] = "/internal/v1/succession";
 
 inline std::string KeyOf(std::string_view prefix, const JobId& id) {
   return std::string(prefix) + id.text();
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -36,7 +36,13 @@
 }
 static auto Fields(LeaderRecord& value) {
   return std::tie(value.term, value.node, value.address, value.beat,
-                  value.has_resigned);
+                  value.has_resigned, value.successor);
+}
+static auto Fields(AgentAddress& value) {
+  return std::tie(value.node, value.address);
+}
+static auto Fields(AgentList& value) {
+  return std::tie(value.agents);
 }
 static auto Fields(LearnedWeight& value) {
   return std::tie(value.serving_image, value.filler_image, value.mean,
@@ -94,6 +100,9 @@
 std::string Encode(const LeaderRecord& value) {
   return records::PackToBytes(value);
 }
+std::string Encode(const AgentList& value) {
+  return records::PackToBytes(value);
+}
 std::string Encode(const Learned& value) {
   return records::PackToBytes(value);
 }
@@ -118,6 +127,7 @@
 template std::optional<Job> Decode(std::string_view);
 template std::optional<JobProgress> Decode(std::string_view);
 template std::optional<LeaderRecord> Decode(std::string_view);
+template std::optional<AgentList> Decode(std::string_view);
 template std::optional<Learned> Decode(std::string_view);
 template std::optional<RunnerReport> Decode(std::string_view);
 template std::optional<ReportAnswer> Decode(std::string_view);
--- a/src/libs/jobs/codec.h
+++ b/src/libs/jobs/codec.h
@@ -17,6 +17,7 @@
 std::string Encode(const Job& value);
 std::string Encode(const JobProgress& value);
 std::string Encode(const LeaderRecord& value);
+std::string Encode(const AgentList& value);
 std::string Encode(const Learned& value);
 std::string Encode(const RunnerReport& value);
 std::string Encode(const ReportAnswer& value);
@@ -30,6 +31,7 @@
 extern template std::optional<Job> Decode(std::string_view);
 extern template std::optional<JobProgress> Decode(std::string_view);
 extern template std::optional<LeaderRecord> Decode(std::string_view);
+extern template std::optional<AgentList> Decode(std::string_view);
 extern template std::optional<Learned> Decode(std::string_view);
 extern template std::optional<RunnerReport> Decode(std::string_view);
 extern template std::optional<ReportAnswer> Decode(std::string_view);
--- a/src/libs/jobs/leader_record.h
+++ b/src/libs/jobs/leader_record.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace papayadrift::jobs {
 
@@ -13,10 +14,27 @@
   std::string address;        // "ip:port" for agents.
   uint64_t beat = 0;          // Counts the signs of life within the term.
   bool has_resigned = false;  // Nobody leads until another is elected.
+  // Node that should stand first after a resignation; empty: none is named.
+  std::string successor;
 
   friend bool operator==(const LeaderRecord&, const LeaderRecord&) = default;
 };
 
+// Where an agent takes calls.
+struct AgentAddress {
+  std::string node;
+  std::string address;  // "ip:port".
+
+  friend bool operator==(const AgentAddress&, const AgentAddress&) = default;
+};
+
+// The agents that a leader knows, so that the next one can tell them of itself.
+struct AgentList {
+  std::vector<AgentAddress> agents;
+
+  friend bool operator==(const AgentList&, const AgentList&) = default;
+};
+
 }  // namespace papayadrift::jobs
 
 #endif  // PAPAYADRIFT_JOBS_LEADER_RECORD_H_
--- a/src/libs/keyed_log/topic_follower.cpp
+++ b/src/libs/keyed_log/topic_follower.cpp
@@ -11,11 +11,13 @@
   Private(const FollowerSettings& settings,
           KeyedLog& log,
           const Clock& clock,
-          OnRecord on_record)
+          OnRecord on_record,
+          OnReload on_reload)
       : settings_(settings),
         log_(log),
         clock_(clock),
-        on_record_(std::move(on_record)) {}
+        on_record_(std::move(on_record)),
+        on_reload_(std::move(on_reload)) {}
 
   void CatchUp(Done done) {
     waiting_.push_back(std::move(done));
@@ -47,7 +49,10 @@
               });
   }
 
-  void Stop() { on_record_ = nullptr; }
+  void Stop() {
+    on_record_ = nullptr;
+    on_reload_ = nullptr;
+  }
   uint64_t next() const { return next_; }
   bool is_loaded() const { return is_loaded_; }
   Instant caught_up_at() const { return caught_up_at_; }
@@ -60,9 +65,17 @@
     if (is_loaded_) {
       ReadOn();
     } else {
-      loaded_end_.reset();
-      LoadPage({});
+      Reload();
+    }
+  }
+
+  void Reload() {
+    is_loaded_ = false;
+    loaded_end_.reset();
+    if (on_reload_) {
+      on_reload_();
     }
+    LoadPage({});
   }
 
   void End(bool is_caught_up) {
@@ -88,9 +101,7 @@
 
   void OnRead(const ReadResult& result) {
     if (std::holds_alternative<TooOld>(result)) {
-      is_loaded_ = false;
-      loaded_end_.reset();
-      LoadPage({});
+      Reload();
       return;
     }
     if (!Take(result, begun_at_)) {
@@ -159,6 +170,7 @@
   KeyedLog& log_;
   const Clock& clock_;
   OnRecord on_record_;
+  OnReload on_reload_;
   std::vector<Done> waiting_;
   std::vector<Done> served_;
   bool is_reading_ = false;
@@ -172,11 +184,13 @@
 TopicFollower::TopicFollower(const FollowerSettings& settings,
                              KeyedLog& log,
                              const Clock& clock,
-                             OnRecord on_record)
+                             OnRecord on_record,
+                             OnReload on_reload)
     : private_(std::make_shared<Private>(settings,
                                          log,
                                          clock,
-                                         std::move(on_record))) {}
+                                         std::move(on_record),
+                                         std::move(on_reload))) {}
 
 TopicFollower::~TopicFollower() {
   private_->Stop();
--- a/src/libs/keyed_log/topic_follower.h
+++ b/src/libs/keyed_log/topic_follower.h
@@ -30,11 +30,15 @@
   using OnRecord = std::function<void(const Record&)>;
   // Whether everything that was stored before the call has been handed on.
   using Done = std::function<void(bool is_caught_up)>;
+  // Runs before the newest of each key is read: what was handed on before may
+  // have been dropped since.
+  using OnReload = std::function<void()>;
 
   TopicFollower(const FollowerSettings& settings,
                 KeyedLog& log,
                 const Clock& clock,
-                OnRecord on_record);
+                OnRecord on_record,
+                OnReload on_reload = nullptr);
   ~TopicFollower();
   TopicFollower(const TopicFollower&) = delete;
   TopicFollower& operator=(const TopicFollower&) = delete;
--- a/tests/auto/cluster/job_front_test.cpp
+++ b/tests/auto/cluster/job_front_test.cpp
@@ -2,9 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <optional>
 
+#include "async_http/server.h"
+#include "cluster/topics.h"
+#include "jobs/codec.h"
 #include "process_case.h"
+#include "support/free_port.h"
 
 namespace papayadrift::cluster {
 namespace {
@@ -89,5 +94,71 @@
   weak.Stop();
 }
 
+// Replays a planned stop: the front that was named stands at once, the others
+// leave it some time.
+TEST_F(JobFrontTest, NamedSuccessorStandsBeforeOthers) {
+  const jobs::LeaderRecord last{3, "node-9", "127.0.0.1:9", 0, true, "node-2"};
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(last)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  JobFrontSettings settings = Settings();
+  settings.handicap = milliseconds(100);
+  JobFront other(settings, ports());
+  other.Start();
+  log_.Settle();
+  const size_t before = log_.append_count();
+  settings.leader.node = "node-2";
+  JobFront named(settings, ports());
+  named.Start();
+  log_.Settle();
+  // It announces itself, stands and says where it leads.
+  EXPECT_GE(log_.append_count(), before + 3);
+  int status = 0;
+  named.HandleInquiry([&](const http::Response& it) { status = it.status; });
+  EXPECT_EQ(status, 200);
+  other.HandleInquiry([&](const http::Response& it) { status = it.status; });
+  EXPECT_EQ(status, 409);
+  named.Stop();
+  other.Stop();
+}
+
+// Replays a store so slow that the leader's signs come late: another front once
+// took the term from a leader that was at work.
+TEST_F(JobFrontTest, LeaderThatAnswersIsNotReplaced) {
+  const std::string address = FreeAddress();
+  bool is_there = true;
+  int asked = 0;
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request&, const async_http::Respond& respond) {
+        ++asked;
+        respond({is_there ? 200 : 409, {}, {}});
+      });
+  ASSERT_TRUE(leader.Open());
+  const jobs::LeaderRecord last{3, "node-9", address};
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(last)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  front_.Start();
+  log_.Settle();
+  const size_t before = log_.append_count();
+  const auto wait_until = [&](const std::function<bool()>& is_so) {
+    while (!is_so()) {
+      clock_.Advance(milliseconds(100));
+      ASSERT_GT(loop_.run_one(), 0U);
+      log_.Settle();
+    }
+  };
+  wait_until([&] { return asked == 3; });
+  EXPECT_EQ(log_.append_count(), before);
+  is_there = false;
+  wait_until([&] { return log_.append_count() > before; });
+  front_.Stop();
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -42,7 +42,12 @@
     settings.node = node;
     settings.address = "127.0.0.1:1";
     return std::make_shared<Leader>(settings, ports(), cluster_metrics_,
-                                    directory_, [this] { ++ended_; });
+                                    directory_, replica_, [this] { ++ended_; });
+  }
+  // Lets what is stored by now be read before a candidacy.
+  void CatchUp() {
+    replica_.CatchUpOnProgress([](bool) {});
+    log_.Settle();
   }
 
   // Stores a record as if an earlier leader or front had done it.
@@ -53,6 +58,7 @@
 
   ClusterMetrics cluster_metrics_{metrics_};
   jobs::Directory directory_;
+  JobReplica replica_{ports(), directory_};
   int ended_ = 0;
 };
 
@@ -61,32 +67,32 @@
 TEST_F(LeaderTest, OneOfTwoCandidatesIsElected) {
   const auto first = MakeLeader("node-1");
   const auto second = MakeLeader("node-2");
-  first->Campaign({}, 0);
-  second->Campaign({}, 0);
+  first->Campaign();
+  second->Campaign();
   log_.Settle();
   EXPECT_EQ(ended_, 1);
   EXPECT_NE(first->is_leading(), second->is_leading());
-  first->Stop();
-  second->Stop();
+  first->Stop({});
+  second->Stop({});
 }
 
 TEST_F(LeaderTest, CandidateOfAStaleViewIsNotElected) {
   const auto first = MakeLeader("node-1");
-  first->Campaign({}, 0);
+  first->Campaign();
   log_.Settle();
   const auto second = MakeLeader("node-2");
-  second->Campaign({}, 0);
+  second->Campaign();
   log_.Settle();
   EXPECT_TRUE(first->is_leading());
   EXPECT_FALSE(second->is_leading());
-  first->Stop();
+  first->Stop({});
 }
 
 // A leader that was cut off from the store once kept all agents to itself until
 // their leases had lapsed, while another had been elected.
 TEST_F(LeaderTest, LeaderThatIsNotConfirmedSendsAgentsAway) {
   const auto leader = MakeLeader("node-1");
-  leader->Campaign({}, 0);
+  leader->Campaign();
   log_.Settle();
   jobs::RunnerReport report;
   report.life = {"agent", "instance", 1};
@@ -101,7 +107,7 @@
   EXPECT_EQ(status, 409);
   EXPECT_TRUE(leader->is_leading());
   EXPECT_FALSE(leader->is_confirmed());
-  leader->Stop();
+  leader->Stop({});
 }
 
 // An agent once told a leader that was cut off from the store that its runner
@@ -116,7 +122,8 @@
   Store(kProgressTopic,
         {KeyOf(kProgressPrefix, JobId("a")), jobs::Encode(progress)});
   const auto leader = MakeLeader("node-1");
-  leader->Campaign({}, 1);
+  CatchUp();
+  leader->Campaign();
   log_.Settle();
   ASSERT_TRUE(leader->is_leading());
   int status = 0;
@@ -130,14 +137,14 @@
     ASSERT_GT(loop_.run_one(), 0U);  // The leader looks again by itself.
   }
   EXPECT_EQ(status, 409);
-  leader->Stop();
+  leader->Stop({});
 }
 
 TEST_F(LeaderTest, LeaderThatStopsSaysSo) {
   const auto leader = MakeLeader("node-1");
-  leader->Campaign({}, 0);
+  leader->Campaign();
   log_.Settle();
-  leader->Stop();
+  leader->Stop({});
   log_.Settle();
   std::optional<jobs::LeaderRecord> last;
   log_.ReadNewest(
@@ -156,7 +163,8 @@
   const jobs::Learned learned{{{"serving", "filler", 8.0, 2.0}}, {}};
   Store(kProgressTopic, {kLearnedKey, jobs::Encode(learned)});
   const auto leader = MakeLeader("node-1");
-  leader->Campaign({}, 1);
+  CatchUp();
+  leader->Campaign();
   log_.Settle();
   ASSERT_TRUE(leader->board());
   ASSERT_EQ(leader->board()->learned().weights.size(), 1U);
@@ -177,12 +185,92 @@
   log_.Settle();
   ASSERT_TRUE(stored);
   EXPECT_EQ(*stored, leader->board()->learned());
-  leader->Stop();
+  leader->Stop({});
+}
+
+// Replays restarts that roll over all fronts while the store is slow: each new
+// leader once read everything that is stored, and was stopped itself before it
+// had stopped the tasks of a cancelled job.
+TEST_F(LeaderTest, LeaderBeginsWithinOneAppend) {
+  constexpr int kJobs = 40;
+  jobs::Job job;
+  job.steps.resize(1);
+  for (int i = 0; i < kJobs; ++i) {
+    Store(kJobsTopic,
+          {KeyOf(kJobPrefix, JobId(std::to_string(i))), jobs::Encode(job)});
+  }
+  log_.set_page_size(10);
+  replica_.CatchUpOnJobs([](bool) {});
+  CatchUp();
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.AnswerNext();  // The candidacy.
+  log_.AnswerNext();  // Jobs stored since the last look.
+  EXPECT_TRUE(leader->is_leading());
+  ASSERT_TRUE(leader->board());
+  EXPECT_EQ(leader->board()->open_jobs(), static_cast<size_t>(kJobs));
+  leader->Stop({});
+}
+
+TEST_F(LeaderTest, CancelledJobsAreClosedByTheNextLeader) {
+  jobs::Job job;
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  CatchUp();
+  // After the replica has looked last.
+  Store(kJobsTopic, {KeyOf(kCancelPrefix, JobId("a")), "x"});
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  EXPECT_EQ(leader->board()->open_jobs(), 0U);
+  leader->Stop({});
+}
+
+// A leader that stops while an append is under way once resigned beside it:
+// out of order, the store refused the resignation.
+TEST_F(LeaderTest, LeaderResignsAfterItsLastAppend) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.AnswerNext();  // The candidacy; the address and the jobs are under way.
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  clock_.Advance(LeaderSettings().beat_period);
+  leader->SetRoutes({});
+  loop_.poll();
+  const size_t before = log_.append_count();
+  const FrontRecord successor{"node-2", "127.0.0.1:1", 1, 1000};
+  leader->Stop(successor);
+  EXPECT_FALSE(leader->is_leading());
+  EXPECT_EQ(log_.append_count(), before);
+  EXPECT_EQ(ended_, 0);
+  log_.Settle();
+  EXPECT_EQ(ended_, 1);
+  CatchUp();
+  EXPECT_TRUE(replica_.leader().has_resigned);
+  EXPECT_EQ(replica_.leader().successor, "node-2");
+}
+
+TEST_F(LeaderTest, AgentsAreHandedOn) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  jobs::RunnerReport report;
+  report.life = {"agent", "instance", 1};
+  report.agent_address = "127.0.0.1:2";
+  http::Request request;
+  request.body = jobs::Encode(report);
+  leader->HandleReport(request, [](const http::Response&) {});
+  leader->Stop({});
+  log_.Settle();
+  CatchUp();
+  const jobs::AgentList expected{{{"agent", "127.0.0.1:2"}}};
+  EXPECT_EQ(replica_.content().agents, expected);
 }
 
 TEST_F(LeaderTest, LeaderPublishesWhereItIs) {
   const auto leader = MakeLeader("node-1");
-  leader->Campaign({}, 0);
+  leader->Campaign();
   log_.Settle();
   std::optional<jobs::LeaderRecord> found;
   log_.ReadNewest(
@@ -193,7 +281,7 @@
   log_.Settle();
   ASSERT_TRUE(found);
   EXPECT_EQ(found->address, "127.0.0.1:1");
-  leader->Stop();
+  leader->Stop({});
 }
 
 }  // namespace
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -2,7 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include "async_http/server.h"
+#include "cluster/topics.h"
+#include "jobs/codec.h"
 #include "process_case.h"
+#include "support/free_port.h"
 
 namespace papayadrift::cluster {
 namespace {
@@ -58,5 +62,28 @@
   }
 }
 
+// Replays a change of leaders: agents once found the next one only by looking
+// into the store again and again.
+TEST_F(RunnerAgentTest, ReportsToTheLeaderThatMakesItselfKnown) {
+  const std::string address = FreeAddress();
+  bool is_reported = false;
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        is_reported = request.path == kReportPath;
+        respond({409, {}, {}});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  int status = 0;
+  agent_.HandleLeader(request,
+                      [&](const http::Response& it) { status = it.status; });
+  EXPECT_EQ(status, 200);
+  while (!is_reported) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
