Experiment: Plays variants of the scheduling policy on emulated runners

Workloads and variants are checked INI files; today's code, the same with all weights known from the start, and first fit are always played. The costs of placements and the limits of pacing are settings (PolicySettings) for that.

--- /dev/null
+++ b/benchmarks/experiment/day.h
@@ -0,0 +1,28 @@
+#ifndef PAPAYADRIFT_BENCHMARKS_EXPERIMENT_DAY_H_
+#define PAPAYADRIFT_BENCHMARKS_EXPERIMENT_DAY_H_
+
+#include <cstdint>
+
+#include "jobs/board.h"
+#include "measures.h"
+#include "workload.h"
+
+namespace papayadrift::experiment {
+
+// A way to schedule.
+struct Variant {
+  jobs::BoardSettings settings;
+  bool knows_truth = false;  // Weights are known from the start.
+
+  friend bool operator==(const Variant&, const Variant&) = default;
+};
+
+// Plays one day of emulated runners on a manual clock. The same arguments give
+// the same result.
+Measures PlayDay(const Workload& workload,
+                 const Variant& variant,
+                 uint64_t seed);
+
+}  // namespace papayadrift::experiment
+
+#endif  // PAPAYADRIFT_BENCHMARKS_EXPERIMENT_DAY_H_
--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -356,7 +356,8 @@
       if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
         request.avoided = *failed;
       }
-      place = ChooseRunner(fleet_, interference_, request, now);
+      place =
+          ChooseRunner(fleet_, interference_, settings_.policy, request, now);
       has_room = place != nullptr;
       if (!has_room && !has_waited && step.most_per_runner == 0) {
         hopeless_.push_back({ready.queue->service, step.image,
@@ -389,7 +390,7 @@
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     const Runner* place =
-        ChooseRunner(trial, interference_,
+        ChooseRunner(trial, interference_, settings_.policy,
                      {task, &step, ready.queue->service, std::nullopt}, now);
     if (place == nullptr) {
       waiting_tasks_ += tasks.size();
@@ -406,6 +407,13 @@
   return true;
 }
 
+std::optional<Instant> Board::EndedAt(const JobId& id) const {
+  const Entry* entry = FindOrNull(jobs_, id);
+  return entry == nullptr || open_.contains(id)
+             ? std::nullopt
+             : std::optional<Instant>(entry->ended_at);
+}
+
 std::vector<JobId> Board::ExpiredJobs(Instant now, size_t most) const {
   std::vector<JobId> expired;
   for (const auto& [id, entry] : jobs_) {
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -18,12 +18,14 @@
 #include "jobs/interference.h"
 #include "jobs/job.h"
 #include "jobs/learned.h"
+#include "jobs/policy_settings.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
 
 namespace papayadrift::jobs {
 
 struct BoardSettings {
+  PolicySettings policy;
   // Longest time that a runner's lease may run on without word of its agent.
   milliseconds lease{6000};
   // Share by which a runner's clock may be slow, in percent.
@@ -134,6 +136,8 @@
   // Lets leases lapse and claims room for work that is ready.
   void Advance(Instant now, int64_t unix_ms);
 
+  // Returns when a job ended; nothing if it is open or not known.
+  std::optional<Instant> EndedAt(const JobId& id) const;
   // Jobs that ended longer ago than they have to be kept, at most so many.
   std::vector<JobId> ExpiredJobs(Instant now, size_t most) const;
   // Drops a job that has ended; what is stored of it must be dropped before.
--- a/src/libs/jobs/board_runs.cpp
+++ b/src/libs/jobs/board_runs.cpp
@@ -463,8 +463,8 @@
   }
   std::vector<Order>& orders = pace_orders_[runner.report.life];
   orders.clear();
-  for (const auto& [task, percent] :
-       PlanPaces(runner, interference_, now, unix_ms_)) {
+  for (const auto& [task, percent] : PlanPaces(
+           runner, interference_, settings_.policy.pacing, now, unix_ms_)) {
     Run& run = runner.runs.at(task);
     const bool is_rise = percent > run.pace_percent;
     const bool is_repeat = percent == run.pace_percent;
@@ -508,7 +508,7 @@
     return false;
   }
   const Runner* place =
-      ChooseRunner(fleet_, interference_,
+      ChooseRunner(fleet_, interference_, settings_.policy,
                    {task, &step, queue->service, runner.report.life}, now);
   if (place == nullptr || place == &runner) {
     return false;
@@ -516,7 +516,8 @@
   const double share = static_cast<double>(run.need.millicores) /
                        static_cast<double>(std::max<int64_t>(
                            1, place->report.capacity.millicores));
-  return ExcessWith(*place, interference_, run.image, share) <= 0;
+  return ExcessWith(*place, interference_, settings_.policy.pacing, run.image,
+                    share) <= 0;
 }
 
 void Board::RelocateFillers(Instant now) {
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -8,17 +8,6 @@
 namespace papayadrift::jobs {
 namespace {
 
-// Slack that serving tasks keep: the gauge is rough, and waves rise between two
-// reports.
-constexpr double kLeastSlack = 1.3;
-// Fillers of less weight are left alone: a usual one would take less than a
-// tenth of slack.
-constexpr double kHarmlessWeight = 1.5;
-// The same beside a task that has been over its target for a while, and the
-// time after which the weights are taken to be wrong. Users allow four seconds.
-constexpr double kSurelyHarmlessWeight = 0.3;
-constexpr milliseconds kShortOver(700);
-constexpr milliseconds kLongOver(1500);
 // Weight of a new gauge in the smoothed one, and the part of the target from
 // which a tail counts as over it: gauges are off by a tenth or so.
 constexpr double kGaugeWeight = 0.5;
@@ -28,8 +17,6 @@
 constexpr milliseconds kGaugePeriod(450);
 constexpr double kGaugeStep = 0.5;
 constexpr double kLeastUse = 0.001;
-// Paces are given in steps, so that small changes of the gauge cost no orders.
-constexpr uint32_t kStepPercent = 10;
 constexpr uint32_t kFullPercent = 100;
 
 double CapacityOf(const Runner& runner) {
@@ -66,7 +53,8 @@
 }
 
 std::vector<ServingRoom> RoomsOf(const Runner& runner,
-                                 const Interference& interference) {
+                                 const Interference& interference,
+                                 const PaceSettings& settings) {
   const std::map<std::string, double> shares = FullShares(runner);
   std::map<std::string, double> effects;  // By the image of the serving task.
   std::vector<ServingRoom> rooms;
@@ -78,8 +66,8 @@
       }
     }
     rooms.push_back(
-        {serving.image,
-         std::max(0.0, serving.calm_slack - kLeastSlack - it->second)});
+        {serving.image, std::max(0.0, serving.calm_slack -
+                                          settings.least_slack - it->second)});
   }
   std::ranges::sort(rooms, {}, &ServingRoom::image);
   return rooms;
@@ -141,10 +129,11 @@
 
 std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
                                       const Interference& interference,
+                                      const PaceSettings& settings,
                                       Instant now,
                                       int64_t unix_ms) {
   const milliseconds over = LongestOver(runner, now);
-  if (over >= kLongOver) {
+  if (over >= settings.long_over) {
     std::map<TaskKey, uint32_t> none;
     for (const auto& [task, run] : runner.runs) {
       if (run.is_filler && run.is_accepted && !run.is_withdrawn) {
@@ -153,8 +142,9 @@
     }
     return none;
   }
-  const double harmless =
-      over >= kShortOver ? kSurelyHarmlessWeight : kHarmlessWeight;
+  const double harmless = over >= settings.short_over
+                              ? settings.surely_harmless_weight
+                              : settings.harmless_weight;
   std::vector<const std::pair<const TaskKey, Run>*> fillers;
   for (const auto& it : runner.runs) {
     if (it.second.is_filler && it.second.is_accepted &&
@@ -178,12 +168,12 @@
       const double weight =
           interference.Weight(serving.image, it->second.image);
       if (weight > harmless) {
-        const double room = serving.calm_slack - kLeastSlack;
+        const double room = serving.calm_slack - settings.least_slack;
         pace = std::clamp(room / (weight * share), 0.0, pace);
       }
     }
     percents[it->first] = static_cast<uint32_t>(pace * kFullPercent) /
-                          kStepPercent * kStepPercent;
+                          settings.step_percent * settings.step_percent;
     for (ServingState& serving : servings) {
       serving.calm_slack -=
           interference.Weight(serving.image, it->second.image) * share * pace;
@@ -194,10 +184,11 @@
 
 double ExcessWith(const Runner& runner,
                   const Interference& interference,
+                  const PaceSettings& settings,
                   const std::string& image,
                   double share) {
   if (!runner.rooms) {
-    runner.rooms = RoomsOf(runner, interference);
+    runner.rooms = RoomsOf(runner, interference, settings);
   }
   double excess = 0;
   const std::string* known_image = nullptr;
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -9,6 +9,7 @@
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
+#include "jobs/policy_settings.h"
 
 // How fast fillers may work beside tasks that serve users. Answers waves of
 // load on the serving tasks: only fillers that disturb a task near its target
@@ -42,6 +43,7 @@
 // the cause, and in the end nothing at all.
 std::map<TaskKey, uint32_t> PlanPaces(const Runner& runner,
                                       const Interference& interference,
+                                      const PaceSettings& settings,
                                       Instant now,
                                       int64_t unix_ms);
 
@@ -49,6 +51,7 @@
 // of this image began to use `share` of the runner at full pace.
 double ExcessWith(const Runner& runner,
                   const Interference& interference,
+                  const PaceSettings& settings,
                   const std::string& image,
                   double share);
 
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -8,29 +8,8 @@
 namespace papayadrift::jobs {
 namespace {
 
-// Costs of a placement, in shares of a whole runner's processors. A rack
-// without the data makes a task run longer than any load below full does.
-constexpr double kWrongRackCost = 2.0;
-// A runner that fails what it starts uses up the few attempts of a task.
-constexpr double kFailureCost = 1.0;
-constexpr double kAvoidedCost = 4.0;
 // A runner that takes longer by this factor is only unlucky with its tasks.
 constexpr double kUsualSlowness = 1.4;
-constexpr double kSlownessCost = 1.0;
-// A second task of the same step is lost together with the first.
-constexpr double kSameStepCost = 0.05;
-// Of a tail that passes its limit by a factor of e; fillers that would cause
-// it are paced down to nothing much.
-constexpr double kExcessCost = 3.0;
-// Fillers get on badly beside serving tasks, so these share few runners and
-// leave the others to them: one more costs more than any load, and a second
-// image on a runner disturbs more kinds of fillers than a second task does.
-constexpr double kFirstServingCost = 1.5;
-constexpr double kOtherImageCost = 0.3;
-// Between runners alike in that, the one with less room left over.
-constexpr double kServingShareGain = 0.5;
-// Fillers that a serving task would slow, in shares of the runner.
-constexpr double kSlowedFillersCost = 0.3;
 // Of what a serving task asks for, the share that it uses at its usual load.
 constexpr int64_t kServingUsePercent = 50;
 
@@ -59,14 +38,16 @@
 
 double Excess(const Runner& runner,
               const Interference& interference,
+              const PaceSettings& pacing,
               const Step& step) {
   return ExcessWith(
-      runner, interference, step.image,
+      runner, interference, pacing, step.image,
       static_cast<double>(step.need.millicores) / CapacityOf(runner));
 }
 
 bool HasRoom(const Runner& runner,
              const Interference& interference,
+             const PaceSettings& pacing,
              const Step& step,
              bool has_waited) {
   Resources need = step.need;
@@ -77,10 +58,12 @@
   need.millicores = 0;
   return FitsIn(need, free) &&
          (has_waited || (step.need.millicores <= MillicoresLeft(runner) &&
-                         Excess(runner, interference, step) <= 0));
+                         Excess(runner, interference, pacing, step) <= 0));
 }
 
-double ServingCost(const Runner& runner, const std::string& image) {
+double ServingCost(const Runner& runner,
+                   const PlacementCosts& costs,
+                   const std::string& image) {
   const double capacity = CapacityOf(runner);
   int64_t serving = 0;
   bool has_same_image = false;
@@ -92,39 +75,42 @@
   }
   const double fillers =
       static_cast<double>(runner.FillerMillicores()) / capacity;
-  double cost = kSlowedFillersCost * fillers;
+  double cost = costs.slowed_fillers * fillers;
   if (serving == 0) {
-    cost += kFirstServingCost;
+    cost += costs.first_serving;
   } else if (!has_same_image) {
-    cost += kOtherImageCost;
+    cost += costs.other_image;
   }
-  return cost - kServingShareGain * static_cast<double>(serving) / capacity;
+  return cost -
+         costs.serving_share_gain * static_cast<double>(serving) / capacity;
 }
 
 double Cost(const Runner& runner,
             const Interference& interference,
+            const PolicySettings& policy,
             const PlacementRequest& request,
             uint32_t same_step) {
+  const PlacementCosts& costs = policy.placement;
   const Step& step = *request.step;
   double cost = 0;
   if (step.tail_target_ms > 0) {
-    cost += ServingCost(runner, step.image);
+    cost += ServingCost(runner, costs, step.image);
   } else {
     const int64_t load = runner.Used().millicores + runner.FillerMillicores() +
                          step.need.millicores;
     cost += static_cast<double>(load) / CapacityOf(runner);
   }
-  cost += kSameStepCost * same_step;
-  cost += kFailureCost * runner.failure_streak;
-  cost += kSlownessCost * std::max(0.0, runner.slowness - kUsualSlowness);
+  cost += costs.same_step * same_step;
+  cost += costs.failure * runner.failure_streak;
+  cost += costs.slowness * std::max(0.0, runner.slowness - kUsualSlowness);
   if (!step.preferred_rack.empty() && !runner.HasLabel(step.preferred_rack)) {
-    cost += kWrongRackCost;
+    cost += costs.wrong_rack;
   }
   if (request.avoided == runner.report.life) {
-    cost += kAvoidedCost;
+    cost += costs.avoided;
   }
   if (step.is_filler) {
-    cost += kExcessCost * Excess(runner, interference, step);
+    cost += costs.excess * Excess(runner, interference, policy.pacing, step);
   }
   return cost;
 }
@@ -140,6 +126,7 @@
 
 const Runner* ChooseRunner(const Fleet& fleet,
                            const Interference& interference,
+                           const PolicySettings& policy,
                            const PlacementRequest& request,
                            Instant now) {
   const Step& step = *request.step;
@@ -149,14 +136,15 @@
     if (!IsOpenFor(runner, request.service, now) ||
         (!step.required_label.empty() &&
          !runner.HasLabel(step.required_label)) ||
-        !HasRoom(runner, interference, step, request.has_waited)) {
+        !HasRoom(runner, interference, policy.pacing, step,
+                 request.has_waited)) {
       continue;
     }
     const uint32_t same_step = TasksOfStep(runner, request.task);
     if (step.most_per_runner > 0 && same_step >= step.most_per_runner) {
       continue;
     }
-    const double cost = Cost(runner, interference, request, same_step);
+    const double cost = Cost(runner, interference, policy, request, same_step);
     if (best == nullptr || cost < best_cost) {
       best = &runner;
       best_cost = cost;
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -8,6 +8,7 @@
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
+#include "jobs/policy_settings.h"
 
 // Where a task goes. Answers the load in which services that serve users and
 // batch steps share runners: batch goes where fewest users feel it, and work
@@ -34,6 +35,7 @@
 // Returns the runner that suits the task best, or null if none has room.
 const Runner* ChooseRunner(const Fleet& fleet,
                            const Interference& interference,
+                           const PolicySettings& policy,
                            const PlacementRequest& request,
                            Instant now);
 
--- /dev/null
+++ b/tests/auto/experiment/day_test.cpp
@@ -0,0 +1,95 @@
+#include "day.h"
+
+#include <gtest/gtest.h>
+
+#include "variants.h"
+
+namespace papayadrift::experiment {
+namespace {
+
+constexpr char kWorkload[] = R"(
+[fleet]
+runners = 12
+cores = 64 cores
+memory = 250 GiB
+length = 12 s
+
+[services]
+at_start = 4
+images = 4
+width = 13
+most_width = 28
+cores = 13 cores
+memory = 26 GiB
+duration = 70 s
+
+[batch]
+per_minute = 45
+images = 6
+steps_percent = 200
+width = 18
+most_width = 80
+cores = 7 cores
+memory = 13 GiB
+duration = 1700 ms
+
+[urgent]
+per_minute = 200
+width = 9
+most_width = 57
+cores = 1.3 cores
+memory = 2600 MiB
+duration = 640 ms
+)";
+
+Workload ReadTestWorkload() {
+  std::vector<settings::Problem> problems;
+  return *ReadWorkload(kWorkload, problems);
+}
+
+TEST(DayTest, PlaysTheSameAgain) {
+  const Workload workload = ReadTestWorkload();
+  const Measures first = PlayDay(workload, {}, 7);
+  const Measures second = PlayDay(workload, {}, 7);
+  EXPECT_EQ(first.queues(), second.queues());
+  EXPECT_EQ(first.orders(), second.orders());
+  EXPECT_GT(first.orders(), 0U);
+}
+
+// What the tool is for: it tells good ways to schedule from bad ones.
+TEST(DayTest, FirstFitDoesWorse) {
+  const Workload workload = ReadTestWorkload();
+  const std::vector<NamedVariant> variants = StandardVariants();
+  const Measures today = PlayDay(workload, variants[0].variant, 7);
+  const Measures first_fit = PlayDay(workload, variants[2].variant, 7);
+  EXPECT_GT(today.filler_pace(), first_fit.filler_pace());
+  EXPECT_LT(today.over_target(), first_fit.over_target());
+}
+
+TEST(DayTest, LostOrdersAreMadeUpFor) {
+  Workload workload = ReadTestWorkload();
+  workload.lost_orders = 0.05;
+  workload.crashes_per_minute = 10;
+  const Measures measures = PlayDay(workload, {}, 7);
+  EXPECT_GT(measures.queues().at(kUrgentQueue).share_in_time(), 0.3);
+}
+
+TEST(WorkloadTest, RefusesWhatIsWrong) {
+  std::vector<settings::Problem> problems;
+  EXPECT_FALSE(ReadWorkload("[fleet]\nrunners = 0\n", problems));
+  EXPECT_FALSE(problems.empty());
+}
+
+TEST(VariantsTest, ReadsWhatDiffers) {
+  std::vector<settings::Problem> problems;
+  const auto variants =
+      ReadVariants("[variant apart]\nother_image = 120\n", problems);
+  ASSERT_TRUE(variants);
+  ASSERT_EQ(variants->size(), 1U);
+  EXPECT_EQ(variants->at(0).variant.settings.policy.placement.other_image, 1.2);
+  EXPECT_EQ(variants->at(0).variant.settings.policy.placement.first_serving,
+            jobs::PlacementCosts().first_serving);
+}
+
+}  // namespace
+}  // namespace papayadrift::experiment
--- a/tests/auto/jobs/pace_plan_test.cpp
+++ b/tests/auto/jobs/pace_plan_test.cpp
@@ -50,7 +50,7 @@
   }
 
   std::map<TaskKey, uint32_t> Plan() {
-    return PlanPaces(runner_, interference_, At(100000), 0);
+    return PlanPaces(runner_, interference_, {}, At(100000), 0);
   }
 
   Runner runner_;
--- a/tests/auto/jobs/runner_choice_test.cpp
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -22,7 +22,7 @@
   }
 
   const Runner* Choose() {
-    return ChooseRunner(fleet_, interference_,
+    return ChooseRunner(fleet_, interference_, {},
                         {TaskKey{JobId("a"), 0, 0, 0}, &step_, "s", avoided_},
                         Instant());
   }
@@ -106,7 +106,8 @@
   PlacementRequest request{TaskKey{JobId("a"), 0, 0, 0}, &step_, "s",
                            std::nullopt};
   request.has_waited = true;
-  EXPECT_NE(ChooseRunner(fleet_, interference_, request, Instant()), nullptr);
+  EXPECT_NE(ChooseRunner(fleet_, interference_, {}, request, Instant()),
+            nullptr);
   AddServing(RunnerLife{"node-3", "i", 1}, "x", 10);
   Runner& third = fleet_.Get({"node-3", "i", 1});
   third.report.life = {"node-3", "i", 1};
