Jobs: Judges pairs of images that never met by what others showed

Pairs without evidence keep a cautious prior, and those believed heavy are avoided and never learned.

Change: ImageFactors explains the weights by four kinds of shared hardware, that fillers press on and serving tasks depend on, fitted once a second to all evidence. A pair is judged by its own samples joined with that.

--- /dev/null
+++ b/src/libs/jobs/image_factors.cpp
@@ -0,0 +1,92 @@
+#include "jobs/image_factors.h"
+
+#include <algorithm>
+#include <numeric>
+
+#include "base/hash.h"
+#include "base/lookup.h"
+
+namespace papayadrift::jobs {
+namespace {
+
+// Sweeps over all factors with each fit, which goes on where the last ended.
+constexpr int kSweeps = 6;
+// A factor without evidence, and the precision of that belief: with four kinds
+// it stands for the weight of three that pairs have by expectation.
+constexpr double kPriorFactor = 0.87;
+constexpr double kPriorPrecision = 0.3;
+// Factors begin unlike each other, or all kinds would stay alike.
+constexpr double kFirstSpread = 1.0;
+// Variance of what pairs do beyond their factors.
+constexpr double kOwnVariance = 2.0;
+
+template <typename Factors>
+Factors FirstFactors(const std::string& image) {
+  constexpr uint64_t kParts = 1024;
+  Factors factors;
+  for (size_t kind = 0; kind < factors.size(); ++kind) {
+    const auto part = static_cast<double>(StableHash(image, kind) % kParts) /
+                      static_cast<double>(kParts);
+    factors[kind] = kPriorFactor + kFirstSpread * (part - 0.5);
+  }
+  return factors;
+}
+
+template <typename Factors>
+double Product(const Factors& left, const Factors& right) {
+  return std::inner_product(left.begin(), left.end(), right.begin(), 0.0);
+}
+
+}  // namespace
+
+void ImageFactors::FitSide(FactorsByImage& side,
+                           const FactorsByImage& other,
+                           const std::vector<PairEvidence>& evidence,
+                           std::string PairEvidence::* own_image,
+                           std::string PairEvidence::* other_image) {
+  for (auto& [image, factors] : side) {
+    for (size_t kind = 0; kind < kKinds; ++kind) {
+      double weighted = kPriorPrecision * kPriorFactor;
+      double precision = kPriorPrecision;
+      for (const PairEvidence& it : evidence) {
+        if (it.*own_image != image) {
+          continue;
+        }
+        const Factors& others = other.at(it.*other_image);
+        const double known = 1 / (1 / it.precision + kOwnVariance);
+        const double rest =
+            it.mean - Product(factors, others) + factors[kind] * others[kind];
+        weighted += known * others[kind] * rest;
+        precision += known * others[kind] * others[kind];
+      }
+      factors[kind] = std::max(0.0, weighted / precision);
+    }
+  }
+}
+
+void ImageFactors::Fit(const std::vector<PairEvidence>& evidence) {
+  for (const PairEvidence& it : evidence) {
+    servings_.try_emplace(it.serving_image,
+                          FirstFactors<Factors>(it.serving_image));
+    fillers_.try_emplace(it.filler_image,
+                         FirstFactors<Factors>(it.filler_image));
+  }
+  for (int i = 0; i < kSweeps; ++i) {
+    FitSide(servings_, fillers_, evidence, &PairEvidence::serving_image,
+            &PairEvidence::filler_image);
+    FitSide(fillers_, servings_, evidence, &PairEvidence::filler_image,
+            &PairEvidence::serving_image);
+  }
+}
+
+std::optional<double> ImageFactors::Predict(
+    const std::string& serving_image,
+    const std::string& filler_image) const {
+  const Factors* serving = FindOrNull(servings_, serving_image);
+  const Factors* filler = FindOrNull(fillers_, filler_image);
+  return serving == nullptr || filler == nullptr
+             ? std::nullopt
+             : std::optional<double>(Product(*serving, *filler));
+}
+
+}  // namespace papayadrift::jobs
--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "base/lookup.h"
@@ -22,6 +23,12 @@
 // and over a longer time the task's own load moves.
 constexpr milliseconds kShortestGap(450);
 constexpr milliseconds kLongestGap(1500);
+// Period at which pairs are judged by what other pairs have shown.
+constexpr milliseconds kFitPeriod(1000);
+// Deviation of a weight from what the other pairs make of it.
+constexpr double kPredictionDeviation = 2.5;
+// Less evidence than this, as a precision, is none.
+constexpr double kLeastPrecision = 0.005;
 // Changes of use below this share say nothing beside the noise.
 constexpr double kLeastChange = 0.01;
 
@@ -46,6 +53,10 @@
   if (is_first || at - it->second.at < kShortestGap) {
     return;
   }
+  if (at - fitted_at_ >= kFitPeriod) {
+    fitted_at_ = at;
+    FitFactors();
+  }
   const Sample previous = std::exchange(it->second, sample);
   if (at - previous.at > kLongestGap) {
     return;
@@ -81,6 +92,64 @@
   return WeightWith(serving_image, filler_image, kCaution);
 }
 
+std::optional<Interference::Estimate> Interference::EvidenceOf(
+    const Belief& belief,
+    uint32_t coefficient) {
+  constexpr double kPriorPrecision = 1 / (kPrior.deviation * kPrior.deviation);
+  const placement::Features alone{{coefficient, 1.0}};
+  const double whole = 1 / belief.weights.Variance(alone);
+  const double precision = whole - kPriorPrecision;
+  if (precision < kLeastPrecision) {
+    return std::nullopt;
+  }
+  return Estimate{
+      (belief.weights.Mean(alone) * whole - kPrior.mean * kPriorPrecision) /
+          precision,
+      1 / precision};
+}
+
+Interference::Estimate Interference::EstimateOf(const Belief& belief,
+                                                uint32_t coefficient) {
+  const std::optional<double> prediction =
+      coefficient < belief.predictions.size() ? belief.predictions[coefficient]
+                                              : std::nullopt;
+  if (!prediction) {
+    const placement::Features alone{{coefficient, 1.0}};
+    return {belief.weights.Mean(alone), belief.weights.Variance(alone)};
+  }
+  constexpr double kVariance = kPredictionDeviation * kPredictionDeviation;
+  const std::optional<Estimate> evidence = EvidenceOf(belief, coefficient);
+  if (!evidence) {
+    return {*prediction, kVariance};
+  }
+  const double precision = 1 / kVariance + 1 / evidence->variance;
+  return {(*prediction / kVariance + evidence->mean / evidence->variance) /
+              precision,
+          1 / precision};
+}
+
+void Interference::FitFactors() {
+  std::vector<PairEvidence> all;
+  std::set<std::string> fillers;
+  for (const auto& [serving, belief] : beliefs_) {
+    for (const auto& [filler, coefficient] : belief.coefficients) {
+      fillers.insert(filler);
+      if (const auto evidence = EvidenceOf(belief, coefficient)) {
+        all.push_back(
+            {serving, filler, evidence->mean, 1 / evidence->variance});
+      }
+    }
+  }
+  factors_.Fit(all);
+  for (auto& [serving, belief] : beliefs_) {
+    for (const std::string& filler : fillers) {
+      const uint32_t coefficient = belief.CoefficientOf(filler);
+      belief.predictions.resize(belief.weights.size());
+      belief.predictions[coefficient] = factors_.Predict(serving, filler);
+    }
+  }
+}
+
 double Interference::WeightWith(const std::string& serving_image,
                                 const std::string& filler_image,
                                 double deviations) const {
@@ -91,10 +160,9 @@
   if (coefficient == nullptr) {
     return kPrior.mean + deviations * kPrior.deviation;
   }
-  const placement::Features alone{{*coefficient, 1.0}};
+  const Estimate estimate = EstimateOf(*belief, *coefficient);
   return std::max(0.0,
-                  belief->weights.Mean(alone) +
-                      deviations * std::sqrt(belief->weights.Variance(alone)));
+                  estimate.mean + deviations * std::sqrt(estimate.variance));
 }
 
 std::vector<LearnedWeight> Interference::Weights() const {
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -3,10 +3,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/instant.h"
+#include "jobs/image_factors.h"
 #include "jobs/job.h"
 #include "jobs/learned.h"
 #include "placement/linear_belief.h"
@@ -59,7 +61,21 @@
 
     std::map<std::string, uint32_t> coefficients;  // By filler's image.
     placement::LinearBelief weights;
+    // What the other pairs tell of each coefficient, as of the last fit.
+    std::vector<std::optional<double>> predictions;
   };
+  struct Estimate {
+    double mean = 0;
+    double variance = 0;
+  };
+
+  // What the samples of a pair say by themselves, without any prior.
+  static std::optional<Estimate> EvidenceOf(const Belief& belief,
+                                            uint32_t coefficient);
+  // The same joined with what other pairs tell of it.
+  static Estimate EstimateOf(const Belief& belief, uint32_t coefficient);
+  // Learns from all pairs what each is likely to be.
+  void FitFactors();
 
   // Returns what is expected, and `deviations` standard deviations more.
   double WeightWith(const std::string& serving_image,
@@ -67,6 +83,8 @@
                     double deviations) const;
 
   std::map<TaskKey, Sample> samples_;
+  ImageFactors factors_;
+  Instant fitted_at_;
   std::map<std::string, Belief> beliefs_;  // By serving image.
 };
 
