Cluster: Stores tasks one by one, and lets only standbys read them

Change: a task is a key of its own; an ended job keeps only its outcome and the tasks that may still be at work. The five strongest fronts are standbys, the leader among them, and keep the topics; the others ask the leader, or a standby if it does not answer, and look up who leads once a second. Fronts announce themselves every 10 s; one that is silent for 35 s longer than others is no longer counted. Without a leader for 4 s other fronts read the topics and stand too. An earlier form of the records is left out with a line in the log.

--- a/src/libs/cluster/front_list.h
+++ b/src/libs/cluster/front_list.h
@@ -6,6 +6,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "base/instant.h"
 
 namespace papayadrift::cluster {
 
@@ -22,26 +25,40 @@
 std::string Encode(const FrontRecord& record);
 std::optional<FrontRecord> DecodeFrontRecord(std::string_view bytes);
 
-// The other fronts, as far as they have announced themselves. One that was
-// killed stays listed.
+// The other fronts, as far as they announce themselves again and again, and
+// which of all fronts are standbys: those that keep up with what is stored and
+// may come to lead. Strong VMs come first.
 class FrontList {
  public:
-  explicit FrontList(std::string own_node);
+  // `lapse`: fronts that are silent for so much longer than others are gone.
+  FrontList(FrontRecord own, size_t standbys, milliseconds lapse);
 
-  void Put(const FrontRecord& record);
+  void Put(const FrontRecord& record, Instant now);
   void Remove(const std::string& node);
 
-  const std::map<std::string, FrontRecord>& fronts() const { return fronts_; }
+  const FrontRecord& own() const { return own_; }
+  bool is_alone() const { return others_.empty(); }
+  bool IsOwnStandby() const { return OwnRank() < standbys_; }
+  // Number of fronts that come before this one.
+  size_t OwnRank() const;
+  // The others, in their order.
+  std::vector<FrontRecord> Ranked() const;
 
-  // Chooses who should lead after this process, which is about to stop. Answers
-  // restarts that roll over all fronts: the one that was started last is the
-  // last to be stopped again. Weak VMs are left out where there are stronger
-  // ones.
+  // Chooses the standby that should lead after this process, which is about to
+  // stop. Answers restarts that roll over all fronts: the one that was started
+  // last is the last to be stopped again.
   std::optional<FrontRecord> ChooseSuccessor() const;
 
  private:
-  const std::string own_node_;
-  std::map<std::string, FrontRecord> fronts_;  // By node.
+  struct Known {
+    FrontRecord record;
+    Instant heard_at;
+  };
+
+  const FrontRecord own_;
+  const size_t standbys_;
+  const milliseconds lapse_;
+  std::map<std::string, Known> others_;  // By node.
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/job_front.cpp
+++ b/src/libs/cluster/job_front.cpp
@@ -49,7 +49,10 @@
       metrics_(std::make_unique<ClusterMetrics>(ports.metrics)),
       job_writer_(kJobsTopic, ports.log, ports.clock),
       replica_(ports, directory_),
-      fronts_(settings.leader.node),
+      fronts_({settings.leader.node, settings.leader.address,
+               settings.started_ms, settings.millicores},
+              settings.standbys,
+              settings.front_lapse),
       front_records_(
           {kLeaderTopic},
           ports.log,
@@ -61,11 +64,10 @@
 JobFront::~JobFront() = default;
 
 void JobFront::Start() {
-  leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence;
+  leader_seen_at_ = ports_.clock.Now();
   store_seen_at_ = ports_.clock.Now();
   Announce();
   FollowFronts();
-  Watch();
 }
 
 void JobFront::Stop() {
@@ -99,13 +101,20 @@
 }
 
 void JobFront::OnFrontRecord(const keyed_log::Record& record) {
+  if (record.key == kLeaderKey) {
+    const auto leader = jobs::Decode<jobs::LeaderRecord>(record.value);
+    if (leader && leader->term >= published_leader_.term) {
+      published_leader_ = *leader;
+    }
+    return;
+  }
   if (!record.key.starts_with(kFrontPrefix)) {
     return;
   }
   if (record.value.empty()) {
     fronts_.Remove(record.key.substr(kFrontPrefix.size()));
   } else if (const auto front = DecodeFrontRecord(record.value)) {
-    fronts_.Put(*front);
+    fronts_.Put(*front, ports_.clock.Now());
   } else {
     ports_.logger.Log(Event::kMessageUnreadable,
                       {{"from", "store"}, {"key", record.key}});
@@ -132,7 +141,13 @@
     ScheduleWatch(settings_.watch_period);
     return;
   }
+  if (!is_following()) {
+    Observe();
+    return;
+  }
   const Instant begun_at = ports_.clock.Now();
+  // What was accepted meanwhile is read beside it.
+  replica_.CatchUpOnJobs([](bool) {});
   replica_.CatchUpOnProgress([this, begun_at](bool is_caught_up) {
     if (!is_caught_up) {
       ScheduleWatch(settings_.watch_period);
@@ -149,6 +164,26 @@
   });
 }
 
+bool JobFront::is_following() const {
+  return fronts_.IsOwnStandby() ||
+         ports_.clock.Now() - leader_seen_at_ > settings_.standby_patience;
+}
+
+const std::string& JobFront::leader_address() const {
+  return replica_.leader().term >= published_leader_.term
+             ? replica_.leader().address
+             : published_leader_.address;
+}
+
+void JobFront::Observe() {
+  SendInquiry([this](bool is_there) {
+    if (is_there) {
+      leader_seen_at_ = ports_.clock.Now();
+    }
+    ScheduleWatch(settings_.fronts_period);
+  });
+}
+
 Instant JobFront::StandsAt(Instant now) {
   const jobs::LeaderRecord& last = replica_.leader();
   // Nobody has to be waited for if the last leader said that it leaves, or was
@@ -190,28 +225,31 @@
   }
 }
 
-void JobFront::AskLeader() {
+void JobFront::SendInquiry(std::function<void(bool is_there)> done) {
   http::Request request;
   request.method = "GET";
   request.path = kLeaderPath;
   ports_.client.Send(
-      replica_.leader().address, request,
-      ports_.clock.Now() + settings_.inquiry_limit,
-      [this, term = replica_.leader().term](const http::ClientResult& result) {
+      leader_address(), request, ports_.clock.Now() + settings_.inquiry_limit,
+      [done = std::move(done)](const http::ClientResult& result) {
         const auto* response = std::get_if<http::Response>(&result);
-        if (response != nullptr && response->status == 200) {
-          leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence +
-                            settings_.watch_period;
-          ScheduleWatch(settings_.watch_period);
-        } else if (term == replica_.leader().term && !leader_ &&
-                   !is_stopping_) {
-          Stand();
-        } else {
-          ScheduleWatch(settings_.watch_period);
-        }
+        done(response != nullptr && response->status == 200);
       });
 }
 
+void JobFront::AskLeader() {
+  SendInquiry([this, term = replica_.leader().term](bool is_there) {
+    if (is_there) {
+      leader_seen_at_ = ports_.clock.Now() - settings_.leader_silence +
+                        settings_.watch_period;
+    } else if (term == replica_.leader().term && !leader_ && !is_stopping_) {
+      Stand();
+      return;
+    }
+    ScheduleWatch(settings_.watch_period);
+  });
+}
+
 void JobFront::Stand() {
   leader_ = std::make_shared<Leader>(
       settings_.leader, ports_, *metrics_, directory_, replica_, [this] {
@@ -240,6 +278,10 @@
     done(false);
     return;
   }
+  if (!is_leading() && !is_following()) {
+    done(false);
+    return;
+  }
   if (is_leading()) {
     if (is_job_known) {
       done(true);
@@ -434,7 +476,7 @@
   }
   write->is_relayed = true;
   relay_.Send(
-      write->call, replica_.leader().address, write->deadline - kAnswerMargin,
+      write->call, leader_address(), write->deadline - kAnswerMargin,
       [write, give_up](const Relay::Outcome& outcome) {
         write->may_be_stored |= outcome.may_be_done;
         if (!outcome.answer) {
@@ -461,7 +503,7 @@
                              const std::string& queue,
                              const JobId& id,
                              std::function<void(const RelayAnswer*)> done) {
-  relay_.Send({kind, queue, id, {}, 0}, replica_.leader().address,
+  relay_.Send({kind, queue, id, {}, 0}, leader_address(),
               ports_.clock.Now() + kQuestionLimit,
               [done = std::move(done)](const Relay::Outcome& outcome) {
                 done(outcome.answer ? &*outcome.answer : nullptr);
@@ -482,6 +524,13 @@
     answer(RelayAnswer{});
     return;
   }
+  if (call->kind == RelayKind::kState || call->kind == RelayKind::kCount) {
+    if (!is_leading() && !is_following()) {
+      // It would have to ask another one itself.
+      answer(RelayAnswer{});
+      return;
+    }
+  }
   const Instant deadline =
       ports_.clock.Now() + milliseconds(call->remaining_ms);
   switch (call->kind) {
@@ -519,20 +568,18 @@
 }
 
 void JobFront::Announce() {
-  const FrontRecord record{settings_.leader.node, settings_.leader.address,
-                           settings_.started_ms, settings_.millicores};
+  const FrontRecord& own = fronts_.own();
   ports_.log.Write(
       {kLeaderTopic,
-       {{std::string(kFrontPrefix) + record.node, Encode(record)}},
+       {{std::string(kFrontPrefix) + own.node, Encode(own)}},
        std::nullopt,
        std::nullopt},
       ports_.clock.Now() + kQuestionLimit,
       [this](const keyed_log::AppendResult& result) {
-        if (std::holds_alternative<keyed_log::Stored>(result)) {
-          return;
-        }
-        auto timer = std::make_shared<boost::asio::steady_timer>(ports_.loop,
-                                                                 kPublishPause);
+        auto timer = std::make_shared<boost::asio::steady_timer>(
+            ports_.loop, std::holds_alternative<keyed_log::Stored>(result)
+                             ? settings_.announce_period
+                             : kPublishPause);
         timer->async_wait([this, timer](boost::system::error_code) {
           if (!is_stopping_) {
             Announce();
@@ -553,7 +600,14 @@
 }
 
 void JobFront::FollowFronts() {
-  front_records_.CatchUp([this](bool) {
+  const Instant begun_at = ports_.clock.Now();
+  front_records_.CatchUp([this, begun_at](bool is_caught_up) {
+    if (is_caught_up) {
+      store_seen_at_ = std::max(store_seen_at_, begun_at);
+    }
+    if (!std::exchange(has_listed_, true)) {
+      Watch();
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         ports_.loop, settings_.fronts_period);
     timer->async_wait(
--- a/src/libs/cluster/job_front.h
+++ b/src/libs/cluster/job_front.h
@@ -46,8 +46,15 @@
   // What was read this recently may answer a caller without another read.
   milliseconds state_freshness{100};
   milliseconds count_freshness{700};
-  // Period at which other fronts are looked up.
-  milliseconds fronts_period{3000};
+  // Fronts that keep up with what is stored: the leader among them.
+  size_t standbys = 5;
+  // Period at which a front looks up the leader and the other fronts, and at
+  // which it announces itself; silence after which it counts as gone.
+  milliseconds fronts_period{1000};
+  milliseconds announce_period{10000};
+  milliseconds front_lapse{35000};
+  // A front that is no standby takes their place if nobody leads for so long.
+  milliseconds standby_patience{4000};
 
   friend bool operator==(const JobFrontSettings&,
                          const JobFrontSettings&) = default;
@@ -59,7 +66,10 @@
   kUnknown,    // It may be stored.
 };
 
-struct JobUnknown {};  // No such job was accepted.
+// No such job was accepted.
+struct JobUnknown {
+  friend bool operator==(const JobUnknown&, const JobUnknown&) = default;
+};
 // std::monostate: neither the store nor another front could be asked.
 using StateResult = std::variant<jobs::JobState, JobUnknown, std::monostate>;
 enum class CancelResult { kCancelled, kNoSuchJob, kFailed };
@@ -113,14 +123,21 @@
 
   // Whether this process leads, and so knows all there is to know.
   bool is_leading() const { return leader_ && leader_->is_confirmed(); }
+  // Whether this process keeps up with what is stored of jobs.
+  bool is_following() const;
+  // Where the leader is, as far as is known.
+  const std::string& leader_address() const;
   void Watch();
   void ScheduleWatch(milliseconds delay);
+  // Watches the leader as one that is no standby does.
+  void Observe();
   // Time at which this process should stand for leader.
   Instant StandsAt(Instant now);
   // Stands for leader if it is time to, and looks again later if not.
   void ConsiderCandidacy();
   // Asks the leader whether it is there, and stands if not.
   void AskLeader();
+  void SendInquiry(std::function<void(bool is_there)> done);
   void Stand();
   void Write(const std::shared_ptr<PendingWrite>& write);
   // Ends a submission: one that may have been stored by an earlier attempt is
@@ -152,9 +169,11 @@
   JobReplica replica_;
   Instant leader_seen_at_;  // When a sign of a leader was seen last.
   std::optional<Instant> vacant_since_;  // Since no leader is to be waited for.
+  bool has_listed_ = false;  // The other fronts have been looked up.
   bool has_looked_ = false;  // All that was stored at the start is read.
   FrontList fronts_;
   keyed_log::TopicFollower front_records_;
+  jobs::LeaderRecord published_leader_;  // As the leader's topic shows it.
   // Jobs of which an attempt here may have been stored, the oldest first.
   std::deque<JobId> unsure_;
   Relay relay_;
--- a/src/libs/cluster/job_replica.cpp
+++ b/src/libs/cluster/job_replica.cpp
@@ -84,15 +84,41 @@
     } else {
       LogUnreadable(record);
     }
-  } else if (const auto id = JobOfKey(kProgressPrefix, record.key)) {
-    if (record.value.empty()) {
-      content_.progress.erase(*id);
-    } else if (auto progress = jobs::Decode<jobs::JobProgress>(record.value)) {
-      directory_.OnProgress(*id, *progress);
-      content_.progress.insert_or_assign(*id, std::move(*progress));
-    } else {
-      LogUnreadable(record);
+  } else if (const auto id = JobOfKey(kOutcomePrefix, record.key)) {
+    OnOutcomeRecord(*id, record);
+  } else if (const auto task = TaskOfKey(record.key)) {
+    OnTaskRecord(*task, record);
+  } else {
+    LogUnreadable(record);
+  }
+}
+
+void JobReplica::OnOutcomeRecord(const JobId& id,
+                                 const keyed_log::Record& record) {
+  if (record.value.empty()) {
+    content_.progress.erase(id);
+  } else if (const auto stored =
+                 jobs::Decode<jobs::StoredOutcome>(record.value)) {
+    directory_.OnOutcome(id, stored->outcome);
+    content_.progress[id].outcome = stored->outcome;
+  } else {
+    LogUnreadable(record);
+  }
+}
+
+void JobReplica::OnTaskRecord(const jobs::TaskKey& task,
+                              const keyed_log::Record& record) {
+  if (record.value.empty()) {
+    const auto it = content_.progress.find(task.job);
+    if (it != content_.progress.end()) {
+      it->second.tasks.erase(task);
     }
+  } else if (auto progress = jobs::Decode<jobs::TaskProgress>(record.value)) {
+    directory_.OnStarted(task.job);
+    content_.progress[task.job].tasks.insert_or_assign(task,
+                                                       std::move(*progress));
+  } else {
+    LogUnreadable(record);
   }
 }
 
--- a/src/libs/cluster/job_replica.h
+++ b/src/libs/cluster/job_replica.h
@@ -24,7 +24,7 @@
   struct Content {
     std::map<JobId, jobs::Job> jobs;
     std::set<JobId> cancelled;
-    std::map<JobId, jobs::JobProgress> progress;
+    std::map<JobId, jobs::StoredProgress> progress;
     jobs::Learned learned;
     jobs::AgentList agents;
   };
@@ -58,6 +58,8 @@
  private:
   void OnJobRecord(const keyed_log::Record& record);
   void OnProgressRecord(const keyed_log::Record& record);
+  void OnOutcomeRecord(const JobId& id, const keyed_log::Record& record);
+  void OnTaskRecord(const jobs::TaskKey& task, const keyed_log::Record& record);
   // A stored record that can't be read is left out.
   void LogUnreadable(const keyed_log::Record& record) const;
 
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -197,11 +197,9 @@
                           ScheduleStep(milliseconds(0));
                         }});
   // A job is dropped before its progress is.
-  for (const JobId& id : content.progress | std::views::keys) {
-    if (!content.jobs.contains(id)) {
-      forgotten_.push_back(id);
-    }
-  }
+  std::ranges::copy_if(
+      content.progress | std::views::keys, std::back_inserter(forgotten_),
+      [&](const JobId& id) { return !content.jobs.contains(id); });
   const auto unled =
       std::chrono::floor<milliseconds>(now - replica_.leader_seen_at());
   ports_.logger.Log(
@@ -321,7 +319,7 @@
   append->writer = keyed_log::Writer{kLeaderWriter, record_.term, sequence_};
   const uint64_t version = AppendChanges(*append);
   for (const JobId& id : std::exchange(forgotten_, {})) {
-    append->records.push_back({KeyOf(kProgressPrefix, id), {}});
+    append->records.push_back({KeyOf(kOutcomePrefix, id), {}});
   }
   if (now - learned_written_at_ >= settings_.learned_period) {
     learned_written_at_ = now;
@@ -338,10 +336,15 @@
 
 uint64_t Leader::AppendChanges(keyed_log::Append& append) {
   const jobs::Board::Changes changes = board_->TakeChanges();
-  for (const auto& [id, progress] : changes.jobs) {
+  for (const auto& [task, progress] : changes.tasks) {
     append.records.push_back(
-        {KeyOf(kProgressPrefix, id), jobs::Encode(progress)});
-    directory_.OnProgress(id, progress);
+        {KeyOf(task), progress ? jobs::Encode(*progress) : std::string()});
+    directory_.OnStarted(task.job);
+  }
+  for (const auto& [id, outcome] : changes.outcomes) {
+    append.records.push_back({KeyOf(kOutcomePrefix, id),
+                              jobs::Encode(jobs::StoredOutcome{outcome})});
+    directory_.OnOutcome(id, outcome);
   }
   return changes.version;
 }
--- a/src/libs/cluster/relay.cpp
+++ b/src/libs/cluster/relay.cpp
@@ -12,8 +12,10 @@
 namespace papayadrift::cluster {
 namespace {
 
-// Time that one front has to answer: some appends to a slow store.
+// Time that one front has to answer: some appends to a slow store; for a
+// question less, as most are answered without it.
 constexpr milliseconds kPeerLimit(800);
+constexpr milliseconds kQuestionLimit(350);
 
 }  // namespace
 
@@ -63,7 +65,7 @@
   attempt->call = call;
   attempt->deadline = deadline;
   attempt->done = std::move(done);
-  for (const FrontRecord& front : fronts_.fronts() | std::views::values) {
+  for (const FrontRecord& front : fronts_.Ranked() | std::views::reverse) {
     if (front.address != preferred) {
       attempt->addresses.push_back(front.address);
     }
@@ -82,7 +84,10 @@
   }
   const std::string address = std::move(attempt->addresses.back());
   attempt->addresses.pop_back();
-  const Instant limit = std::min(attempt->deadline, now + kPeerLimit);
+  const bool is_question = attempt->call.kind == RelayKind::kState ||
+                           attempt->call.kind == RelayKind::kCount;
+  const Instant limit = std::min(
+      attempt->deadline, now + (is_question ? kQuestionLimit : kPeerLimit));
   attempt->call.remaining_ms =
       std::chrono::floor<milliseconds>(limit - now).count();
   http::Request request;
--- a/src/libs/cluster/relay.h
+++ b/src/libs/cluster/relay.h
@@ -57,8 +57,9 @@
 
   Relay(const Ports& ports, const FrontList& fronts, std::string own_address);
 
-  bool has_peers() const { return !fronts_.fronts().empty(); }
-  // Asks one front after the other until one knows; `preferred` comes first.
+  bool has_peers() const { return !fronts_.is_alone(); }
+  // Asks one front after the other until one knows: `preferred`, then others in
+  // their order.
   void Send(const RelayCall& call,
             const std::string& preferred,
             Instant deadline,
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/identifiers.h"
+#include "jobs/job.h"
 
 // Where the processes of a cluster keep what lasts.
 
@@ -28,7 +29,9 @@
 inline constexpr std::string_view kFrontPrefix = "front/";
 inline constexpr std::string_view kJobPrefix = "j/";
 inline constexpr std::string_view kCancelPrefix = "c/";
-inline constexpr std::string_view kProgressPrefix = "p/";
+// How jobs ended, and their tasks, in the topic of progress.
+inline constexpr std::string_view kOutcomePrefix = "o/";
+inline constexpr std::string_view kTaskPrefix = "t/";
 
 // Name under which leaders write, whatever process they are.
 inline constexpr char kLeaderWriter[] = "leader";
@@ -47,6 +50,10 @@
   return std::string(prefix) + id.text();
 }
 
+inline std::string KeyOf(const jobs::TaskKey& task) {
+  return std::string(kTaskPrefix) + ToText(task);
+}
+
 // Returns the job that a key with this prefix names, or nothing.
 inline std::optional<JobId> JobOfKey(std::string_view prefix,
                                      std::string_view key) {
@@ -56,6 +63,13 @@
   return JobId(std::string(key.substr(prefix.size())));
 }
 
+// Returns the task that a key names, or nothing.
+inline std::optional<jobs::TaskKey> TaskOfKey(std::string_view key) {
+  return key.starts_with(kTaskPrefix) ? jobs::TaskKeyFromText(std::string(
+                                            key.substr(kTaskPrefix.size())))
+                                      : std::nullopt;
+}
+
 }  // namespace papayadrift::cluster
 
 #endif  // PAPAYADRIFT_CLUSTER_TOPICS_H_
--- a/src/libs/jobs/board.cpp
+++ b/src/libs/jobs/board.cpp
@@ -23,6 +23,20 @@
   return run;
 }
 
+template <typename Visit>
+void ForEachTask(const JobProgress& progress,
+                 const JobId& id,
+                 const Visit& visit) {
+  for (uint32_t k = 0; k < progress.occurrences.size(); ++k) {
+    const auto& steps = progress.occurrences[k].steps;
+    for (uint32_t s = 0; s < steps.size(); ++s) {
+      for (uint32_t i = 0; i < steps[s].size(); ++i) {
+        visit(TaskKey{id, k, s, i}, steps[s][i]);
+      }
+    }
+  }
+}
+
 }  // namespace
 
 // A step with tasks that wait for room, and what decides its turn.
@@ -86,8 +100,8 @@
          settings_.lapse_margin;
 }
 
-uint64_t Board::Change(const JobId& id) {
-  changed_jobs_.insert(id);
+uint64_t Board::Change(const TaskKey& task) {
+  changed_tasks_.insert(task);
   return ++version_;
 }
 
@@ -105,36 +119,34 @@
   open_.insert(id);
 }
 
-void Board::Restore(const JobId& id, JobProgress progress) {
+void Board::Restore(const JobId& id, const StoredProgress& stored) {
   Entry* entry = FindOrNull(jobs_, id);
-  if (entry == nullptr || !FitsJob(progress, entry->job)) {
+  if (entry == nullptr) {
     return;
   }
-  entry->progress = std::move(progress);
-  if (entry->progress.outcome != JobOutcome::kOpen) {
+  entry->progress.outcome = stored.outcome;
+  if (stored.outcome != JobOutcome::kOpen) {
     open_.erase(id);
     entry->ended_at = begun_at_;
   }
-  const auto& occurrences = entry->progress.occurrences;
-  for (uint32_t k = 0; k < occurrences.size(); ++k) {
-    for (uint32_t s = 0; s < occurrences[k].steps.size(); ++s) {
-      const Step& step = entry->job.steps[s];
-      for (uint32_t i = 0; i < occurrences[k].steps[s].size(); ++i) {
-        const TaskProgress& task = occurrences[k].steps[s][i];
-        if (task.phase != TaskPhase::kClaimed) {
-          continue;
-        }
-        Runner& runner = fleet_.Get(task.life);
-        runner.report.life = task.life;
-        runner.alive_until = LapseOf(begun_at_ + settings_.lease);
-        Run run = RunOf(step, task.run);
-        run.sends = 2;
-        run.is_withdrawn = entry->progress.outcome != JobOutcome::kOpen;
-        run.checkpoint = task.checkpoint;
-        run.progressed_at = begun_at_;
-        runner.runs[TaskKey{id, k, s, i}] = std::move(run);
-      }
+  for (const auto& [key, task] : stored.tasks) {
+    TaskProgress* known = FindTask(entry->progress, key);
+    if (known == nullptr) {
+      continue;
     }
+    *known = task;
+    if (task.phase != TaskPhase::kClaimed) {
+      continue;
+    }
+    Runner& runner = fleet_.Get(task.life);
+    runner.report.life = task.life;
+    runner.alive_until = LapseOf(begun_at_ + settings_.lease);
+    Run run = RunOf(entry->job.steps[key.step], task.run);
+    run.sends = 2;
+    run.is_withdrawn = stored.outcome != JobOutcome::kOpen;
+    run.checkpoint = task.checkpoint;
+    run.progressed_at = begun_at_;
+    runner.runs[key] = std::move(run);
   }
 }
 
@@ -153,17 +165,9 @@
   durations_.TakeUp(learned.durations);
 }
 
-TaskProgress* Board::FindTask(const TaskKey& task) {
+TaskProgress* Board::TaskOf(const TaskKey& task) {
   Entry* entry = FindOrNull(jobs_, task.job);
-  if (entry == nullptr ||
-      task.occurrence >= entry->progress.occurrences.size()) {
-    return nullptr;
-  }
-  auto& steps = entry->progress.occurrences[task.occurrence].steps;
-  if (task.step >= steps.size() || task.index >= steps[task.step].size()) {
-    return nullptr;
-  }
-  return &steps[task.step][task.index];
+  return entry == nullptr ? nullptr : FindTask(entry->progress, task);
 }
 
 const Step* Board::FindStep(const TaskKey& task) const {
@@ -193,7 +197,13 @@
   entry.progress.outcome = outcome;
   entry.ended_at = now;
   open_.erase(id);
-  Change(id);
+  changed_outcomes_.insert(id);
+  ++version_;
+  ForEachTask(entry.progress, id, [this](const TaskKey& key, const auto& task) {
+    if (task.run > 0) {
+      changed_tasks_.insert(key);
+    }
+  });
   Note(BoardNote::Kind::kJobEnded, id.text(), 0, {},
        outcome == JobOutcome::kCompleted   ? "completed"
        : outcome == JobOutcome::kCancelled ? "cancelled"
@@ -301,12 +311,12 @@
                   const Runner& place,
                   const ReadyStep& ready,
                   Instant now) {
-  TaskProgress& progress = *FindTask(task);
+  TaskProgress& progress = *TaskOf(task);
   progress.phase = TaskPhase::kClaimed;
   progress.run = number;
   progress.life = place.report.life;
   Run run = RunOf(step, number);
-  run.claim_version = Change(task.job);
+  run.claim_version = Change(task);
   run.send_due = now;
   run.checkpoint = progress.checkpoint;
   run.progressed_at = now;
@@ -418,7 +428,7 @@
   std::vector<JobId> expired;
   for (const auto& [id, entry] : jobs_) {
     if (expired.size() < most && !open_.contains(id) &&
-        !changed_jobs_.contains(id) &&
+        !changed_outcomes_.contains(id) &&
         now - entry.ended_at > settings_.retention) {
       expired.push_back(id);
     }
@@ -427,11 +437,23 @@
 }
 
 Board::Changes Board::TakeChanges() {
-  Changes changes{version_, {}};
-  for (const JobId& id : changed_jobs_) {
-    changes.jobs.emplace_back(id, jobs_.at(id).progress);
+  Changes changes{version_, {}, {}};
+  for (const JobId& id : changed_outcomes_) {
+    if (const Entry* entry = FindOrNull(jobs_, id)) {
+      changes.outcomes.emplace_back(id, entry->progress.outcome);
+    }
+  }
+  for (const TaskKey& key : changed_tasks_) {
+    const TaskProgress* task = TaskOf(key);
+    // Of a job that has ended, only what may still be at work has to be known.
+    const bool is_needed =
+        task != nullptr &&
+        (open_.contains(key.job) || task->phase == TaskPhase::kClaimed);
+    changes.tasks.emplace_back(
+        key, is_needed ? std::optional<TaskProgress>(*task) : std::nullopt);
   }
-  changed_jobs_.clear();
+  changed_outcomes_.clear();
+  changed_tasks_.clear();
   return changes;
 }
 
--- a/src/libs/jobs/board.h
+++ b/src/libs/jobs/board.h
@@ -106,7 +106,9 @@
   // Values to be stored, and the version that they bring the store to.
   struct Changes {
     uint64_t version = 0;
-    std::vector<std::pair<JobId, JobProgress>> jobs;
+    std::vector<std::pair<JobId, JobOutcome>> outcomes;
+    // Nothing: the task need not be stored any more.
+    std::vector<std::pair<TaskKey, std::optional<TaskProgress>>> tasks;
   };
 
   // Begins at `now`: runners that were claimed for before may be at work until
@@ -116,7 +118,7 @@
   void SetRoutes(RouteTable routes);
   // Adds what is stored. Nothing happens if the job is known.
   void AddJob(const JobId& id, Job job);
-  void Restore(const JobId& id, JobProgress progress);
+  void Restore(const JobId& id, const StoredProgress& stored);
   void Cancel(const JobId& id, Instant now);
   // What was learned of the work by this board, and by an earlier one.
   Learned learned() const;
@@ -144,7 +146,9 @@
   void Forget(const JobId& id) { jobs_.erase(id); }
 
   Changes TakeChanges();
-  bool has_changes() const { return !changed_jobs_.empty(); }
+  bool has_changes() const {
+    return !changed_outcomes_.empty() || !changed_tasks_.empty();
+  }
   // Version that covers every change made so far.
   uint64_t version() const { return version_; }
   uint64_t stored_version() const { return stored_version_; }
@@ -177,8 +181,8 @@
   };
 
   Instant LapseOf(Instant lease_end) const;
-  uint64_t Change(const JobId& id);
-  TaskProgress* FindTask(const TaskKey& task);
+  uint64_t Change(const TaskKey& task);
+  TaskProgress* TaskOf(const TaskKey& task);
   const Step* FindStep(const TaskKey& task) const;
   bool IsStepReady(const Entry& entry,
                    uint32_t occurrence,
@@ -261,7 +265,8 @@
   std::map<RunnerLife, std::vector<Order>> pace_orders_;  // Not sent yet.
   uint64_t version_ = 0;
   uint64_t stored_version_ = 0;
-  std::set<JobId> changed_jobs_;
+  std::set<JobId> changed_outcomes_;
+  std::set<TaskKey> changed_tasks_;
   std::vector<HopelessNeed> hopeless_;
   size_t waiting_tasks_ = 0;
 };
--- a/src/libs/jobs/board_runs.cpp
+++ b/src/libs/jobs/board_runs.cpp
@@ -188,7 +188,7 @@
                      const RunnerLife& life,
                      Instant now) {
   const Step* step = FindStep(task);
-  TaskProgress* progress = FindTask(task);
+  TaskProgress* progress = TaskOf(task);
   if (step == nullptr || progress == nullptr ||
       progress->phase != TaskPhase::kClaimed) {
     return;
@@ -202,15 +202,16 @@
     auto& tasks = entry.progress.occurrences[task.occurrence].steps[task.step];
     if (step->is_gang) {
       // One end stands for all members.
-      for (TaskProgress& member : tasks) {
-        member.phase = TaskPhase::kDone;
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        tasks[i].phase = TaskPhase::kDone;
+        Change({task.job, task.occurrence, task.step, i});
       }
       WithdrawGang(task, now);
     }
     progress->phase = TaskPhase::kDone;
     progress->life = {};
     progress->checkpoint.clear();
-    Change(task.job);
+    Change(task);
     CheckCompletion(task.job, now);
     return;
   }
@@ -224,9 +225,9 @@
 
 void Board::Fail(const TaskKey& task, const RunnerLife& life, Instant now) {
   Entry& entry = jobs_.at(task.job);
-  TaskProgress* progress = FindTask(task);
+  TaskProgress* progress = TaskOf(task);
   ++progress->failures;
-  Change(task.job);
+  Change(task);
   const Queue* queue = routes_.Find(entry.job.queue);
   const uint32_t most = queue == nullptr ? UINT32_MAX : queue->most_failures;
   uint32_t failures = progress->failures;
@@ -246,7 +247,7 @@
 }
 
 void Board::Release(const TaskKey& task, const std::string& checkpoint) {
-  TaskProgress* progress = FindTask(task);
+  TaskProgress* progress = TaskOf(task);
   if (progress == nullptr || progress->phase != TaskPhase::kClaimed) {
     return;
   }
@@ -255,7 +256,7 @@
   if (!checkpoint.empty()) {
     progress->checkpoint = checkpoint;
   }
-  Change(task.job);
+  Change(task);
 }
 
 void Board::Withdraw(Runner& runner,
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -28,11 +28,8 @@
   return std::tie(value.phase, value.run, value.failures, value.life,
                   value.checkpoint);
 }
-static auto Fields(OccurrenceProgress& value) {
-  return std::tie(value.steps);
-}
-static auto Fields(JobProgress& value) {
-  return std::tie(value.outcome, value.occurrences);
+static auto Fields(StoredOutcome& value) {
+  return std::tie(value.outcome);
 }
 static auto Fields(LeaderRecord& value) {
   return std::tie(value.term, value.node, value.address, value.beat,
@@ -94,7 +91,10 @@
 std::string Encode(const Job& value) {
   return records::PackToBytes(value);
 }
-std::string Encode(const JobProgress& value) {
+std::string Encode(const StoredOutcome& value) {
+  return records::PackToBytes(value);
+}
+std::string Encode(const TaskProgress& value) {
   return records::PackToBytes(value);
 }
 std::string Encode(const LeaderRecord& value) {
@@ -125,7 +125,8 @@
 }
 
 template std::optional<Job> Decode(std::string_view);
-template std::optional<JobProgress> Decode(std::string_view);
+template std::optional<StoredOutcome> Decode(std::string_view);
+template std::optional<TaskProgress> Decode(std::string_view);
 template std::optional<LeaderRecord> Decode(std::string_view);
 template std::optional<AgentList> Decode(std::string_view);
 template std::optional<Learned> Decode(std::string_view);
--- a/src/libs/jobs/codec.h
+++ b/src/libs/jobs/codec.h
@@ -15,7 +15,8 @@
 namespace papayadrift::jobs {
 
 std::string Encode(const Job& value);
-std::string Encode(const JobProgress& value);
+std::string Encode(const StoredOutcome& value);
+std::string Encode(const TaskProgress& value);
 std::string Encode(const LeaderRecord& value);
 std::string Encode(const AgentList& value);
 std::string Encode(const Learned& value);
@@ -29,7 +30,8 @@
 std::optional<T> Decode(std::string_view bytes);
 
 extern template std::optional<Job> Decode(std::string_view);
-extern template std::optional<JobProgress> Decode(std::string_view);
+extern template std::optional<StoredOutcome> Decode(std::string_view);
+extern template std::optional<TaskProgress> Decode(std::string_view);
 extern template std::optional<LeaderRecord> Decode(std::string_view);
 extern template std::optional<AgentList> Decode(std::string_view);
 extern template std::optional<Learned> Decode(std::string_view);
--- a/src/libs/jobs/directory.cpp
+++ b/src/libs/jobs/directory.cpp
@@ -15,10 +15,12 @@
   jobs_[id].is_cancelled = true;
 }
 
-void Directory::OnProgress(const JobId& id, const JobProgress& progress) {
-  Entry& entry = jobs_[id];
-  entry.outcome = progress.outcome;
-  entry.has_started = entry.has_started || HasStarted(progress);
+void Directory::OnStarted(const JobId& id) {
+  jobs_[id].has_started = true;
+}
+
+void Directory::OnOutcome(const JobId& id, JobOutcome outcome) {
+  jobs_[id].outcome = outcome;
 }
 
 JobState Directory::StateOf(const Entry& entry) {
--- a/src/libs/jobs/directory.h
+++ b/src/libs/jobs/directory.h
@@ -19,7 +19,8 @@
  public:
   void OnJob(const JobId& id, const Job& job);
   void OnCancelled(const JobId& id);
-  void OnProgress(const JobId& id, const JobProgress& progress);
+  void OnStarted(const JobId& id);
+  void OnOutcome(const JobId& id, JobOutcome outcome);
   void Forget(const JobId& id) { jobs_.erase(id); }
 
   // Returns nothing if no such job was accepted for that queue.
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -57,26 +57,15 @@
                                             job.occurrences, occurrence)};
 }
 
-bool FitsJob(const JobProgress& progress, const Job& job) {
-  return progress.occurrences.size() == job.occurrences &&
-         std::ranges::all_of(progress.occurrences,
-                             [&](const OccurrenceProgress& occurrence) {
-                               return std::ranges::equal(
-                                   occurrence.steps, job.steps,
-                                   [](const auto& tasks, const Step& step) {
-                                     return tasks.size() == step.count;
-                                   });
-                             });
-}
-
-bool HasStarted(const JobProgress& progress) {
-  return std::ranges::any_of(
-      progress.occurrences, [](const OccurrenceProgress& occurrence) {
-        return std::ranges::any_of(occurrence.steps, [](const auto& tasks) {
-          return std::ranges::any_of(
-              tasks, [](const TaskProgress& task) { return task.run > 0; });
-        });
-      });
+TaskProgress* FindTask(JobProgress& progress, const TaskKey& task) {
+  if (task.occurrence >= progress.occurrences.size()) {
+    return nullptr;
+  }
+  auto& steps = progress.occurrences[task.occurrence].steps;
+  if (task.step >= steps.size() || task.index >= steps[task.step].size()) {
+    return nullptr;
+  }
+  return &steps[task.step][task.index];
 }
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -95,7 +96,7 @@
                          const OccurrenceProgress&) = default;
 };
 
-// How far a job has come; stored as one value.
+// How far a job has come.
 struct JobProgress {
   JobOutcome outcome = JobOutcome::kOpen;
   std::vector<OccurrenceProgress> occurrences;
@@ -103,11 +104,27 @@
   friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
 
+// How a job ended, as it is stored.
+struct StoredOutcome {
+  JobOutcome outcome = JobOutcome::kOpen;
+
+  friend bool operator==(const StoredOutcome&, const StoredOutcome&) = default;
+};
+
+// How far a job has come, as it is stored: tasks that have changed, each by
+// itself.
+struct StoredProgress {
+  JobOutcome outcome = JobOutcome::kOpen;
+  std::map<TaskKey, TaskProgress> tasks;
+
+  friend bool operator==(const StoredProgress&,
+                         const StoredProgress&) = default;
+};
+
 // Returns the progress of a job of which nothing has begun.
 JobProgress InitialProgress(const Job& job);
-// Returns whether `progress` has the shape that `job` asks for.
-bool FitsJob(const JobProgress& progress, const Job& job);
-bool HasStarted(const JobProgress& progress);
+// Returns the task, or null if the job has no such task.
+TaskProgress* FindTask(JobProgress& progress, const TaskKey& task);
 
 }  // namespace papayadrift::jobs
 
--- a/tests/auto/cluster/job_front_test.cpp
+++ b/tests/auto/cluster/job_front_test.cpp
@@ -160,5 +160,43 @@
   front_.Stop();
 }
 
+// Replays a large deployment: every front once read everything that is stored.
+TEST_F(JobFrontTest, FrontThatIsNoStandbyAsksTheLeader) {
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        const auto state = static_cast<uint32_t>(jobs::JobState::kRunning);
+        respond({200,
+                 {},
+                 request.path == kRelayPath
+                     ? Encode(RelayAnswer{true, state, true})
+                     : std::string()});
+      });
+  ASSERT_TRUE(leader.Open());
+  const auto store = [this](const std::string& key, const std::string& value) {
+    log_.Write({kLeaderTopic, {{key, value}}, std::nullopt, std::nullopt}, {},
+               [](const keyed_log::AppendResult&) {});
+  };
+  for (size_t i = 0; i < JobFrontSettings().standbys; ++i) {
+    const std::string node = "strong-" + std::to_string(i);
+    store(std::string(kFrontPrefix) + node,
+          Encode(FrontRecord{node, address, 1, 64000}));
+  }
+  store(kLeaderKey, jobs::Encode(jobs::LeaderRecord{1, "strong-0", address}));
+  front_.Start();
+  log_.Settle();
+  std::optional<StateResult> state;
+  front_.State("q", kId, [&](const StateResult& it) { state = it; });
+  while (!state) {
+    ASSERT_GT(loop_.run_one(), 0U);
+    log_.Settle();
+  }
+  EXPECT_EQ(*state, StateResult(jobs::JobState::kRunning));
+  EXPECT_EQ(log_.read_count(kProgressTopic), 0U);
+  EXPECT_EQ(log_.read_count(kJobsTopic), 0U);
+  front_.Stop();
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -13,14 +13,8 @@
 // Beside a runner that had a task and has ended.
 class AgentOfEndedRunner {
  public:
-  jobs::JobProgress ClaimedProgress() const {
-    jobs::TaskProgress task;
-    task.phase = jobs::TaskPhase::kClaimed;
-    task.run = 1;
-    task.life = life_;
-    jobs::JobProgress progress;
-    progress.occurrences = {{{{task}}}};
-    return progress;
+  jobs::TaskProgress ClaimedTask() const {
+    return {jobs::TaskPhase::kClaimed, 1, 0, life_, {}};
   }
   http::Request GoneRequest() const {
     jobs::RunnerReport report;
@@ -114,13 +108,12 @@
 // had ended, and ended itself; the next leaders waited for the lease to lapse.
 TEST_F(LeaderTest, EndOfALifeIsAnsweredOnceItIsStored) {
   const AgentOfEndedRunner agent;
-  const jobs::JobProgress progress = agent.ClaimedProgress();
   jobs::Job job;
   job.queue = "q";
   job.steps.resize(1);
   Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
   Store(kProgressTopic,
-        {KeyOf(kProgressPrefix, JobId("a")), jobs::Encode(progress)});
+        {KeyOf({JobId("a"), 0, 0, 0}), jobs::Encode(agent.ClaimedTask())});
   const auto leader = MakeLeader("node-1");
   CatchUp();
   leader->Campaign();
--- a/tests/auto/jobs/board_test.cpp
+++ b/tests/auto/jobs/board_test.cpp
@@ -63,8 +63,16 @@
 
   void Store() {
     const Board::Changes changes = board_.TakeChanges();
-    for (const auto& [id, progress] : changes.jobs) {
-      stored_[id] = progress;
+    for (const auto& [id, outcome] : changes.outcomes) {
+      stored_[id].outcome = outcome;
+    }
+    for (const auto& [key, task] : changes.tasks) {
+      stored_tasks_ += 1;
+      if (task) {
+        stored_[key.job].tasks[key] = *task;
+      } else {
+        stored_[key.job].tasks.erase(key);
+      }
     }
     board_.OnStored(changes.version);
   }
@@ -92,7 +100,8 @@
   TaskKey Task(uint32_t index) const { return {JobId("a"), 0, 0, index}; }
 
   Board board_;
-  std::map<JobId, JobProgress> stored_;
+  std::map<JobId, StoredProgress> stored_;
+  size_t stored_tasks_ = 0;  // Counts what was written of tasks.
 };
 
 TEST_F(BoardTest, HoldsStartsBackUntilTheirClaimIsStored) {
@@ -104,6 +113,36 @@
   EXPECT_EQ(board_.TakeOrders(At(0)).size(), 1U);
 }
 
+// Replays a large deployment: a job's whole progress was once stored again with
+// each of its tasks that changed.
+TEST_F(BoardTest, StoresOnlyTasksThatChanged) {
+  constexpr uint32_t kTasks = 2;
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(20, 1500));
+  ASSERT_EQ(CountStarts(Orders(0)), kTasks);
+  EXPECT_EQ(stored_tasks_, kTasks);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  Store();
+  EXPECT_EQ(stored_tasks_, kTasks + 1);
+}
+
+TEST_F(BoardTest, EndedJobsKeepOnlyTasksThatMayBeAtWork) {
+  Report(kFirst, 0);
+  board_.AddJob(JobId("a"), JobOf(2, 1000));
+  Orders(0);
+  Report(kFirst, 500, {{Task(1), 1, "", 10, 0}},
+         {{1, Task(0), 1, RunEnd::kDone, ""}});
+  board_.Cancel(JobId("a"), At(600));
+  Store();
+  const StoredProgress& stored = stored_.at(JobId("a"));
+  EXPECT_EQ(stored.outcome, JobOutcome::kCancelled);
+  ASSERT_EQ(stored.tasks.size(), 1U);
+  EXPECT_EQ(stored.tasks.begin()->first, Task(1));
+  Report(kFirst, 1000, {}, {{2, Task(1), 1, RunEnd::kStopped, ""}});
+  Store();
+  EXPECT_TRUE(stored_.at(JobId("a")).tasks.empty());
+}
+
 TEST_F(BoardTest, NeverClaimsMoreThanARunnerHas) {
   Report(kFirst, 0);
   board_.AddJob(JobId("a"), JobOf(10, 1500));
@@ -270,7 +309,7 @@
   EXPECT_EQ(CountStarts(Orders(500)), 1U);
   Report(kFirst, 900, {}, {{2, Task(0), 2, RunEnd::kFailed, ""}});
   Report(kFirst, 950, {}, {{3, Task(0), 3, RunEnd::kFailed, ""}});
-  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kOpen);
+  EXPECT_EQ(stored_[JobId("a")].outcome, JobOutcome::kOpen);
 }
 
 // A new leader knows claims but not whether their starts have left: it repeats
--- a/tests/auto/jobs/directory_test.cpp
+++ b/tests/auto/jobs/directory_test.cpp
@@ -23,9 +23,7 @@
 
 TEST(DirectoryTest, ProgressMayComeBeforeTheJob) {
   Directory directory;
-  JobProgress progress = InitialProgress(JobOfQueue("q"));
-  progress.outcome = JobOutcome::kCompleted;
-  directory.OnProgress(kId, progress);
+  directory.OnOutcome(kId, JobOutcome::kCompleted);
   EXPECT_EQ(directory.StateOf("q", kId), std::nullopt);
   directory.OnJob(kId, JobOfQueue("q"));
   EXPECT_EQ(directory.StateOf("q", kId), JobState::kCompleted);
@@ -43,9 +41,7 @@
   Directory directory;
   directory.OnJob(kId, JobOfQueue("q"));
   directory.OnJob(JobId("b"), JobOfQueue("q"));
-  JobProgress progress = InitialProgress(JobOfQueue("q"));
-  progress.occurrences[0].steps[0][0].run = 1;
-  directory.OnProgress(kId, progress);
+  directory.OnStarted(kId);
   EXPECT_EQ(directory.StateOf("q", kId), JobState::kRunning);
   EXPECT_EQ(directory.CountQueued("q"), 1U);
 }
--- a/tests/auto/jobs/job_test.cpp
+++ b/tests/auto/jobs/job_test.cpp
@@ -22,12 +22,10 @@
 }
 
 TEST(JobCodecTest, ReadsBackProgress) {
-  JobProgress progress;
-  progress.outcome = JobOutcome::kFailed;
-  progress.occurrences.resize(2);
-  progress.occurrences[1].steps.push_back(
-      {TaskProgress{TaskPhase::kClaimed, 4, 1, {"n", "i", -3}, "c"}});
-  EXPECT_EQ(Decode<JobProgress>(Encode(progress)), progress);
+  const StoredOutcome outcome{JobOutcome::kFailed};
+  EXPECT_EQ(Decode<StoredOutcome>(Encode(outcome)), outcome);
+  const TaskProgress task{TaskPhase::kClaimed, 4, 1, {"n", "i", -3}, "c"};
+  EXPECT_EQ(Decode<TaskProgress>(Encode(task)), task);
 }
 
 TEST(JobCodecTest, ReadsBackOrders) {
@@ -40,27 +38,24 @@
 }
 
 RC_GTEST_PROP(JobCodecTest, RefusesTornBytes, (uint32_t run)) {
-  JobProgress progress;
-  progress.occurrences.resize(1);
-  progress.occurrences[0].steps.push_back(
-      {TaskProgress{TaskPhase::kClaimed, run, 1, {"n", "i", 1}, "c"}});
-  const std::string bytes = Encode(progress);
+  const TaskProgress task{TaskPhase::kClaimed, run, 1, {"n", "i", 1}, "c"};
+  const std::string bytes = Encode(task);
   const auto size = *rc::gen::inRange<size_t>(0, bytes.size());
-  RC_ASSERT(!Decode<JobProgress>(bytes.substr(0, size)));
+  RC_ASSERT(!Decode<TaskProgress>(bytes.substr(0, size)));
 }
 
-TEST(JobProgressTest, FitsOnlyItsJob) {
+TEST(JobProgressTest, FindsOnlyTasksOfItsJob) {
   Job job;
   job.steps.resize(2);
   job.steps[1].count = 3;
   job.occurrences = 2;
   JobProgress progress = InitialProgress(job);
-  EXPECT_TRUE(FitsJob(progress, job));
-  EXPECT_FALSE(HasStarted(progress));
-  progress.occurrences[1].steps[1].pop_back();
-  EXPECT_FALSE(FitsJob(progress, job));
-  progress.occurrences[0].steps[0][0].run = 1;
-  EXPECT_TRUE(HasStarted(progress));
+  const JobId id("a");
+  EXPECT_EQ(FindTask(progress, {id, 1, 1, 2}),
+            &progress.occurrences[1].steps[1][2]);
+  EXPECT_EQ(FindTask(progress, {id, 2, 0, 0}), nullptr);
+  EXPECT_EQ(FindTask(progress, {id, 0, 2, 0}), nullptr);
+  EXPECT_EQ(FindTask(progress, {id, 0, 1, 3}), nullptr);
 }
 
 }  // namespace
--- a/tests/auto/keyed_log/fake_keyed_log.cpp
+++ b/tests/auto/keyed_log/fake_keyed_log.cpp
@@ -60,6 +60,7 @@
                         milliseconds wait,
                         Instant /*deadline*/,
                         std::function<void(ReadResult)> done) {
+  ++read_counts_[topic];
   calls_.emplace_back([this, topic, from, wait, done = std::move(done)] {
     if (is_down_) {
       done(ReadFailed{});
@@ -89,6 +90,7 @@
                               const std::string& after_key,
                               Instant /*deadline*/,
                               std::function<void(ReadResult)> done) {
+  ++read_counts_[topic];
   calls_.emplace_back([this, topic, after_key, done = std::move(done)] {
     if (is_down_) {
       done(ReadFailed{});
@@ -115,6 +117,11 @@
   });
 }
 
+size_t FakeKeyedLog::read_count(const std::string& topic) const {
+  const auto it = read_counts_.find(topic);
+  return it == read_counts_.end() ? 0 : it->second;
+}
+
 void FakeKeyedLog::Settle() {
   while (!calls_.empty()) {
     AnswerNext();
--- a/tests/auto/keyed_log/fake_keyed_log.h
+++ b/tests/auto/keyed_log/fake_keyed_log.h
@@ -42,6 +42,8 @@
   void set_page_size(size_t size) { page_size_ = size; }
   // Appends that were begun.
   size_t append_count() const { return append_count_; }
+  // Reads of a topic that were begun, from either end.
+  size_t read_count(const std::string& topic) const;
 
  private:
   struct WriterState {
@@ -65,6 +67,7 @@
   bool loses_answers_ = false;
   size_t page_size_ = 500;
   size_t append_count_ = 0;
+  std::map<std::string, size_t> read_counts_;
 };
 
 }  // namespace papayadrift::keyed_log
