Jobs: Judges a runner's speed by what a run did there

Cause: the progress estimate divided the time since a resumed run started by work that included its checkpoint, so a slow runner looked fast. The leader's stepped_at_ was never used. Change: progress and time count from the run's first listing; the unused member is gone. JudgesASlowRunnerByWhatARunDidThere gave a slowness of 1 before.

--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -166,7 +166,6 @@
   std::vector<JobId> deleted_jobs_;  // Jobs whose progress is still stored.
   Instant last_append_at_;
   Instant learned_appended_at_;
-  Instant stepped_at_;
   boost::asio::steady_timer step_timer_;
   Instant step_due_;
   bool is_step_due_ = false;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -32,6 +32,10 @@
   std::string image;
   int64_t tail_target_ms = 0;
   uint32_t percent = 0;
+  // When the run was first listed, and its progress then: a resumed run starts
+  // with that of its checkpoint.
+  Instant listed_since;
+  uint32_t first_percent = 0;
   uint32_t pace_percent = 100;  // As last sent in an order.
   Instant paced_at;
   // An unanswered pace order may take effect late and override later ones; the
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -59,6 +59,10 @@
     if (run == nullptr || run->number != active.run) {
       continue;
     }
+    if (run->listed_since == Instant()) {
+      run->listed_since = now;
+      run->first_percent = active.percent;
+    }
     run->is_accepted = true;
     run->accepted_at_ms = std::min(run->accepted_at_ms, report.listed_at_ms);
     run->gauge = active.gauge;
@@ -592,12 +596,13 @@
     }
     const auto expected_ms =
         static_cast<double>(durations_.Expect(entry->job.queue, step));
-    if (run.percent >= kMinMeasuredPercent && run.paced_at == Instant() &&
-        expected_ms > 0) {
+    const uint32_t percent = run.percent - run.first_percent;
+    if (run.percent > run.first_percent && percent >= kMinMeasuredPercent &&
+        run.paced_at == Instant() && expected_ms > 0) {
       const auto elapsed_ms = static_cast<double>(
-          std::chrono::floor<milliseconds>(now - run.started_at).count());
+          std::chrono::floor<milliseconds>(now - run.listed_since).count());
       const double ratio = std::clamp(
-          elapsed_ms * 100 / (run.percent * expected_ms), 0.2, kMaxSlowness);
+          elapsed_ms * 100 / (percent * expected_ms), 0.2, kMaxSlowness);
       runner.slowness += (ratio - runner.slowness) * kSmoothing;
     }
   }
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -359,6 +359,24 @@
   EXPECT_TRUE(is_stopped);
 }
 
+// A resumed run has done part of its work elsewhere. Counted as done here, it
+// would hide that the runner is slow.
+TEST_F(JobSchedulerTest, JudgesASlowRunnerByWhatARunDidThere) {
+  Job job = JobOf(1, 1000);
+  job.steps[0].estimated_ms = 1000;
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), job);
+  const auto orders = Orders(0);
+  ASSERT_EQ(orders.size(), 1U);
+  scheduler_.OnOrderResult(kFirst, orders[0].second, {OrderVerdict::kDone, 50},
+                           At(50));
+  for (int64_t now_ms = 100; now_ms <= 1300; now_ms += 400) {
+    const auto percent = static_cast<uint32_t>(60 + (now_ms - 100) / 60);
+    Report(kFirst, now_ms, {{Task(0), 1, "", percent, 0}});
+  }
+  EXPECT_GT(scheduler_.fleet().Find(kFirst)->slowness, 1.5);
+}
+
 // A runner does not answer orders: a pace order that may have been lost is
 // resent.
 TEST_F(JobSchedulerTest, RepeatsAPaceThatWasNotAnswered) {
