Jobs: Learns interference from tasks of one step at the same time

Change: two tasks of a step beside different fillers are compared; a task without a sibling goes by its own changes as before. Samples of ended runs are dropped.

--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kMinSampleGap(450);
 constexpr milliseconds kMaxSampleGap(1500);
 // Period at which pairs are predicted from the evidence of other pairs.
+// The load of a step hardly changes in this time.
+constexpr milliseconds kMaxSiblingGap(300);
 constexpr milliseconds kFitPeriod(1000);
 // Standard deviation of a weight from its prediction.
 constexpr double kPredictionDeviation = 2.5;
@@ -50,21 +52,22 @@
                            double slack,
                            const std::map<std::string, double>& uses,
                            Instant at) {
-  Sample sample{slack, uses, at};
-  const auto [it, is_first] = samples_.try_emplace(serving, sample);
-  if (is_first || at - it->second.at < kMinSampleGap) {
+  const auto [it, is_first] = samples_.try_emplace(serving, Sample{});
+  if (!is_first && at - it->second.at < kMinSampleGap) {
     return;
   }
   if (at - fitted_at_ >= kFitPeriod) {
     fitted_at_ = at;
     FitFactors();
   }
-  const Sample previous = std::exchange(it->second, sample);
-  if (at - previous.at > kMaxSampleGap) {
-    return;
+  const Sample previous = std::exchange(it->second, Sample{slack, uses, at});
+  if (const Sample* sibling = NewestSibling(serving, uses, at)) {
+    Compare(serving_image, it->second, *sibling);
+  } else if (!is_first && at - previous.at <= kMaxSampleGap) {
+    Compare(serving_image, it->second, previous);
   }
   std::map<std::string, double> changes = sample.shares;
-  for (const auto& [image, share] : previous.shares) {
+  for (const auto& [image, share] : other.shares) {
     changes[image] -= share;
   }
   std::erase_if(changes, [](const auto& change) {
@@ -75,13 +78,34 @@
   }
   ServingModel& model = models_[serving_image];
   placement::Features features;
+}
+
+const Interference::Sample* Interference::NewestSibling(
+    const TaskKey& serving,
+    const std::map<std::string, double>& uses,
+    Instant at) const {
+  const Sample* newest = nullptr;
+  const TaskKey step = StepOf(serving);
+  for (auto it = samples_.lower_bound(step);
+       it != samples_.end() && StepOf(it->first) == step; ++it) {
+    if (at - it->second.at <= kMaxSiblingGap && it->second.shares != uses &&
+        (newest == nullptr || it->second.at > newest->at)) {
+      newest = &it->second;
+    }
+  }
+  return newest;
+}
+
+void Interference::Compare(const std::string& serving_image,
+                           const Sample& sample,
+                           const Sample& other) {
   for (const auto& [image, change] : changes) {
     features.push_back({model.CoefficientOf(image), -change});
   }
   std::ranges::sort(features, {}, &placement::Feature::coefficient);
   model.weights.Observe(
-      features, sample.slack - previous.slack,
-      kLoadNoise + kRelativeNoise * std::max(sample.slack, previous.slack));
+      features, sample.slack - other.slack,
+      kLoadNoise + kRelativeNoise * std::max(sample.slack, other.slack));
 }
 
 double Interference::Weight(const std::string& serving_image,
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -20,8 +20,10 @@
 // grows as the inverse of that. So the slack of a task, its target divided by
 // its tail latency, falls by a weight times the processor share that the
 // fillers use. Most pairs do not interfere at all, and the load of a serving
-// task changes its slack too; so only changes between two samples of one task,
-// half a second apart, are used as evidence.
+// task changes its slack too, by more than most fillers do. Tasks of one step
+// share its load, so the difference between two of them at the same time,
+// beside different fillers, is used as evidence; for a task without such a
+// sibling, the change between two of its own samples half a second apart.
 class Interference {
  public:
   // Adds one sample of a serving task. `uses` is the share of the runner that
@@ -65,6 +67,16 @@
     // Prediction of each coefficient from the other pairs, as of the last fit.
     std::vector<std::optional<double>> predictions;
   };
+  // Returns the newest recent sample of another task of the same step that ran
+  // beside other fillers, or null.
+  const Sample* NewestSibling(const TaskKey& serving,
+                              const std::map<std::string, double>& uses,
+                              Instant at) const;
+  // Updates the weights from the difference between two samples at equal load.
+  void Compare(const std::string& serving_image,
+               const Sample& sample,
+               const Sample& other);
+
   struct Estimate {
     double mean = 0;
     double variance = 0;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -30,6 +30,11 @@
 // Returns std::nullopt if `text` is not such a name.
 std::optional<TaskKey> TaskKeyFromText(const std::string& text);
 
+// Returns the first task of the step of `task`, as a key for the step.
+inline TaskKey StepOf(const TaskKey& task) {
+  return {task.job, task.occurrence, task.step, 0};
+}
+
 // A step: `count` identical tasks.
 struct Step {
   uint32_t count = 1;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -158,6 +158,7 @@
     const std::string checkpoint =
         ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint;
     runner.runs.erase(ended.task);
+    interference_.Forget(ended.task);
     Emit(JobSchedulerEvent::Kind::kRunEnded, ToText(ended.task), ended.run,
          ToText(runner.report.incarnation),
          ended.end == RunEnd::kDone     ? "done"
@@ -313,6 +314,7 @@
       listed_at_ms >= run.stop_accepted_at_ms) {
     const std::string checkpoint = run.checkpoint;
     runner.runs.erase(task);
+    interference_.Forget(task);
     Release(task, checkpoint);
     return;
   }
@@ -337,6 +339,7 @@
   for (const auto& [task, run] : runs) {
     Emit(JobSchedulerEvent::Kind::kRunLost, ToText(task), run.number,
          ToText(incarnation), reason);
+    interference_.Forget(task);
     Release(task, run.checkpoint);
     const Step* step = FindStep(task);
     if (step != nullptr && step->is_gang) {
--- a/tests/auto/jobs/interference_test.cpp
+++ b/tests/auto/jobs/interference_test.cpp
@@ -34,6 +34,36 @@
   EXPECT_LT(Learn(0.0), 1.5);
 }
 
+// The load of a service swings by more than most fillers take, and the fillers
+// beside a task hardly change: only another task of the same step, at the same
+// time, shows what they do.
+TEST(InterferenceTest, ComparesTasksOfOneStep) {
+  constexpr double kHeavy = 8.0;
+  constexpr double kShare = 0.2;
+  Interference interference;
+  for (int64_t i = 0; i < 8; ++i) {
+    const double load = 2.0 * std::sin(static_cast<double>(i) / 4.0);
+    const Instant at = At(i * 500);
+    interference.Observe({JobId("a"), 0, 0, 0}, "s", 4.0 - load, {}, at);
+    interference.Observe({JobId("a"), 0, 0, 1}, "s",
+                         4.0 - load - kHeavy * kShare, {{"heavy", kShare}}, at);
+    interference.Observe({JobId("a"), 0, 0, 2}, "s", 4.0 - load,
+                         {{"light", kShare}}, at);
+  }
+  EXPECT_GT(interference.Weight("s", "heavy"), 6.0);
+  EXPECT_LT(interference.Weight("s", "light"), 1.5);
+}
+
+// A task that has moved away is no sibling any more.
+TEST(InterferenceTest, ForgetsSamplesOfTasksThatMoved) {
+  Interference interference;
+  interference.Observe({JobId("a"), 0, 0, 0}, "s", 4.0, {}, At(0));
+  interference.Forget({JobId("a"), 0, 0, 0});
+  const double before = interference.Weight("s", "f");
+  interference.Observe({JobId("a"), 0, 0, 1}, "s", 1.0, {{"f", 0.2}}, At(10));
+  EXPECT_EQ(interference.Weight("s", "f"), before);
+}
+
 TEST(InterferenceTest, AssumesInterferenceWithoutEvidence) {
   const Interference interference;
   EXPECT_GT(interference.Weight("serving", "filler"), 1.5);
