Jobs: Forecasts the load of serving steps

Change: StepLoad, a Kalman filter with level and slope, follows the slack of all tasks of a step without fillers; pacing and placing go by its forecast 1.2 s ahead.

--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -21,6 +21,7 @@
 #include "jobs/policy_settings.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
+#include "jobs/step_load.h"
 
 namespace papayadrift::jobs {
 
@@ -50,6 +51,10 @@
   // not answer, and the period at which a pace is resent until then.
   milliseconds late_order_limit{12000};
   milliseconds pace_repeat{1000};
+  // How far ahead the load of services is forecast: gauges are up to half a
+  // second old and follow the load with a delay of about as much, and a new
+  // pace takes as long to show.
+  milliseconds load_forecast{1200};
   // A filler that runs below this pace for this long is stopped if it would run
   // faster elsewhere, where it resumes from its checkpoint.
   uint32_t slow_percent = 30;
@@ -233,6 +238,8 @@
                                const Run& run,
                                Instant now) const;
   void ObserveDuration(const TaskKey& task, const Run& run, Instant now);
+  // Learns from the gauges of serving tasks and forecasts their load.
+  void ObserveServing(Runner& runner, Instant now);
   void CountFailure(Runner& runner, const TaskKey& task, Instant now);
   void HandleRunEnd(const TaskKey& task,
                     RunEnd end,
@@ -289,3 +296,4 @@
 }  // namespace papayadrift::jobs
 
 #endif  // PAPAYADRIFT_JOBS_JOB_SCHEDULER_H_
+  std::map<TaskKey, StepLoad> loads_;  // By the first task of a serving step.
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -1,6 +1,7 @@
 #include "jobs/pace_plan.h"
 
 #include <algorithm>
+#include <numeric>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -96,9 +97,9 @@
   }
 }
 
-void UpdateFillerUses(Runner& runner, Instant now) {
+bool UpdateFillerUses(Runner& runner, Instant now) {
   if (now - runner.filler_uses_at < kGaugePeriod) {
-    return;
+    return false;
   }
   runner.filler_uses_at = now;
   for (double& share : runner.filler_uses | std::views::values) {
@@ -121,11 +122,10 @@
     if (!run.is_serving || !run.is_accepted || run.gauge <= 0) {
       continue;
     }
-    ServingState state{run.image, SlackOf(run)};
-    for (const auto& [image, share] : runner.filler_uses) {
-      state.baseline_slack += interference.Weight(run.image, image) * share;
-    }
-    states.push_back(std::move(state));
+    states.push_back(
+        {run.image, run.baseline_slack > 0
+                        ? run.baseline_slack
+                        : BaselineSlackOf(runner, run, interference)});
   }
   return states;
 }
@@ -150,6 +150,17 @@
                               : settings.harmless_weight;
   std::vector<const std::pair<const TaskKey, Run>*> fillers;
   for (const auto& it : runner.runs) {
+  return true;
+}
+
+double BaselineSlackOf(const Runner& runner,
+                       const Run& run,
+                       const Interference& interference) {
+  return std::accumulate(
+      runner.filler_uses.begin(), runner.filler_uses.end(), SlackOf(run),
+      [&](double sum, const auto& use) {
+        return sum + interference.Weight(run.image, use.first) * use.second;
+      });
     if (it.second.is_filler && it.second.is_accepted &&
         !it.second.is_withdrawn) {
       fillers.push_back(&it);
