Jobs: Lets light fillers start beside services at their peak, and slows them together

Cause: a filler could start only if no serving task of the runner was short of slack, however little it would take. Once started they were stopped first. Change: fillers up to a weight of 2.5 need no slack to start; near the peak all of them are slowed alike, and heavier ones get what is left.

--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -76,6 +76,44 @@
   return headrooms;
 }
 
+using Filler = std::pair<const TaskKey, Run>;
+
+bool IsLight(const std::vector<ServingState>& servings,
+             const Interference& interference,
+             const PaceSettings& settings,
+             const std::string& filler_image) {
+  return std::ranges::all_of(servings, [&](const ServingState& serving) {
+    return interference.Weight(serving.image, filler_image) <=
+           settings.harmless_weight;
+  });
+}
+
+// Returns the pace at which all these fillers together leave each serving task
+// the slack that it keeps beside light fillers.
+double CommonPace(const Runner& runner,
+                  const std::vector<const Filler*>& fillers,
+                  const std::vector<ServingState>& servings,
+                  const Interference& interference,
+                  const PaceSettings& settings) {
+  double pace = 1.0;
+  for (const ServingState& serving : servings) {
+    double effect = 0;
+    for (const Filler* it : fillers) {
+      const double weight =
+          interference.Weight(serving.image, it->second.image);
+      effect += weight > settings.strict_harmless_weight
+                    ? weight * FullShare(runner, it->second)
+                    : 0;
+    }
+    if (effect > 0) {
+      pace = std::clamp(
+          (serving.baseline_slack - settings.light_min_slack) / effect, 0.0,
+          pace);
+    }
+  }
+  return pace;
+}
+
 }  // namespace
 
 double SlackOf(const Run& run) {
@@ -113,6 +151,17 @@
   }
   std::erase_if(runner.filler_uses,
                 [](const auto& use) { return use.second < kMinUse; });
+  return true;
+}
+
+double BaselineSlackOf(const Runner& runner,
+                       const Run& run,
+                       const Interference& interference) {
+  return std::accumulate(
+      runner.filler_uses.begin(), runner.filler_uses.end(), SlackOf(run),
+      [&](double sum, const auto& use) {
+        return sum + interference.Weight(run.image, use.first) * use.second;
+      });
 }
 
 std::vector<ServingState> ServingStatesOf(const Runner& runner,
@@ -150,32 +199,39 @@
                               : settings.harmless_weight;
   std::vector<const std::pair<const TaskKey, Run>*> fillers;
   for (const auto& it : runner.runs) {
-  return true;
-}
-
-double BaselineSlackOf(const Runner& runner,
-                       const Run& run,
-                       const Interference& interference) {
-  return std::accumulate(
-      runner.filler_uses.begin(), runner.filler_uses.end(), SlackOf(run),
-      [&](double sum, const auto& use) {
-        return sum + interference.Weight(run.image, use.first) * use.second;
-      });
     if (it.second.is_filler && it.second.is_accepted &&
         !it.second.is_withdrawn) {
       fillers.push_back(&it);
     }
   }
-  std::ranges::sort(fillers, {}, [unix_ms](const auto* it) {
+  std::vector<ServingState> servings = ServingStatesOf(runner, interference);
+  const auto light_end =
+      std::ranges::partition(fillers, [&](const auto* it) {
+        return IsLight(servings, interference, settings, it->second.image);
+      }).begin();
+  std::map<TaskKey, uint32_t> percents;
+  const auto set_pace = [&](const std::pair<const TaskKey, Run>& filler,
+                            double pace) {
+    percents[filler.first] = static_cast<uint32_t>(pace * kFullPercent) /
+                             settings.step_percent * settings.step_percent;
+    const double use = FullShare(runner, filler.second) * pace;
+    for (ServingState& serving : servings) {
+      serving.baseline_slack -=
+          interference.Weight(serving.image, filler.second.image) * use;
+    }
+  };
+  const double light_pace = CommonPace(runner, {fillers.begin(), light_end},
+                                       servings, interference, settings);
+  std::ranges::for_each(fillers.begin(), light_end,
+                        [&](const auto* it) { set_pace(*it, light_pace); });
+  std::ranges::sort(light_end, fillers.end(), {}, [unix_ms](const auto* it) {
     const Run& run = it->second;
     const int64_t remaining_ms = run.remaining_ms * (100 - run.percent) / 100;
     return std::tuple(unix_ms > run.cutoff_ms,
                       unix_ms + remaining_ms > run.target_ms, run.target_ms,
                       it->first);
   });
-  std::vector<ServingState> servings = ServingStatesOf(runner, interference);
-  std::map<TaskKey, uint32_t> percents;
-  for (const auto* it : fillers) {
+  std::ranges::for_each(light_end, fillers.end(), [&](const auto* it) {
     const double share = FullShare(runner, it->second);
     double pace = 1.0;
     for (const ServingState& serving : servings) {
@@ -186,13 +242,8 @@
         pace = std::clamp(headroom / (weight * share), 0.0, pace);
       }
     }
-    percents[it->first] = static_cast<uint32_t>(pace * kFullPercent) /
-                          settings.step_percent * settings.step_percent;
-    for (ServingState& serving : servings) {
-      serving.baseline_slack -=
-          interference.Weight(serving.image, it->second.image) * share * pace;
-    }
-  }
+    set_pace(*it, pace);
+  });
   return percents;
 }
 
@@ -210,7 +261,11 @@
   for (const ServingHeadroom& headroom : *runner.headrooms) {
     if (known_image == nullptr || *known_image != headroom.image) {
       known_image = &headroom.image;
-      added = interference.ConservativeWeight(headroom.image, image) * share;
+      // Harmless fillers are not slowed, so they need no headroom.
+      added =
+          interference.Weight(headroom.image, image) <= settings.harmless_weight
+              ? 0
+              : interference.ConservativeWeight(headroom.image, image) * share;
     }
     excess += std::max(0.0, added - headroom.slack);
   }
--- a/src/libs/jobs/policy_settings.h
+++ b/src/libs/jobs/policy_settings.h
@@ -47,7 +47,10 @@
   double min_slack = 1.3;
   // Fillers with a lower weight are not slowed: a typical one would take less
   // than a tenth of slack.
-  double harmless_weight = 1.5;
+  double harmless_weight = 2.5;
+  // Slack that serving tasks keep beside such fillers, which are slowed
+  // together.
+  double light_min_slack = 0.9;
   // The same beside a task that has been over its target for `short_overrun`.
   // After `long_overrun` the weights are assumed to be wrong. Users allow four
   // seconds.
--- a/tests/auto/jobs/pace_plan_test.cpp
+++ b/tests/auto/jobs/pace_plan_test.cpp
@@ -97,6 +97,34 @@
   EXPECT_EQ(Plan().at(light), 0U);
 }
 
+// When a service is at its peak, several light fillers together push it over
+// its target although each alone is harmless: all are slowed a little, none
+// stopped.
+TEST_F(PacePlanTest, SlowsLightFillersTogether) {
+  AddServing("s", 45);
+  std::vector<TaskKey> fillers;
+  for (int i = 0; i < 4; ++i) {
+    fillers.push_back(AddFiller("light", 100 + i));
+  }
+  interference_.ImportWeights({{"s", "light", 1.0, 0.6}});
+  const auto paces = Plan();
+  for (const TaskKey& it : fillers) {
+    EXPECT_EQ(paces.at(it), paces.at(fillers[0]));
+  }
+  EXPECT_LT(paces.at(fillers[0]), 100U);
+  EXPECT_GT(paces.at(fillers[0]), 0U);
+}
+
+// A gauge lags behind a load that rises; the forecast of the step does not.
+TEST_F(PacePlanTest, GoesByTheForecastOfARisingLoad) {
+  AddServing("s", 20);
+  const TaskKey filler = AddFiller("heavy", 100);
+  TrainPair("s", "heavy", 8.0);
+  const uint32_t by_gauge = Plan().at(filler);
+  runner_.runs.at(Task(0)).baseline_slack = 1.4;
+  EXPECT_LT(Plan().at(filler), by_gauge);
+}
+
 // Guards against fillers that keep running beside a task over its target: that
 // lasted four seconds once, as noisy gauges fell below the target now and then.
 TEST_F(PacePlanTest, NoisyGaugesDoNotHideATailOverItsTarget) {
--- a/tests/auto/jobs/runner_choice_test.cpp
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -118,6 +118,19 @@
   EXPECT_EQ(Choose(), &third);
 }
 
+// While the load of services is at its peak, fillers that hardly interfere wait
+// for nothing: on a fleet of services some task is always at its peak.
+TEST_F(RunnerChoiceTest, HarmlessFillersNeedNoSlack) {
+  AddServing(kFirst, "x", 45);
+  fleet_.Remove(kSecond);
+  step_.is_filler = true;
+  step_.image = "f";
+  EXPECT_EQ(Choose(), nullptr);
+  interference_.ImportWeights({{"x", "f", 0.5, 0.5}});
+  fleet_.Get(kFirst).headrooms.reset();
+  EXPECT_NE(Choose(), nullptr);
+}
+
 // Guards against starting many tasks of an unknown image at once: five of them
 // beside a service raised its tail latency to eight times the target.
 TEST_F(RunnerChoiceTest, FewFillersOfANewImageStartBesideAService) {
