Jobs: Gives capacity to the job with the least work left

Cause: capacity was spread over all jobs that could still be in time, so that in and after the burst most of them came just late: 78 of 127 late, 33 in aim. Change: within a priority, and among those that can still be in time, the job with the least processor time left goes first. Nearly finished ones are thus finished.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -274,11 +274,13 @@
     const std::vector<int64_t> chains = CriticalPathsMs(entry.job, durations_);
     const int64_t longest_ms = chains.empty() ? 0 : std::ranges::max(chains);
     for (uint32_t k = 0; k < entry.job.occurrences; ++k) {
+      const int64_t work =
+          RemainingWork(entry.job, entry.progress.occurrences[k], durations_);
       for (uint32_t s = 0; s < entry.job.steps.size(); ++s) {
         if (IsStepReady(entry, k, s, unix_ms)) {
-          ready.push_back(
-              {RankOf(entry.job, *queue, k, longest_ms, chains[s], unix_ms),
-               &id, &entry, k, s, queue, chains[s]});
+          ready.push_back({RankOf(entry.job, *queue, k, longest_ms, chains[s],
+                                  work, unix_ms),
+                           &id, &entry, k, s, queue, chains[s]});
         }
       }
     }
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -25,6 +25,23 @@
   return chains;
 }
 
+int64_t RemainingWork(const Job& job,
+                      const OccurrenceProgress& progress,
+                      const DurationEstimator& durations) {
+  constexpr int64_t kMillicoresPerCore = 1000;
+  int64_t work = 0;
+  for (size_t i = 0; i < job.steps.size(); ++i) {
+    const Step& step = job.steps[i];
+    const int64_t open =
+        std::ranges::count_if(progress.steps[i], [](const TaskProgress& task) {
+          return task.phase != TaskPhase::kDone;
+        });
+    work += open * step.need.millicores * durations.Expect(job.queue, step) /
+            kMillicoresPerCore;
+  }
+  return work;
+}
+
 int64_t DueMs(const Job& job, uint32_t occurrence) {
   return std::max(job.accepted_ms, job.first_due_ms) +
          job.interval_ms * static_cast<int64_t>(occurrence);
@@ -35,6 +52,7 @@
                 uint32_t occurrence,
                 int64_t longest_chain_ms,
                 int64_t remaining_ms,
+                int64_t remaining_work,
                 int64_t now_unix_ms) {
   const int64_t due = DueMs(job, occurrence);
   const int64_t allowed =
@@ -45,7 +63,10 @@
       std::ranges::any_of(job.steps, &Step::is_long_running);
   return WorkRank{
       !has_long_running_step && now_unix_ms > due + kCutoffTargets * allowed,
-      queue.priority, now_unix_ms + remaining_ms > due + allowed, due + allowed,
+      queue.priority,
+      now_unix_ms + remaining_ms > due + allowed,
+      remaining_work,
+      due + allowed,
       due + kCutoffTargets * allowed};
 }
 
--- a/src/libs/jobs/work_order.h
+++ b/src/libs/jobs/work_order.h
@@ -19,7 +19,9 @@
 struct WorkRank {
   bool is_past_cutoff = false;  // Its outcome has no value any more.
   uint32_t priority = 0;
-  bool is_late = false;   // It can't meet its target any more.
+  bool is_late = false;  // It can't meet its target any more.
+  // Processor time that the occurrence still takes, in core-milliseconds.
+  int64_t remaining_work = 0;
   int64_t target_ms = 0;  // Unix time at which the occurrence should be done.
   int64_t cutoff_ms = 0;  // Unix time from which its outcome has no value.
 
@@ -37,8 +39,15 @@
                 uint32_t occurrence,
                 int64_t longest_chain_ms,
                 int64_t remaining_ms,
+                int64_t remaining_work,
                 int64_t now_unix_ms);
 
+// Returns the expected processor time of the tasks that are not done, in
+// core-milliseconds.
+int64_t RemainingWork(const Job& job,
+                      const OccurrenceProgress& progress,
+                      const DurationEstimator& durations);
+
 // Unix time from which an occurrence may start.
 int64_t DueMs(const Job& job, uint32_t occurrence);
 
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -30,8 +30,8 @@
   queue.target_extra_ms = 100;
   const Job fresh = JobOf(9000, 1000);
   const Job stale = JobOf(0, 1000);
-  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 1000, 10000),
-            RankOf(stale, queue, 0, 1000, 1000, 10000));
+  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 1000, 0, 10000),
+            RankOf(stale, queue, 0, 1000, 1000, 0, 10000));
 }
 
 // In a burst of large jobs, one that can still meet its target goes before an
@@ -41,8 +41,39 @@
   queue.target_factor = 2;
   const Job late = JobOf(0, 1000);
   const Job fresh = JobOf(1500, 1000);
-  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 1000, 1600),
-            RankOf(late, queue, 0, 1000, 1000, 1600));
+  EXPECT_LT(RankOf(fresh, queue, 0, 1000, 1000, 0, 1600),
+            RankOf(late, queue, 0, 1000, 1000, 0, 1600));
+}
+
+// In a burst of batch jobs of very different size, capacity spread over all of
+// them makes all of them late.
+TEST(WorkOrderTest, LeastRemainingWorkGoesFirst) {
+  Queue queue;
+  queue.target_factor = 10;
+  Job large = JobOf(0, 1000);
+  large.steps[0].count = 40;
+  large.steps[0].need = {7000, 100, 0};
+  Job small = JobOf(500, 1000);
+  small.steps[0].count = 4;
+  small.steps[0].need = {7000, 100, 0};
+  const DurationEstimator durations;
+  const auto rank = [&](const Job& job, int64_t work) {
+    return RankOf(job, queue, 0, 1000, 1000, work, 600);
+  };
+  JobProgress progress = InitialProgress(large);
+  const int64_t large_work =
+      RemainingWork(large, progress.occurrences[0], durations);
+  EXPECT_EQ(large_work, 40 * 7000);
+  const int64_t small_work =
+      RemainingWork(small, InitialProgress(small).occurrences[0], durations);
+  EXPECT_LT(rank(small, small_work), rank(large, large_work));
+  // A large job that is nearly done goes before a small one.
+  for (size_t i = 0; i < 37; ++i) {
+    progress.occurrences[0].steps[0][i].phase = TaskPhase::kDone;
+  }
+  EXPECT_LT(
+      rank(large, RemainingWork(large, progress.occurrences[0], durations)),
+      rank(small, small_work));
 }
 
 TEST(DurationEstimatorTest, ObservedRunsReplaceTheEstimate) {
@@ -63,7 +94,7 @@
   Queue queue;
   Job long_running = JobOf(0, 0);
   long_running.steps[0].is_long_running = true;
-  EXPECT_FALSE(RankOf(long_running, queue, 0, 0, 0, 1000000).is_past_cutoff);
+  EXPECT_FALSE(RankOf(long_running, queue, 0, 0, 0, 0, 1000000).is_past_cutoff);
 }
 
 TEST(WorkOrderTest, OccurrencesAreDueOneAfterTheOther) {
