Jobs: Lets serving tasks share runners by the fillers that slow them

Cause: a filler can use a runner only if none of its serving tasks is sensitive to it. Moves of runs are in a file of their own.

--- a/benchmarks/experiment/variants.cpp
+++ b/benchmarks/experiment/variants.cpp
@@ -76,7 +76,7 @@
 
 std::vector<NamedVariant> StandardVariants() {
   Variant first_fit;
-  first_fit.settings.policy.placement = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0};
+  first_fit.settings.policy.placement = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0};
   first_fit.settings.longest_wait = milliseconds(0);
   return {{"today", {}},
           {"knows the weights", {{}, true}},
--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -24,9 +25,9 @@
 // and over a longer time the task's own load moves.
 constexpr milliseconds kMinSampleGap(450);
 constexpr milliseconds kMaxSampleGap(1500);
-// Period at which pairs are predicted from the evidence of other pairs.
 // The load of a step hardly changes in this time.
 constexpr milliseconds kMaxSiblingGap(300);
+// Period at which pairs are predicted from the evidence of other pairs.
 constexpr milliseconds kFitPeriod(1000);
 // Standard deviation of a weight from its prediction.
 constexpr double kPredictionDeviation = 2.5;
@@ -35,6 +36,17 @@
 // Changes of use below this share are lost in the noise.
 constexpr double kMinShareChange = 0.01;
 
+// Fillers with a lower weight need not be slowed, those with a higher one most
+// of the time.
+constexpr double kNoticeableWeight = 1.5;
+constexpr double kFullWeight = 6.0;
+
+double SensitivityFrom(double weight) {
+  return std::clamp(
+      (weight - kNoticeableWeight) / (kFullWeight - kNoticeableWeight), 0.0,
+      1.0);
+}
+
 }  // namespace
 
 uint32_t Interference::ServingModel::CoefficientOf(
@@ -66,18 +78,6 @@
   } else if (!is_first && at - previous.at <= kMaxSampleGap) {
     Compare(serving_image, it->second, previous);
   }
-  std::map<std::string, double> changes = sample.shares;
-  for (const auto& [image, share] : other.shares) {
-    changes[image] -= share;
-  }
-  std::erase_if(changes, [](const auto& change) {
-    return std::abs(change.second) < kMinShareChange;
-  });
-  if (changes.empty()) {
-    return;
-  }
-  ServingModel& model = models_[serving_image];
-  placement::Features features;
 }
 
 const Interference::Sample* Interference::NewestSibling(
@@ -99,6 +99,18 @@
 void Interference::Compare(const std::string& serving_image,
                            const Sample& sample,
                            const Sample& other) {
+  std::map<std::string, double> changes = sample.shares;
+  for (const auto& [image, share] : other.shares) {
+    changes[image] -= share;
+  }
+  std::erase_if(changes, [](const auto& change) {
+    return std::abs(change.second) < kMinShareChange;
+  });
+  if (changes.empty()) {
+    return;
+  }
+  ServingModel& model = models_[serving_image];
+  placement::Features features;
   for (const auto& [image, change] : changes) {
     features.push_back({model.CoefficientOf(image), -change});
   }
@@ -118,6 +130,11 @@
   return WeightAbove(serving_image, filler_image, kConservativeDeviations);
 }
 
+bool Interference::HasEvidenceOf(const std::string& serving_image) const {
+  const ServingModel* model = FindOrNull(models_, serving_image);
+  return model != nullptr && !model->sensitivity.empty();
+}
+
 std::optional<Interference::Estimate> Interference::EvidenceOf(
     const ServingModel& model,
     uint32_t coefficient) {
@@ -174,6 +191,21 @@
       model.predictions[coefficient] = factors_.Predict(serving, filler);
     }
   }
+  for (auto& [serving, model] : models_) {
+    model.sensitivity.clear();
+    std::ranges::transform(fillers, std::back_inserter(model.sensitivity),
+                           [&, &serving = serving](const std::string& filler) {
+                             return SensitivityFrom(Weight(serving, filler));
+                           });
+  }
+  unknown_sensitivity_.assign(fillers.size(), SensitivityFrom(kPrior.mean));
+}
+
+const std::vector<double>& Interference::SensitivityOf(
+    const std::string& serving_image) const {
+  const ServingModel* model = FindOrNull(models_, serving_image);
+  return model == nullptr || model->sensitivity.empty() ? unknown_sensitivity_
+                                                        : model->sensitivity;
 }
 
 double Interference::WeightAbove(const std::string& serving_image,
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -46,6 +46,16 @@
   double ConservativeWeight(const std::string& serving_image,
                             const std::string& filler_image) const;
 
+  // Returns by how much fillers of each known image slow serving tasks of this
+  // image: from 0, not noticeably, to 1, so much that they have to be slowed
+  // most of the time. Has one entry for each filler image, in the same order
+  // for all serving images; empty as long as nothing is known of any pair.
+  const std::vector<double>& SensitivityOf(
+      const std::string& serving_image) const;
+
+  // Returns whether the sensitivity of the image is more than an assumption.
+  bool HasEvidenceOf(const std::string& serving_image) const;
+
   // Exports all weights with evidence, and imports those of an earlier leader.
   // Imported weights count for less than samples observed here.
   std::vector<LearnedWeight> Weights() const;
@@ -57,16 +67,6 @@
     std::map<std::string, double> shares;
     Instant at;
   };
-  struct ServingModel {
-    // Returns the coefficient of the filler's image, adding it if it is not
-    // known.
-    uint32_t CoefficientOf(const std::string& filler_image);
-
-    std::map<std::string, uint32_t> coefficients;  // By filler's image.
-    placement::BayesianLinearModel weights;
-    // Prediction of each coefficient from the other pairs, as of the last fit.
-    std::vector<std::optional<double>> predictions;
-  };
   // Returns the newest recent sample of another task of the same step that ran
   // beside other fillers, or null.
   const Sample* NewestSibling(const TaskKey& serving,
@@ -77,6 +77,17 @@
                const Sample& sample,
                const Sample& other);
 
+  struct ServingModel {
+    // Returns the coefficient of the filler's image, adding it if it is not
+    // known.
+    uint32_t CoefficientOf(const std::string& filler_image);
+
+    std::map<std::string, uint32_t> coefficients;  // By filler's image.
+    placement::BayesianLinearModel weights;
+    // Prediction of each coefficient from the other pairs, as of the last fit.
+    std::vector<std::optional<double>> predictions;
+    std::vector<double> sensitivity;  // As of the last fit.
+  };
   struct Estimate {
     double mean = 0;
     double variance = 0;
@@ -87,7 +98,8 @@
                                             uint32_t coefficient);
   // The same combined with the prediction from other pairs.
   static Estimate EstimateOf(const ServingModel& model, uint32_t coefficient);
-  // Updates the prediction of each pair from the evidence of all pairs.
+  // Updates the prediction of each pair from the evidence of all pairs, and the
+  // sensitivities.
   void FitFactors();
 
   // Returns the expected weight plus `deviations` standard deviations.
@@ -99,6 +111,8 @@
   ImageFactors factors_;
   Instant fitted_at_;
   std::map<std::string, ServingModel> models_;  // By serving image.
+  // Of a serving image without evidence, as of the last fit.
+  std::vector<double> unknown_sensitivity_;
 };
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -303,6 +303,7 @@
                  "The lease expired without a report from the agent.", now);
   }
   RelocateFillers(now);
+  RegroupServing(now);
   waiting_tasks_ = 0;
   unplaceable_.clear();
   for (const ReadyStep& ready : ReadySteps(unix_ms)) {
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -66,6 +66,14 @@
   milliseconds longest_wait{1500};
   // Period at which fillers are considered for relocation.
   milliseconds relocation_period{100};
+  // Period at which a serving task is considered for a move to a runner with
+  // tasks that are sensitive to the same fillers.
+  milliseconds regrouping_period{100};
+  // Smallest gain of such a move, in processors for fillers as a share of a
+  // runner: a move interrupts one task of a service for about a second.
+  double min_regrouping_gain = 0.03;
+  // Such a move waits until all tasks of the step have served this long.
+  milliseconds min_serving_stay{3000};
   // A run at full pace without progress for this long is considered stalled:
   // tasks of a few seconds show progress with each report.
   milliseconds stall_limit{1500};
@@ -230,6 +238,8 @@
   // Detects stalled runs and updates how slow the runner is.
   void CheckProgress(Runner& runner, Instant now);
   void ProcessOrphans(Runner& runner, const RunnerReport& report, Instant now);
+  // Learns from the gauges of serving tasks and forecasts their load.
+  void ObserveServing(Runner& runner, Instant now);
   void UpdatePaces(Runner& runner, Instant now);
   // Stops a slow filler that would run faster on another runner.
   void RelocateFillers(Instant now);
@@ -237,9 +247,18 @@
                                const TaskKey& task,
                                const Run& run,
                                Instant now) const;
+  // Moves serving tasks so that tasks that are sensitive to the same fillers
+  // share runners: one task of a step at a time.
+  void RegroupServing(Instant now);
+  // Returns the processors that fillers would gain by a move of the task, as a
+  // share of a runner; std::nullopt if it can't move.
+  std::optional<double> RegroupingGain(const Runner& runner,
+                                       const TaskKey& task,
+                                       const Run& run,
+                                       Instant now) const;
+  // Returns whether no task of the step is away or has been so recently.
+  bool IsWholeStepServing(const TaskKey& task, Instant now) const;
   void ObserveDuration(const TaskKey& task, const Run& run, Instant now);
-  // Learns from the gauges of serving tasks and forecasts their load.
-  void ObserveServing(Runner& runner, Instant now);
   void CountFailure(Runner& runner, const TaskKey& task, Instant now);
   void HandleRunEnd(const TaskKey& task,
                     RunEnd end,
@@ -280,9 +299,12 @@
   std::set<JobId> open_;
   Fleet fleet_;
   Interference interference_;
+  std::map<TaskKey, StepLoad> loads_;  // By the first task of a serving step.
   DurationEstimator durations_;
   int64_t unix_ms_ = 0;  // Of the last Advance().
   Instant relocated_at_;
+  Instant regrouped_at_;
+  RunnerIncarnation regrouped_runner_;  // The last one that was considered.
   std::map<RunnerIncarnation, std::vector<Order>>
       pace_orders_;  // Not sent yet.
   uint64_t version_ = 0;
@@ -296,4 +318,3 @@
 }  // namespace papayadrift::jobs
 
 #endif  // PAPAYADRIFT_JOBS_JOB_SCHEDULER_H_
-  std::map<TaskKey, StepLoad> loads_;  // By the first task of a serving step.
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -534,56 +534,6 @@
       std::chrono::floor<milliseconds>(now - run.started_at).count());
 }
 
-bool JobScheduler::WouldRunFasterElsewhere(const Runner& runner,
-                                           const TaskKey& task,
-                                           const Run& run,
-                                           Instant now) const {
-  const Entry& entry = jobs_.at(task.job);
-  const Step& step = entry.job.steps[task.step];
-  const Queue* queue = routes_.Find(entry.job.queue);
-  if (queue == nullptr || step.is_gang) {
-    return false;
-  }
-  const Runner* other = ChooseRunner(
-      fleet_, interference_, settings_.policy,
-      {task, &step, queue->service, runner.report.incarnation}, now);
-  if (other == nullptr || other == &runner) {
-    return false;
-  }
-  const double share = static_cast<double>(run.need.millicores) /
-                       static_cast<double>(std::max<int64_t>(
-                           1, other->report.capacity.millicores));
-  return ExcessWithFiller(*other, interference_, settings_.policy.pacing,
-                          run.image, share) <= 0;
-}
-
-void JobScheduler::RelocateFillers(Instant now) {
-  if (now - relocated_at_ < settings_.relocation_period) {
-    return;
-  }
-  relocated_at_ = now;
-  // Work without a checkpoint is lost, so only runs that have done little are
-  // moved.
-  constexpr uint32_t kMaxUnsavedPercent = 30;
-  for (Runner& runner : fleet_.runners() | std::views::values) {
-    for (auto& [task, run] : runner.runs) {
-      const bool is_slow = run.is_filler && run.is_accepted &&
-                           !run.is_withdrawn &&
-                           run.pace_percent < settings_.slow_percent &&
-                           now - run.slow_since >= settings_.slow_limit;
-      if (is_slow && open_.contains(task.job) &&
-          (!run.checkpoint.empty() || run.percent <= kMaxUnsavedPercent ||
-           now - run.slow_since >= settings_.very_slow_limit) &&
-          WouldRunFasterElsewhere(runner, task, run, now)) {
-        Withdraw(runner, task, run,
-                 "The run would be faster on another runner.", now);
-        // One at a time, as each reduces the capacity left for the next.
-        return;
-      }
-    }
-  }
-}
-
 void JobScheduler::CheckProgress(Runner& runner, Instant now) {
   constexpr double kSmoothing = 0.2;
   // Below this progress the speed of a run can't be estimated yet.
--- a/src/libs/jobs/policy_settings.h
+++ b/src/libs/jobs/policy_settings.h
@@ -31,6 +31,9 @@
   // second task does.
   double first_serving = 1.5;
   double other_image = 0.3;
+  // Of processors that fillers lose since the serving tasks of a runner don't
+  // go together, for a whole runner of them.
+  double lost_to_fillers = 8.0;
   // Among runners that are equal in that, prefers the one with less free
   // capacity.
   double serving_share_gain = 0.5;
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -4,15 +4,13 @@
 #include <ranges>
 
 #include "jobs/pace_plan.h"
+#include "jobs/serving_groups.h"
 
 namespace papayadrift::jobs {
 namespace {
 
 // Slowness up to this factor is within the normal variation of task durations.
 constexpr double kToleratedSlowness = 1.4;
-// The share of its requested processors that a serving task uses at its usual
-// load.
-constexpr int64_t kServingUsePercent = 50;
 
 uint32_t TasksOfStep(const Runner& runner, const TaskKey& task) {
   return static_cast<uint32_t>(std::ranges::count_if(
@@ -22,16 +20,6 @@
       }));
 }
 
-// Returns the millicores that fillers can expect to get.
-int64_t MillicoresForFillers(const Runner& runner) {
-  int64_t left = runner.report.capacity.millicores;
-  for (const Run& run : runner.runs | std::views::values) {
-    left -= run.is_serving ? run.need.millicores * kServingUsePercent / 100
-                           : run.need.millicores;
-  }
-  return left;
-}
-
 double CapacityOf(const Runner& runner) {
   return static_cast<double>(
       std::max<int64_t>(1, runner.report.capacity.millicores));
@@ -63,15 +51,16 @@
 }
 
 double ServingCost(const Runner& runner,
+                   const Interference& interference,
                    const PlacementCosts& costs,
-                   const std::string& image) {
+                   const Step& step) {
   const double capacity = CapacityOf(runner);
   int64_t serving = 0;
   bool has_same_image = false;
   for (const Run& run : runner.runs | std::views::values) {
     if (run.is_serving) {
       serving += run.need.millicores;
-      has_same_image = has_same_image || run.image == image;
+      has_same_image = has_same_image || run.image == step.image;
     }
   }
   const double fillers =
@@ -79,9 +68,12 @@
   double cost = costs.slowed_fillers * fillers;
   if (serving == 0) {
     cost += costs.first_serving;
-  } else if (!has_same_image) {
+  } else if (!has_same_image && !interference.HasEvidenceOf(step.image)) {
     cost += costs.other_image;
   }
+  cost += costs.lost_to_fillers *
+          (UsableByFillers(runner, interference) -
+           UsableByFillersWith(runner, interference, step.image, step.need));
   return cost -
          costs.serving_share_gain * static_cast<double>(serving) / capacity;
 }
@@ -95,7 +87,7 @@
   const Step& step = *request.step;
   double cost = 0;
   if (step.tail_target_ms > 0) {
-    cost += ServingCost(runner, costs, step.image);
+    cost += ServingCost(runner, interference, costs, step);
   } else {
     const int64_t load = runner.Used().millicores + runner.FillerMillicores() +
                          step.need.millicores;
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -423,6 +423,50 @@
   EXPECT_EQ(starts, 1U);
 }
 
+// Services that fill the fleet were placed before anything was known of their
+// images; once it is, the ones that close a runner to fillers move, one task of
+// a step at a time.
+TEST_F(JobSchedulerTest, MovesServingTasksToThoseOfLikeSensitivity) {
+  scheduler_.ImportLearned({{{"disk", "disk-filler", 10, 0.5},
+                             {"disk", "cache-filler", 0, 0.5},
+                             {"cache", "disk-filler", 0, 0.5},
+                             {"cache", "cache-filler", 10, 0.5}},
+                            {}});
+  const auto serving = [&](const std::string& image, uint32_t tasks) {
+    Job job = JobOf(tasks, 1000);
+    job.steps[0].image = image;
+    job.steps[0].tail_target_ms = 50;
+    job.steps[0].is_long_running = true;
+    return job;
+  };
+  const TaskKey misplaced{JobId("b"), 0, 0, 0};
+  scheduler_.AddJob(JobId("a"), serving("disk", 3));
+  scheduler_.AddJob(JobId("b"), serving("cache", 1));
+  Report(kFirst, 0);
+  EXPECT_EQ(CountStarts(Orders(0)), 4U);
+  scheduler_.AddJob(JobId("c"), serving("cache", 2));
+  Report(kSecond, 10);
+  EXPECT_EQ(CountStarts(Orders(10)), 2U);
+  size_t stops = 0;
+  for (int64_t now_ms = 500; now_ms <= 3500 && stops == 0; now_ms += 500) {
+    const auto listed = [](const TaskKey& task) {
+      return ActiveRun{task, 1, "", 100, 20};
+    };
+    Report(
+        kFirst, now_ms,
+        {listed(Task(0)), listed(Task(1)), listed(Task(2)), listed(misplaced)});
+    Report(kSecond, now_ms,
+           {listed({JobId("c"), 0, 0, 0}), listed({JobId("c"), 0, 0, 1})});
+    for (const auto& [incarnation, order] : Orders(now_ms)) {
+      if (const auto* stop = std::get_if<StopOrder>(&order)) {
+        EXPECT_EQ(stop->task, misplaced);
+        ++stops;
+      }
+    }
+  }
+  EXPECT_EQ(stops, 1U);
+}
+
 TEST_F(JobSchedulerTest, SuspendsARunnerAfterRepeatedFailures) {
   Report(kFirst, 0);
   for (const char* id : {"x", "y"}) {
--- a/tests/auto/jobs/runner_choice_test.cpp
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -131,6 +131,26 @@
   EXPECT_NE(Choose(), nullptr);
 }
 
+// On a fleet full of services, a new task joins those that are sensitive to the
+// same fillers: beside others it would close their runner to more fillers.
+TEST_F(RunnerChoiceTest, ServingTasksJoinThoseOfLikeSensitivity) {
+  interference_.ImportWeights({{"disk-1", "disk-filler", 10, 0.5},
+                               {"disk-1", "cache-filler", 0, 0.5},
+                               {"disk-2", "disk-filler", 10, 0.5},
+                               {"disk-2", "cache-filler", 0, 0.5},
+                               {"cache-1", "disk-filler", 0, 0.5},
+                               {"cache-1", "cache-filler", 10, 0.5}});
+  for (const int64_t ms : {2000, 4000}) {
+    interference_.Observe({JobId("x"), 0, 0, 0}, "disk-1", 3.0, {},
+                          Instant(milliseconds(ms)));
+  }
+  AddServing(kFirst, "cache-1");
+  AddServing(kSecond, "disk-1");
+  step_.tail_target_ms = 50;
+  step_.image = "disk-2";
+  EXPECT_EQ(Choose()->report.incarnation, kSecond);
+}
+
 // Guards against starting many tasks of an unknown image at once: five of them
 // beside a service raised its tail latency to eight times the target.
 TEST_F(RunnerChoiceTest, FewFillersOfANewImageStartBesideAService) {
