Jobs: Takes the forecast of the load of serving steps out

Paces by the forecast were safer for services but slowed fillers more than that was worth. Change: reverts StepLoad; paces go by the gauges again.

--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -42,9 +42,6 @@
   // pace is resent until then.
   Instant pace_uncertain_until;
   double smoothed_gauge = 0;  // Of a serving task; single gauges are noisy.
-  // Forecast of the slack that a serving task would have without fillers; 0 if
-  // there is none yet.
-  double baseline_slack = 0;
   // Since when the smoothed tail latency of a serving task has been at or above
   // its target.
   std::optional<Instant> over_target_since;
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -202,7 +202,6 @@
   entry.ended_at = now;
   open_.erase(id);
   changed_outcomes_.insert(id);
-  std::erase_if(loads_, [&id](const auto& it) { return it.first.job == id; });
   ++version_;
   ForEachTask(entry.progress, id, [this](const TaskKey& key, const auto& task) {
     if (task.run > 0) {
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -21,7 +21,6 @@
 #include "jobs/policy_settings.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
-#include "jobs/step_load.h"
 
 namespace papayadrift::jobs {
 
@@ -51,10 +50,6 @@
   // not answer, and the period at which a pace is resent until then.
   milliseconds late_order_limit{12000};
   milliseconds pace_repeat{1000};
-  // How far ahead the load of services is forecast: gauges are up to half a
-  // second old and follow the load with a delay of about as much, and a new
-  // pace takes as long to show.
-  milliseconds load_forecast{1200};
   // A filler that runs below this pace for this long is stopped if it would run
   // faster elsewhere, where it resumes from its checkpoint.
   uint32_t slow_percent = 30;
@@ -238,8 +233,6 @@
   // Detects stalled runs and updates how slow the runner is.
   void CheckProgress(Runner& runner, Instant now);
   void ProcessOrphans(Runner& runner, const RunnerReport& report, Instant now);
-  // Learns from the gauges of serving tasks and forecasts their load.
-  void ObserveServing(Runner& runner, Instant now);
   void UpdatePaces(Runner& runner, Instant now);
   // Stops a slow filler that would run faster on another runner.
   void RelocateFillers(Instant now);
@@ -299,7 +292,6 @@
   std::set<JobId> open_;
   Fleet fleet_;
   Interference interference_;
-  std::map<TaskKey, StepLoad> loads_;  // By the first task of a serving step.
   DurationEstimator durations_;
   int64_t unix_ms_ = 0;  // Of the last Advance().
   Instant relocated_at_;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -479,22 +479,13 @@
   return batches;
 }
 
-void JobScheduler::ObserveServing(Runner& runner, Instant now) {
-  for (auto& [task, run] : runner.runs) {
-    if (!run.is_serving || !run.is_accepted || run.gauge <= 0) {
-      continue;
-    }
-    interference_.Observe(task, run.image, SlackOf(run), runner.filler_uses,
-                          now);
-    StepLoad& load = loads_[StepOf(task)];
-    load.Observe(BaselineSlackOf(runner, run, interference_), now);
-    run.baseline_slack = load.Forecast(now + settings_.load_forecast);
-  }
-}
-
 void JobScheduler::UpdatePaces(Runner& runner, Instant now) {
-  if (UpdateFillerUses(runner, now)) {
-    ObserveServing(runner, now);
+  UpdateFillerUses(runner, now);
+  for (const auto& [task, run] : runner.runs) {
+    if (run.is_serving && run.is_accepted && run.gauge > 0) {
+      interference_.Observe(task, run.image, SlackOf(run), runner.filler_uses,
+                            now);
+    }
   }
   std::vector<Order>& orders = pace_orders_[runner.report.incarnation];
   orders.clear();
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -1,7 +1,6 @@
 #include "jobs/pace_plan.h"
 
 #include <algorithm>
-#include <numeric>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -135,9 +134,9 @@
   }
 }
 
-bool UpdateFillerUses(Runner& runner, Instant now) {
+void UpdateFillerUses(Runner& runner, Instant now) {
   if (now - runner.filler_uses_at < kGaugePeriod) {
-    return false;
+    return;
   }
   runner.filler_uses_at = now;
   for (double& share : runner.filler_uses | std::views::values) {
@@ -151,17 +150,6 @@
   }
   std::erase_if(runner.filler_uses,
                 [](const auto& use) { return use.second < kMinUse; });
-  return true;
-}
-
-double BaselineSlackOf(const Runner& runner,
-                       const Run& run,
-                       const Interference& interference) {
-  return std::accumulate(
-      runner.filler_uses.begin(), runner.filler_uses.end(), SlackOf(run),
-      [&](double sum, const auto& use) {
-        return sum + interference.Weight(run.image, use.first) * use.second;
-      });
 }
 
 std::vector<ServingState> ServingStatesOf(const Runner& runner,
@@ -171,10 +159,11 @@
     if (!run.is_serving || !run.is_accepted || run.gauge <= 0) {
       continue;
     }
-    states.push_back(
-        {run.image, run.baseline_slack > 0
-                        ? run.baseline_slack
-                        : BaselineSlackOf(runner, run, interference)});
+    ServingState state{run.image, SlackOf(run)};
+    for (const auto& [image, share] : runner.filler_uses) {
+      state.baseline_slack += interference.Weight(run.image, image) * share;
+    }
+    states.push_back(std::move(state));
   }
   return states;
 }
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -27,14 +27,7 @@
 // Returns the slack of a serving task according to its gauge.
 double SlackOf(const Run& run);
 
-// Returns the slack that a serving task would have without the fillers of its
-// runner, according to its gauge.
-double BaselineSlackOf(const Runner& runner,
-                       const Run& run,
-                       const Interference& interference);
-
-// Returns the serving tasks of a runner with the forecasts of their slack, or
-// what their gauges show where there is none.
+// Returns the serving tasks of a runner according to its last report.
 std::vector<ServingState> ServingStatesOf(const Runner& runner,
                                           const Interference& interference);
 
@@ -43,8 +36,8 @@
 
 // Updates the runner's filler uses from the gauges of a new report. Tail
 // latencies follow a change of load with a delay, so the uses are smoothed with
-// the same delay. Returns whether the gauges are new.
-bool UpdateFillerUses(Runner& runner, Instant now);
+// the same delay.
+void UpdateFillerUses(Runner& runner, Instant now);
 
 // Returns the pace in percent at which each filler of the runner may run. The
 // most urgent fillers get the slack of the serving tasks: at an equal pace all
