Cluster: Reports when a runner may have crashed

Cause: the logs named all runs of a crashed runner alike, so they could not tell a task that crashes its runners from runners or racks that crash by themselves.

Change: an agent reports the earliest and the latest time of the crash. A call in progress breaks at that moment; otherwise it lies between the last answer and the first failed call, which may be seconds later on a suspended VM. The leader's line about a lost run says how long before the crash it had started, and `runner.changed` tells a crash from an announced end. An older agent's report lacks the field and is still read. No decision changes.

Test: RunnerAgentTest.ReportsWhenItsRunnerMayHaveCrashed.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -105,6 +105,9 @@
   ++generation_;
   is_renewing_ = false;
   refused_calls_ = 0;
+  crash_.reset();
+  suspected_crash_.reset();
+  answered_at_ms_ = NowMs();
   runner_clock_ms_.reset();
   listed_at_ms_ = 0;
   active_.clear();
@@ -121,12 +124,14 @@
 
 void RunnerAgent::OnRunnerLeaving(const std::string& instance) {
   if (announced_ && !has_ended_ && announced_->instance == instance) {
-    OnRunnerEnded("The runner announced that it is leaving.");
+    OnRunnerEnded("The runner announced that it is leaving.", std::nullopt);
   }
 }
 
-void RunnerAgent::OnRunnerEnded(std::string_view reason) {
+void RunnerAgent::OnRunnerEnded(std::string_view reason,
+                                std::optional<jobs::CrashTime> crash) {
   has_ended_ = true;
+  crash_ = crash;
   is_end_recorded_ = false;
   ++generation_;
   announced_->state = jobs::RunnerState::kGone;
@@ -139,6 +144,17 @@
   ReportNow();
 }
 
+jobs::CrashTime RunnerAgent::CrashTimeFor(RunnerFailure failure,
+                                          int64_t sent_at_ms) const {
+  // A call in progress breaks at the moment of the crash. A call that took
+  // longer than its timeout was held up on this VM.
+  const milliseconds longest =
+      settings_.renewal_wait + settings_.runner_timeout;
+  const bool is_prompt = failure == RunnerFailure::kUnanswered &&
+                         NowMs() - sent_at_ms < longest.count();
+  return {is_prompt ? NowMs() : answered_at_ms_, NowMs()};
+}
+
 void RunnerAgent::Stop(Instant deadline, std::function<void()> done) {
   if (!has_ended_ || is_end_recorded_) {
     done();
@@ -199,10 +215,17 @@
   }
   is_renewing_ = false;
   if (const auto* failure = std::get_if<RunnerFailure>(&result)) {
+    if (*failure == RunnerFailure::kSuperseded) {
+      suspected_crash_.reset();
+    } else if (!suspected_crash_) {
+      suspected_crash_ = CrashTimeFor(*failure, sent_at_ms);
+    }
     refused_calls_ =
         *failure == RunnerFailure::kNotListening ? refused_calls_ + 1 : 0;
     if (refused_calls_ >= kRefusedCallsUntilEnded) {
-      OnRunnerEnded("Connections to the runner's address are refused.");
+      const bool is_leaving = announced_->state == jobs::RunnerState::kDraining;
+      OnRunnerEnded("Connections to the runner's address are refused.",
+                    is_leaving ? std::nullopt : suspected_crash_);
       return;
     }
     if (*failure == RunnerFailure::kSuperseded) {
@@ -212,6 +235,8 @@
     return;
   }
   refused_calls_ = 0;
+  suspected_crash_.reset();
+  answered_at_ms_ = NowMs();
   const auto& renewal = std::get<LeaseRenewalResponse>(result);
   if (renewal.start_unix_ms != 0 &&
       renewal.start_unix_ms != announced_->start_unix_ms) {
@@ -283,6 +308,8 @@
     report.listed_at_ms = listed_at_ms_;
     report.active = active_;
     report.ended = ended_;
+  } else {
+    report.crash = crash_;
   }
   http::Request request;
   request.method = "POST";
@@ -454,7 +481,13 @@
                       call->batch.term,
                       runner_clock_ms_ ? LeaseEndOnRunnerClock() : 0,
                       context_.clock.Now() + settings_.order_timeout,
-                      [this, call, finish](jobs::OrderVerdict verdict) {
+                      [this, call, finish,
+                       generation = generation_](jobs::OrderVerdict verdict) {
+                        if (generation == generation_ &&
+                            verdict != jobs::OrderVerdict::kUnanswered &&
+                            verdict != jobs::OrderVerdict::kRefused) {
+                          answered_at_ms_ = NowMs();
+                        }
                         finish(verdict);
                         SendNextOrders(call);
                       });
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -68,7 +68,12 @@
   // End of the lease on the runner's clock.
   int64_t LeaseEndOnRunnerClock() const;
   void OnRunnerStarted(const Announcement& announcement);
-  void OnRunnerEnded(std::string_view reason);
+  // `crash` is unset if the end was announced.
+  void OnRunnerEnded(std::string_view reason,
+                     std::optional<jobs::CrashTime> crash);
+  // Returns when the runner crashed if a call to it that was sent at
+  // `sent_at_ms` failed as the first one.
+  jobs::CrashTime CrashTimeFor(RunnerFailure failure, int64_t sent_at_ms) const;
   void RenewLease();
   void OnLeaseRenewed(uint64_t generation,
                       int64_t sent_at_ms,
@@ -103,6 +108,10 @@
   // answers to calls made before.
   uint64_t generation_ = 0;
   uint32_t refused_calls_ = 0;
+  int64_t answered_at_ms_ = 0;  // When the runner answered last.
+  // When the runner crashed, if calls to it fail.
+  std::optional<jobs::CrashTime> suspected_crash_;
+  std::optional<jobs::CrashTime> crash_;  // See jobs::RunnerReport.
   // Time on the runner's clock, and on this process's clock when it was read.
   std::optional<int64_t> runner_clock_ms_;
   int64_t runner_clock_read_ms_ = 0;
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -59,11 +59,14 @@
   return std::tie(value.number, value.task, value.run, value.end,
                   value.checkpoint);
 }
+static auto Fields(CrashTime& value) {
+  return std::tie(value.earliest_ms, value.latest_ms);
+}
 static auto Fields(RunnerReport& value) {
   return std::tie(value.incarnation, value.agent_address, value.service,
                   value.zone, value.vm, value.state, value.capacity,
                   value.labels, value.sent_at_ms, value.listed_at_ms,
-                  value.active, value.ended);
+                  value.active, value.ended, value.crash);
 }
 static auto Fields(ReportAnswer& value) {
   return std::tie(value.term, value.recorded_ends, value.lease_until_ms);
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -23,8 +23,10 @@
   Resources need;
   // The scheduler version that has to be stored before the start is sent.
   uint64_t claim_version = 0;
-  Instant send_due;                 // Of the next order for it.
-  int64_t accepted_at_ms = 0;       // On the agent's clock.
+  Instant send_due;            // Of the next order for it.
+  int64_t accepted_at_ms = 0;  // On the agent's clock.
+  // Time on the agent's clock by which the run had started; 0: unknown.
+  int64_t started_by_ms = 0;
   int64_t stop_accepted_at_ms = 0;  // On the agent's clock.
   Instant progressed_at;            // When `percent` was last seen to change.
   int64_t gauge = 0;                // See ActiveRun.
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -67,6 +67,8 @@
       return "joined";
     case Kind::kRunnerGone:
       return "gone";
+    case Kind::kRunnerCrashed:
+      return "crashed";
     case Kind::kRunnerDraining:
       return "draining";
     case Kind::kRunnerSuspended:
@@ -299,7 +301,8 @@
   }
   for (const RunnerIncarnation& incarnation : expired) {
     RemoveRunner(incarnation,
-                 "The lease expired without a report from the agent.", now);
+                 "The lease expired without a report from the agent.",
+                 std::nullopt, now);
   }
   RelocateFillers(now);
   RegroupServing(now);
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -21,6 +21,7 @@
 #include "jobs/policy_settings.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
+#include "jobs/runner_crash.h"
 
 namespace papayadrift::jobs {
 
@@ -91,6 +92,7 @@
     kJobEnded,
     kRunnerJoined,
     kRunnerGone,
+    kRunnerCrashed,
     kRunnerDraining,
     kRunnerSuspended,
     kRunPaced,
@@ -271,6 +273,7 @@
   void WithdrawGang(const TaskKey& task, Instant now);
   void RemoveRunner(const RunnerIncarnation& incarnation,
                     const std::string& reason,
+                    const std::optional<RunnerCrash>& crash,
                     Instant now);
   void CheckCompletion(const JobId& id, Instant now);
   void CloseJob(const JobId& id, JobOutcome outcome, Instant now);
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -18,10 +18,13 @@
     return false;
   }
   for (const RunnerIncarnation& older : fleet_.OtherIncarnations(incarnation)) {
-    RemoveRunner(older, "A later incarnation of the runner has started.", now);
+    RemoveRunner(older, "A later incarnation of the runner has started.",
+                 CrashOfReplaced(*fleet_.Find(older), now), now);
   }
   if (report.state == RunnerState::kGone) {
+    const Runner* ended = fleet_.Find(incarnation);
     RemoveRunner(incarnation, "The agent reported that the runner has ended.",
+                 ended == nullptr ? std::nullopt : CrashOf(*ended, report, now),
                  now);
     return true;
   }
@@ -64,6 +67,9 @@
       run->first_percent = active.percent;
     }
     run->is_accepted = true;
+    if (run->started_by_ms == 0) {
+      run->started_by_ms = report.sent_at_ms;
+    }
     run->accepted_at_ms = std::min(run->accepted_at_ms, report.listed_at_ms);
     run->gauge = active.gauge;
     if (run->is_serving) {
@@ -326,19 +332,21 @@
 
 void JobScheduler::RemoveRunner(const RunnerIncarnation& incarnation,
                                 const std::string& reason,
+                                const std::optional<RunnerCrash>& crash,
                                 Instant now) {
   Runner* runner = fleet_.Find(incarnation);
   if (runner == nullptr) {
     return;
   }
-  Emit(JobSchedulerEvent::Kind::kRunnerGone, ToText(incarnation), 0, {},
-       reason);
+  Emit(crash ? JobSchedulerEvent::Kind::kRunnerCrashed
+             : JobSchedulerEvent::Kind::kRunnerGone,
+       ToText(incarnation), 0, {}, reason);
   const std::map<TaskKey, Run> runs = std::move(runner->runs);
   fleet_.Remove(incarnation);
   pace_orders_.erase(incarnation);
   for (const auto& [task, run] : runs) {
     Emit(JobSchedulerEvent::Kind::kRunLost, ToText(task), run.number,
-         ToText(incarnation), reason);
+         ToText(incarnation), crash ? DescribeStart(run, *crash) : reason);
     interference_.Forget(task);
     Release(task, run.checkpoint);
     const Step* step = FindStep(task);
@@ -391,6 +399,10 @@
     case OrderVerdict::kDone:
       run->is_accepted = true;
       run->accepted_at_ms = result.known_at_ms;
+      run->started_by_ms =
+          run->started_by_ms == 0
+              ? result.known_at_ms
+              : std::min(run->started_by_ms, result.known_at_ms);
       run->progressed_at = now;
       run->started_at = now;
       return;
--- a/src/libs/jobs/runner.h
+++ b/src/libs/jobs/runner.h
@@ -1,7 +1,9 @@
 #ifndef PAPAYADRIFT_JOBS_RUNNER_H_
 #define PAPAYADRIFT_JOBS_RUNNER_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -48,6 +50,14 @@
   friend bool operator==(const EndedRun&, const EndedRun&) = default;
 };
 
+// When a runner may have crashed, on its agent's clock.
+struct CrashTime {
+  int64_t earliest_ms = 0;
+  int64_t latest_ms = 0;
+
+  friend bool operator==(const CrashTime&, const CrashTime&) = default;
+};
+
 // The state of a runner as its agent knows it. Times of the agent are
 // milliseconds on its own clock, which keeps running while its VM is suspended.
 struct RunnerReport {
@@ -64,6 +74,9 @@
   int64_t listed_at_ms = 0;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
+  std::optional<CrashTime> crash;  // If it ended without announcing it.
+
+  static constexpr size_t kRequiredFields = 12;  // Before `crash`.
 
   friend bool operator==(const RunnerReport&, const RunnerReport&) = default;
 };
--- /dev/null
+++ b/src/libs/jobs/runner_crash.cpp
@@ -0,0 +1,35 @@
+#include "jobs/runner_crash.h"
+
+namespace papayadrift::jobs {
+
+std::optional<RunnerCrash> CrashOf(const Runner& runner,
+                                   const RunnerReport& report,
+                                   Instant now) {
+  if (!report.crash || runner.report.state == RunnerState::kDraining) {
+    return std::nullopt;
+  }
+  return RunnerCrash{
+      report.crash->earliest_ms,
+      now - milliseconds(report.sent_at_ms - report.crash->latest_ms)};
+}
+
+std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner, Instant now) {
+  if (!runner.has_report || runner.report.state != RunnerState::kReady) {
+    return std::nullopt;
+  }
+  return RunnerCrash{runner.report.listed_at_ms, now};
+}
+
+std::string DescribeStart(const Run& run, const RunnerCrash& crash) {
+  if (run.sends == 0) {
+    return "Its start had not been sent.";
+  }
+  if (run.started_by_ms == 0) {
+    return "Its start had not been confirmed.";
+  }
+  return "It had started " +
+         std::to_string(crash.earliest_ms - run.started_by_ms) +
+         " ms before the crash.";
+}
+
+}  // namespace papayadrift::jobs
--- /dev/null
+++ b/src/libs/jobs/runner_crash.h
@@ -0,0 +1,42 @@
+#ifndef PAPAYADRIFT_JOBS_RUNNER_CRASH_H_
+#define PAPAYADRIFT_JOBS_RUNNER_CRASH_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/instant.h"
+#include "jobs/fleet.h"
+#include "jobs/runner.h"
+
+// What is known of the crash of a runner and of the runs that it ended.
+
+namespace papayadrift::jobs {
+
+// The crash of a runner as far as the leader knows it.
+struct RunnerCrash {
+  // The earliest time at which the runner may have crashed, on the agent's
+  // clock.
+  int64_t earliest_ms = 0;
+  // The latest one, on the leader's clock: starts sent later did not reach it.
+  Instant latest;
+
+  friend bool operator==(const RunnerCrash&, const RunnerCrash&) = default;
+};
+
+// Returns the crash of which `report` tells, or std::nullopt if it tells of
+// none or the runner was draining.
+std::optional<RunnerCrash> CrashOf(const Runner& runner,
+                                   const RunnerReport& report,
+                                   Instant now);
+
+// Returns the crash of a runner that has been replaced by a later incarnation,
+// or std::nullopt if it was draining or never reported.
+std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner, Instant now);
+
+// Returns how long before the crash the run had started, for logs.
+std::string DescribeStart(const Run& run, const RunnerCrash& crash);
+
+}  // namespace papayadrift::jobs
+
+#endif  // PAPAYADRIFT_JOBS_RUNNER_CRASH_H_
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -28,6 +28,33 @@
                  std::function<void(jobs::OrderVerdict)> /*done*/) override {}
 };
 
+constexpr int64_t kSuspendedMs = 3000;
+
+// A runner that breaks the first call and does not listen afterwards. Its VM
+// was suspended in the meantime.
+class CrashedRunner : public SilentRunner {
+ public:
+  explicit CrashedRunner(ManualClock& clock) : clock_(clock) {}
+
+  void RenewLease(const std::string& /*address*/,
+                  const std::string& /*instance*/,
+                  const LeaseRenewalRequest& /*call*/,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> done) override {
+    if (is_first_call_) {
+      is_first_call_ = false;
+      clock_.Advance(milliseconds(kSuspendedMs));
+      done(RunnerFailure::kUnanswered);
+      return;
+    }
+    done(RunnerFailure::kNotListening);
+  }
+
+ private:
+  ManualClock& clock_;
+  bool is_first_call_ = true;
+};
+
 class RunnerAgentTest : public ProcessFixture {
  protected:
   RunnerAgentTest()
@@ -83,5 +110,39 @@
   }
 }
 
+// The leader needs it to find the task that caused a crash: an agent on a VM
+// that was suspended notices failing calls seconds later.
+TEST_F(RunnerAgentTest, ReportsWhenItsRunnerMayHaveCrashed) {
+  CrashedRunner runner(clock_);
+  RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
+                    context(), runner);
+  std::optional<jobs::RunnerReport> gone;
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        const auto report = jobs::Decode<jobs::RunnerReport>(request.body);
+        if (report && report->state == jobs::RunnerState::kGone) {
+          gone = report;
+        }
+        respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  constexpr int64_t kAnnouncedMs = 5000;
+  clock_.Advance(milliseconds(kAnnouncedMs));
+  Announcement announcement;
+  announcement.instance = "instance";
+  announcement.service = "s";
+  agent.OnAnnouncement(announcement);
+  while (!gone) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(gone->crash,
+            (jobs::CrashTime{kAnnouncedMs, kAnnouncedMs + kSuspendedMs}));
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
