Jobs: Gives up tasks that crash their runners

Cause: only ends that a runner lists as failed counted against a task. A run that was lost with its runner was always the runner's fault and was placed again at once, beside others, without a limit: a retry without a budget of its own.

Change: suspects of a crash are the tasks whose start came up to 200 ms before it, or may have reached the runner without an answer. Crashes in a row are stored with the task, for the next leader too, and those of a gang with its first task. A suspect starts where no other start is younger than 200 ms and none follows for as long; a runner is kept free for it if there is none. A run that is listed 200 ms after its start clears its task. After three crashes, two of them alone, the task is given up and its job shown as failed; after four while runners also crash without a suspect.

Ruled out: giving up after a number of crashes alone fails the tasks beside it, and two crashes hit sound tasks by chance when runners crash often.

Each such task costs three runners.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -46,6 +46,7 @@
       return Event::kRunChanged;
     case Kind::kRunWithdrawn:
     case Kind::kRunLost:
+    case Kind::kTaskGivenUp:
       return Event::kRunInterrupted;
     case Kind::kJobEnded:
       return Event::kJobEnded;
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -43,6 +43,15 @@
   return std::ranges::find(report.labels, label) != report.labels.end();
 }
 
+bool Runner::IsIsolating(Instant now) const {
+  return now < reserved_until ||
+         std::ranges::any_of(
+             runs | std::views::values,
+             [&](const Run& run) {
+               return run.is_isolated && !run.IsSettled(now);
+             });
+}
+
 Runner* Fleet::Find(const RunnerIncarnation& incarnation) {
   return FindOrNull(runners_, incarnation);
 }
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -24,6 +24,7 @@
   // The scheduler version that has to be stored before the start is sent.
   uint64_t claim_version = 0;
   Instant send_due;            // Of the next order for it.
+  Instant first_sent_at;       // When its start was sent first.
   int64_t accepted_at_ms = 0;  // On the agent's clock.
   // Time on the agent's clock by which the run had started; 0: unknown.
   int64_t started_by_ms = 0;
@@ -53,12 +54,22 @@
   int64_t remaining_ms = 0;
   int64_t target_ms = 0;  // Unix time at which its job should be done.
   int64_t cutoff_ms = 0;  // Unix time from which a result has no value.
+  // Until then its start may still crash the runner; unset while the start is
+  // not confirmed.
+  std::optional<Instant> settles_at;
   bool is_filler = false;
+  bool is_gang = false;
+  // Started alone, since runners have crashed under the task.
+  bool is_isolated = false;
   bool is_serving = false;  // Has a tail target.
   bool is_long_running = false;
   bool is_accepted = false;
   bool is_withdrawn = false;  // Has to be stopped, or kept from starting.
   bool is_stop_accepted = false;
+  // The runner has listed it after its start could have crashed the runner.
+  bool has_survived_start = false;
+
+  bool IsSettled(Instant now) const { return settles_at && now >= *settles_at; }
 };
 
 // A run that the runner lists but that this leader did not claim for it.
@@ -96,6 +107,9 @@
   // shares of the runner.
   std::map<std::string, double> filler_uses;
   Instant filler_uses_at;
+  // Gets no other starts until then, so that an isolated one can begin.
+  std::optional<TaskKey> reserved_for;  // As by CrashRecordOf().
+  Instant reserved_until;
   uint32_t failure_streak = 0;  // Failed runs since the last completed one.
   Instant suspended_until;      // Gets no new runs before this time.
   // Smoothed ratio of actual to expected task durations.
@@ -105,6 +119,11 @@
   // Millicores of fillers, which do not count as used.
   int64_t FillerMillicores() const;
   bool HasLabel(const std::string& label) const;
+  bool IsReservedForOther(const TaskKey& crash_record, Instant now) const {
+    return now < reserved_until && reserved_for != crash_record;
+  }
+  // Returns whether starts of other tasks wait for an isolated one.
+  bool IsIsolating(Instant now) const;
 };
 
 // The runner incarnations that may hold runs or accept new ones.
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -2,6 +2,7 @@
 #define PAPAYADRIFT_JOBS_JOB_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +36,12 @@
   return {task.job, task.occurrence, task.step, 0};
 }
 
+// Returns the task with which crashes under `task` are recorded: a gang starts,
+// runs and fails as a whole.
+inline TaskKey CrashRecordOf(const TaskKey& task, bool is_gang) {
+  return is_gang ? StepOf(task) : task;
+}
+
 // A step: `count` identical tasks.
 struct Step {
   uint32_t count = 1;
@@ -90,6 +97,12 @@
   uint32_t failures = 0;          // Number of failed runs.
   RunnerIncarnation incarnation;  // The runner of the claimed run.
   std::string checkpoint;
+  // Runners that crashed right after a run of the task had started there, in a
+  // row; of a gang, kept with its first task.
+  uint32_t crashes = 0;
+  uint32_t lone_crashes = 0;  // Of these, those where nothing else had started.
+
+  static constexpr size_t kRequiredFields = 5;  // Before `crashes`.
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -18,6 +18,7 @@
   run.image = step.image;
   run.tail_target_ms = step.tail_target_ms;
   run.is_filler = step.is_filler;
+  run.is_gang = step.is_gang;
   run.is_serving = step.tail_target_ms > 0;
   run.is_long_running = step.is_long_running;
   return run;
@@ -61,6 +62,8 @@
       return "withdrawn";
     case Kind::kRunLost:
       return "lost";
+    case Kind::kTaskGivenUp:
+      return "given_up";
     case Kind::kJobEnded:
       return "ended";
     case Kind::kRunnerJoined:
@@ -152,6 +155,7 @@
     run.is_withdrawn = stored.outcome != JobOutcome::kOpen;
     run.checkpoint = task.checkpoint;
     run.progressed_at = created_at_;
+    run.is_isolated = CrashRecord(key)->crashes > 0;
     runner.runs[key] = std::move(run);
   }
 }
@@ -220,6 +224,9 @@
         Withdraw(runner, task, run, "The job has ended.", now);
       }
     }
+    if (runner.reserved_for && runner.reserved_for->job == id) {
+      runner.reserved_until = Instant();
+    }
   }
 }
 
@@ -335,6 +342,7 @@
   run.remaining_ms = ready.remaining_ms;
   run.target_ms = ready.rank.target_ms;
   run.cutoff_ms = ready.rank.cutoff_ms;
+  run.is_isolated = CrashRecord(task)->crashes > 0;
   Emit(JobSchedulerEvent::Kind::kRunClaimed, ToText(task), number,
        ToText(chosen.report.incarnation),
        "The last report was " +
@@ -344,6 +352,9 @@
            " ms old, under configuration " + std::to_string(routes_.version) +
            ".");
   Runner& runner = fleet_.Get(chosen.report.incarnation);
+  if (runner.reserved_for == CrashRecordOf(task, step.is_gang)) {
+    runner.reserved_until = Instant();
+  }
   runner.runs[task] = std::move(run);
   runner.headrooms.reset();
 }
@@ -372,13 +383,20 @@
       continue;
     }
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
+    const bool is_isolated = tasks[i].crashes > 0;
+    if (!is_isolated && !has_room) {
+      ++waiting_tasks_;
+      continue;
+    }
+    PlacementRequest request{task, &step, ready.queue->service, std::nullopt};
+    request.has_waited = has_waited;
+    if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
+      request.avoided = *failed;
+    }
     const Runner* runner = nullptr;
-    if (has_room) {
-      PlacementRequest request{task, &step, ready.queue->service, std::nullopt};
-      request.has_waited = has_waited;
-      if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
-        request.avoided = *failed;
-      }
+    if (is_isolated) {
+      runner = ChooseIsolated(request, now);
+    } else {
       runner =
           ChooseRunner(fleet_, interference_, settings_.policy, request, now);
       has_room = runner != nullptr;
@@ -398,6 +416,28 @@
   }
 }
 
+std::vector<RunnerIncarnation> JobScheduler::ChooseGangRunners(
+    PlacementRequest request,
+    uint32_t number,
+    Instant now) const {
+  const Step& step = *request.step;
+  // Members are placed on a copy, as each reduces the capacity left for the
+  // next.
+  Fleet trial = fleet_;
+  std::vector<RunnerIncarnation> chosen_runners;
+  for (request.task.index = 0; request.task.index < step.count;
+       ++request.task.index) {
+    const Runner* runner =
+        ChooseRunner(trial, interference_, settings_.policy, request, now);
+    if (runner == nullptr) {
+      return {};
+    }
+    chosen_runners.push_back(runner->report.incarnation);
+    trial.Get(chosen_runners.back()).runs[request.task] = RunOf(step, number);
+  }
+  return chosen_runners;
+}
+
 bool JobScheduler::PlaceGang(const ReadyStep& ready, Instant now) {
   const Step& step = ready.entry->job.steps[ready.step];
   auto& tasks =
@@ -408,21 +448,23 @@
     number = std::max(number, task.run);
     checkpoint = std::max(checkpoint, task.checkpoint);
   }
-  // Members are placed on a copy first, as each reduces the capacity left for
-  // the next.
-  Fleet trial = fleet_;
-  std::vector<RunnerIncarnation> chosen_runners;
-  for (uint32_t i = 0; i < tasks.size(); ++i) {
-    const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
-    const Runner* runner =
-        ChooseRunner(trial, interference_, settings_.policy,
-                     {task, &step, ready.queue->service, std::nullopt}, now);
-    if (runner == nullptr) {
-      waiting_tasks_ += tasks.size();
-      return false;
+  PlacementRequest request{{*ready.id, ready.occurrence, ready.step, 0},
+                           &step,
+                           ready.queue->service,
+                           std::nullopt};
+  request.is_isolated = tasks.front().crashes > 0;
+  const std::vector<RunnerIncarnation> chosen_runners =
+      ChooseGangRunners(request, number + 1, now);
+  if (chosen_runners.empty()) {
+    waiting_tasks_ += tasks.size();
+    if (request.is_isolated && !HasReservation(request, now)) {
+      request.may_wait_for_isolation = true;
+      for (const RunnerIncarnation& chosen :
+           ChooseGangRunners(request, number + 1, now)) {
+        Reserve(*fleet_.Find(chosen), request, now);
+      }
     }
-    chosen_runners.push_back(runner->report.incarnation);
-    trial.Get(chosen_runners.back()).runs[task] = RunOf(step, number + 1);
+    return false;
   }
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/instant.h"
+#include "jobs/crash_history.h"
 #include "jobs/duration_estimator.h"
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
@@ -21,6 +22,7 @@
 #include "jobs/policy_settings.h"
 #include "jobs/route_table.h"
 #include "jobs/runner.h"
+#include "jobs/runner_choice.h"
 #include "jobs/runner_crash.h"
 
 namespace papayadrift::jobs {
@@ -75,6 +77,19 @@
   milliseconds stall_limit{1500};
   // How long a runner gets no new runs after a run stalled on it.
   milliseconds stall_pause{4000};
+  // The start of a run can have crashed its runner only within this time.
+  milliseconds crash_window{200};
+  // A task is given up after `likely_crashes` crashes in a row right after its
+  // start, if nothing else had just started before `likely_lone_crashes` of
+  // them and no runner has crashed without a suspect. In any case it is given
+  // up after `max_crashes`: users allow two starts after the third crash.
+  uint32_t likely_crashes = 3;
+  uint32_t likely_lone_crashes = 2;
+  uint32_t max_crashes = 4;
+  // Longest time for which a runner is kept free for an isolated start, and
+  // largest part of a service's runners that is at the same time.
+  milliseconds reservation_limit{2000};
+  double max_isolating_part = 0.5;
   // How long ended jobs are kept for status queries.
   milliseconds retention{180000};
 
@@ -89,6 +104,7 @@
     kRunEnded,
     kRunWithdrawn,
     kRunLost,
+    kTaskGivenUp,
     kJobEnded,
     kRunnerJoined,
     kRunnerGone,
@@ -213,6 +229,18 @@
   bool IsKnownUnplaceable(const ReadyStep& ready) const;
   void PlaceStep(const ReadyStep& ready, Instant now);
   bool PlaceGang(const ReadyStep& ready, Instant now);
+  // Returns a runner for each task of the gang for its run `number`; empty if
+  // it does not fit.
+  std::vector<RunnerIncarnation> ChooseGangRunners(PlacementRequest request,
+                                                   uint32_t number,
+                                                   Instant now) const;
+  // Chooses a runner for a start alone, or else reserves one for it.
+  const Runner* ChooseIsolated(PlacementRequest request, Instant now);
+  void Reserve(Runner& runner, const PlacementRequest& request, Instant now);
+  bool HasReservation(const PlacementRequest& request, Instant now) const;
+  // Returns whether so many runners of the service may be isolating already
+  // that no further one is reserved.
+  bool IsIsolationExhausted(const std::string& service, Instant now) const;
   void Claim(const TaskKey& task,
              uint32_t number,
              const Step& step,
@@ -275,6 +303,17 @@
                     const std::string& reason,
                     const std::optional<RunnerCrash>& crash,
                     Instant now);
+  // Records the crash with the tasks that may have caused it, and gives up
+  // those that have.
+  void RecordCrash(const RunnerIncarnation& incarnation,
+                   const std::map<TaskKey, Run>& runs,
+                   const RunnerCrash& crash,
+                   Instant now);
+  // Returns the progress with which crashes under the task are recorded.
+  TaskProgress* CrashRecord(const TaskKey& task);
+  bool HasGangSurvivedStart(const TaskKey& task) const;
+  // Forgets crashes under a task that did not crash the runner this time.
+  void ClearCrashes(const TaskKey& task);
   void CheckCompletion(const JobId& id, Instant now);
   void CloseJob(const JobId& id, JobOutcome outcome, Instant now);
   std::optional<Order> NextOrder(const Runner& runner,
@@ -296,6 +335,7 @@
   Fleet fleet_;
   Interference interference_;
   DurationEstimator durations_;
+  CrashHistory crashes_;
   int64_t unix_ms_ = 0;  // Of the last Advance().
   Instant relocated_at_;
   Instant regrouped_at_;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -1,5 +1,6 @@
 // The part of JobScheduler that deals with runs: runner reports, orders to
-// runners and ends of runs. Jobs and placement are in job_scheduler.cpp.
+// runners and ends of runs. Jobs and placement are in job_scheduler.cpp,
+// crashes of runners in job_scheduler_crashes.cpp.
 
 #include <algorithm>
 #include <ranges>
@@ -69,6 +70,14 @@
     run->is_accepted = true;
     if (run->started_by_ms == 0) {
       run->started_by_ms = report.sent_at_ms;
+      run->settles_at = now + settings_.crash_window;
+    }
+    if (!run->has_survived_start && report.listed_at_ms - run->started_by_ms >=
+                                        settings_.crash_window.count()) {
+      run->has_survived_start = true;
+      if (!run->is_gang || HasGangSurvivedStart(active.task)) {
+        ClearCrashes(active.task);
+      }
     }
     run->accepted_at_ms = std::min(run->accepted_at_ms, report.listed_at_ms);
     run->gauge = active.gauge;
@@ -229,6 +238,7 @@
       }
       WithdrawGang(task, now);
     }
+    ClearCrashes(task);
     progress->phase = TaskPhase::kDone;
     progress->incarnation = {};
     progress->checkpoint.clear();
@@ -354,6 +364,9 @@
       WithdrawGang(task, now);
     }
   }
+  if (crash) {
+    RecordCrash(incarnation, runs, *crash, now);
+  }
 }
 
 void JobScheduler::OnLeaseGranted(const RunnerIncarnation& incarnation,
@@ -405,6 +418,9 @@
               : std::min(run->started_by_ms, result.known_at_ms);
       run->progressed_at = now;
       run->started_at = now;
+      if (!run->settles_at) {
+        run->settles_at = now + settings_.crash_window;
+      }
       return;
     case OrderVerdict::kUnanswered:
     case OrderVerdict::kLeaseExpired:
@@ -456,6 +472,9 @@
   if (run.is_withdrawn) {
     return StopOrder{task, run.number};
   }
+  if (run.sends == 0) {
+    run.first_sent_at = now;
+  }
   ++run.sends;
   return StartOrder{
       task, run.number, jobs_.at(task.job).job.payload, run.checkpoint, {}};
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -78,6 +78,28 @@
          costs.serving_share_gain * static_cast<double>(serving) / capacity;
 }
 
+// Returns whether a crash after the start of the task could be put down to the
+// task, and one after an isolated start on the runner to that.
+bool CanAttributeCrash(const Runner& runner,
+                       const PlacementRequest& request,
+                       Instant now) {
+  if (!request.is_isolated && !runner.IsIsolating(now)) {
+    return true;
+  }
+  const TaskKey record = CrashRecordOf(request.task, request.step->is_gang);
+  if (runner.IsReservedForOther(record, now)) {
+    return false;
+  }
+  if (request.may_wait_for_isolation) {
+    return true;
+  }
+  return std::ranges::none_of(runner.runs, [&](const auto& item) {
+    const auto& [task, run] = item;
+    return (request.is_isolated || run.is_isolated) && !run.IsSettled(now) &&
+           CrashRecordOf(task, run.is_gang) != record;
+  });
+}
+
 double Cost(const Runner& runner,
             const Interference& interference,
             const PolicySettings& policy,
@@ -132,7 +154,8 @@
         (!step.required_label.empty() &&
          !runner.HasLabel(step.required_label)) ||
         !HasRoom(runner, interference, policy.pacing, step,
-                 request.has_waited)) {
+                 request.has_waited) ||
+        !CanAttributeCrash(runner, request, now)) {
       continue;
     }
     const uint32_t same_step = TasksOfStep(runner, request.task);
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -24,6 +24,11 @@
   std::optional<RunnerIncarnation> avoided;
   // A filler that has waited long may start where no capacity is left for it.
   bool has_waited = false;
+  // Starts where no other run has just started, since runners have crashed
+  // under the task.
+  bool is_isolated = false;
+  // Returns also runners that are not free for an isolated start yet.
+  bool may_wait_for_isolation = false;
 };
 
 // Older reports are ignored: three of the agents' report periods and a slow
--- a/src/libs/jobs/runner_crash.cpp
+++ b/src/libs/jobs/runner_crash.cpp
@@ -20,6 +20,23 @@
   return RunnerCrash{runner.report.listed_at_ms, now};
 }
 
+std::set<TaskKey> CrashSuspects(const std::map<TaskKey, Run>& runs,
+                                const RunnerCrash& crash,
+                                milliseconds window) {
+  std::set<TaskKey> suspects;
+  for (const auto& [task, run] : runs) {
+    const bool is_recent =
+        run.started_by_ms == 0 ||
+        run.started_by_ms > crash.earliest_ms - window.count();
+    const bool may_have_arrived =
+        run.sends > 0 && run.first_sent_at <= crash.latest;
+    if (may_have_arrived && is_recent) {
+      suspects.insert(CrashRecordOf(task, run.is_gang));
+    }
+  }
+  return suspects;
+}
+
 std::string DescribeStart(const Run& run, const RunnerCrash& crash) {
   if (run.sends == 0) {
     return "Its start had not been sent.";
--- a/src/libs/jobs/runner_crash.h
+++ b/src/libs/jobs/runner_crash.h
@@ -2,7 +2,9 @@
 #define PAPAYADRIFT_JOBS_RUNNER_CRASH_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/instant.h"
@@ -34,6 +36,12 @@
 // or std::nullopt if it was draining or never reported.
 std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner, Instant now);
 
+// Returns the tasks whose start may have crashed the runner, as by
+// CrashRecordOf(): those that started less than `window` before or may have.
+std::set<TaskKey> CrashSuspects(const std::map<TaskKey, Run>& runs,
+                                const RunnerCrash& crash,
+                                milliseconds window);
+
 // Returns how long before the crash the run had started, for logs.
 std::string DescribeStart(const Run& run, const RunnerCrash& crash);
 
