Routing: Sends a request that breaks its connections to two runners at most

What callers saw: an idempotent request that crashes its backend server took up to 11 of 11 down; it was sent on until no candidate was left.

Cause: the same retry without a budget of its own as with tasks: whether a request may be sent again asked whether it may run twice, not whether it is what breaks the servers.

Change: after two sends whose connection broke while the request was under way, or whose answer was cut short, the caller gets the failure. Refused connections, errors and timeouts count as before.

Test: CrashingRequestTest.RequestThatBreaksItsConnectionsIsSentToTwoRunners, with three ways of breaking off.

An idempotent request that meets two crashing servers by chance fails.

--- a/src/libs/routing/request_flow.cpp
+++ b/src/libs/routing/request_flow.cpp
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace papayadrift::routing {
+namespace {
+
+constexpr uint32_t kMaxBrokenSends = 2;
+
+}  // namespace
 
 RequestFlow::RequestFlow(RequestInfo info, bool is_idempotent, FlowPhase phase)
     : info_(std::move(info)),
@@ -32,7 +37,8 @@
 }
 
 bool RequestFlow::may_send_again() const {
-  return is_idempotent_ || ran() == Ran::kNo;
+  return broken_sends_ < kMaxBrokenSends &&
+         (is_idempotent_ || ran() == Ran::kNo);
 }
 
 Ran RequestFlow::ran() const {
@@ -78,6 +84,9 @@
                               std::optional<http::ClientFailure> failure) {
   send.is_open = false;
   last_failure_ = failure;
+  const bool is_broken = failure == http::ClientFailure::kLost ||
+                         failure == http::ClientFailure::kTruncated;
+  broken_sends_ += is_broken ? 1 : 0;
   may_have_been_sent_ |= failure != http::ClientFailure::kNotConnected;
 }
 
--- a/src/libs/routing/request_flow.h
+++ b/src/libs/routing/request_flow.h
@@ -49,8 +49,9 @@
   // Returns the runners that the request was sent to so far.
   std::vector<RunnerPointer> tried_runners() const;
 
-  // Returns whether the request may be sent again: always if it is idempotent,
-  // otherwise only if no byte of it can have been sent.
+  // Returns whether the request may be sent again: if it is idempotent or no
+  // byte of it can have been sent, and not if it may be what makes runners
+  // crash.
   bool may_send_again() const;
 
   // Returns what is known for certain about whether the request ran.
@@ -114,6 +115,7 @@
   bool has_answer_ = false;
   bool may_have_been_sent_ = false;  // A closed send may have reached a runner.
   std::vector<SendState> sends_;
+  uint32_t broken_sends_ = 0;  // Sends whose connection the runner broke.
   std::optional<http::Response> fallback_;
   std::optional<http::ClientFailure> last_failure_;
 };
--- a/tests/auto/routing/request_faults_test.cpp
+++ b/tests/auto/routing/request_faults_test.cpp
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
+#include <set>
+
 #include "fake_cluster.h"
 #include "routing/service_state.h"
 
@@ -121,6 +124,36 @@
   }
 }
 
+// Guards against an idempotent request that crashes one backend server after
+// another by its retries.
+TEST(CrashingRequestTest, RequestThatBreaksItsConnectionsIsSentToTwoRunners) {
+  constexpr uint32_t kMaxSends = 2;
+  for (const FakeBehavior behavior :
+       {FakeBehavior::kDisconnectBefore, FakeBehavior::kDisconnectDuring,
+        FakeBehavior::kTruncate}) {
+    FakeCluster cluster(1, Settings(), 7);
+    int n = 0;
+    std::set<RequestId> crashing;
+    std::map<RequestId, uint32_t> sends;
+    cluster.runners.SetBehavior([&](const Send& send) {
+      if (send.send.ordinal == 1 && ++n % 50 == 0) {
+        crashing.insert(send.send.request);
+      }
+      ++sends[send.send.request];
+      return crashing.contains(send.send.request) ? behavior
+                                                  : FakeBehavior::kServe;
+    });
+    cluster.ScheduleArrivals(kChecks, 1000, seconds(1), kTimeAllowed);
+    cluster.RunFor(kSettleTime);
+    ASSERT_GE(crashing.size(), 10U);
+    for (const RequestId& request : crashing) {
+      EXPECT_LE(sends[request], kMaxSends);
+    }
+    EXPECT_EQ(cluster.FindViolations(), Violations());
+    EXPECT_GE(cluster.answered(), 975);
+  }
+}
+
 TEST(DrainTest, ADrainInABurstSendsNothingMoreAndCutsNothingOff) {
   FakeCluster cluster(1, Settings(), 7);
   cluster.ScheduleArrivals(kChecks, kSaturation / 2, seconds(2), kTimeAllowed);
