Jobs: Withdraws starts that a shrunk capacity no longer allows

Two tests show a runner that is brought over its capacity by starts that were claimed before it shrank and sent, or sent again, after it (slow store, start not answered).

Cause: the room was checked when a task was claimed, not when its start was sent.

Change: with each report that shows the runner's lists, starts that are not confirmed are withdrawn until the rest fits. Runs at work stay.

--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -249,6 +249,9 @@
              Instant now);
 
   void ProcessLists(Runner& runner, const RunnerReport& report, Instant now);
+  // Withdraws starts that are not confirmed while the runner's capacity, which
+  // may have shrunk, does not allow them.
+  void WithdrawStartsBeyondCapacity(Runner& runner, Instant now);
   // Updates the tail latency of a serving task.
   void ProcessTail(const Runner& runner,
                    const TaskKey& task,
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -48,6 +48,7 @@
   }
   if (report.listed_at_ms > 0) {
     ProcessLists(runner, report, now);
+    WithdrawStartsBeyondCapacity(runner, now);
     CheckProgress(runner, now);
     UpdatePaces(runner, now);
     runner.headrooms.reset();
@@ -115,6 +116,30 @@
   }
 }
 
+void JobScheduler::WithdrawStartsBeyondCapacity(Runner& runner, Instant now) {
+  std::vector<TaskKey> pending;
+  for (const auto& [task, run] : runner.runs) {
+    if (!run.is_accepted && !run.is_withdrawn) {
+      pending.push_back(task);
+    }
+  }
+  for (const TaskKey& task : pending) {
+    if (FitsIn(runner.Used(), runner.report.capacity)) {
+      return;
+    }
+    Run& run = runner.runs.at(task);
+    Withdraw(runner, task, run, "The capacity of the runner has shrunk.", now);
+    if (run.is_gang) {
+      WithdrawGang(task, now);
+    }
+    if (run.sends == 0) {
+      const std::string checkpoint = run.checkpoint;
+      runner.runs.erase(task);
+      Release(task, checkpoint);
+    }
+  }
+}
+
 void JobScheduler::ProcessTail(const Runner& runner,
                                const TaskKey& task,
                                Run& run,
--- a/tests/auto/jobs/crashing_tasks_test.cpp
+++ b/tests/auto/jobs/crashing_tasks_test.cpp
@@ -201,5 +201,19 @@
   EXPECT_TRUE(fleet.IsRunning(task));
 }
 
+// Guards against starts that a runner's capacity no longer allows.
+TEST(CrashingTasksTest, RunnerThatShrinksGetsNoStartBeyondItsCapacity) {
+  CrashingFleet fleet(1);
+  fleet.AddJob(JobId("a"), CrashingFleet::JobOf(60));
+  fleet.RunFor(milliseconds(700));
+  fleet.SetCapacity(0, {4000, 64000, 0});
+  fleet.RunFor(milliseconds(2000));
+  EXPECT_EQ(fleet.overbookings(), 0U);
+  fleet.SetCapacity(0, {16000, 64000, 0});
+  fleet.RunFor(milliseconds(4000));
+  EXPECT_EQ(fleet.overbookings(), 0U);
+  EXPECT_EQ(fleet.OutcomeOf(JobId("a")), JobOutcome::kCompleted);
+}
+
 }  // namespace
 }  // namespace papayadrift::jobs
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -153,6 +153,35 @@
   EXPECT_EQ(scheduler_.waiting_tasks(), 8U);
 }
 
+// Guards against starts that were claimed before a runner's capacity shrank and
+// are sent only afterwards, as when the store was slow or a leader was lost.
+TEST_F(JobSchedulerTest, ShrunkRunnerGetsNoStartBeyondItsCapacity) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(4, 1000));
+  scheduler_.Advance(At(0), 0);
+  Store();
+  RunnerReport shrunk = ReportOf(kFirst);
+  shrunk.capacity.millicores = 2000;
+  shrunk.sent_at_ms = shrunk.listed_at_ms = 10;
+  scheduler_.OnReport(shrunk, At(10));
+  EXPECT_EQ(CountStarts(Orders(10)), 2U);
+  EXPECT_EQ(scheduler_.waiting_tasks(), 2U);
+}
+
+// What may have been started and what is being stopped still takes capacity.
+TEST_F(JobSchedulerTest, ShrunkRunnerGetsNoStartAgainThatWasNotAnswered) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(4, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 4U);
+  RunnerReport shrunk = ReportOf(kFirst);
+  shrunk.capacity.millicores = 2000;
+  shrunk.sent_at_ms = shrunk.listed_at_ms = 500;
+  scheduler_.OnReport(shrunk, At(500));
+  const auto orders = Orders(500);
+  EXPECT_EQ(orders.size(), 4U);
+  EXPECT_EQ(CountStarts(orders), 0U);
+}
+
 TEST_F(JobSchedulerTest, AcknowledgesAnEndOnlyOnceItIsStored) {
   Report(kFirst, 0);
   scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
