Tests: Lists the sound job that is given up by chance

Not fixed: a fifth crash as evidence would leave no start to spare if the leader misses one, and the users' limit of five starts is strict.

--- a/tests/auto/jobs/crashing_tasks_test.cpp
+++ b/tests/auto/jobs/crashing_tasks_test.cpp
@@ -58,6 +58,23 @@
   EXPECT_LE(fleet.StartsOf(task), kMaxStarts) << ToText(task);
 }
 
+// Runs sound jobs while random runners crash by themselves.
+void ExpectSoundJobsCompleteAmongCrashes(uint64_t seed) {
+  SCOPED_TRACE("seed " + std::to_string(seed));
+  constexpr uint32_t kRunners = 8;
+  CrashingFleet fleet(kRunners);
+  Arrivals arrivals(fleet, seed, 250);
+  std::uniform_int_distribution<uint32_t> any_runner(0, kRunners - 1);
+  for (int i = 0; i < 20; ++i) {
+    arrivals.Run(3, 0);
+    fleet.CrashRunner(any_runner(arrivals.random()));
+  }
+  fleet.RunFor(seconds(30));
+  for (const JobId& id : arrivals.sound()) {
+    EXPECT_EQ(fleet.OutcomeOf(id), JobOutcome::kCompleted) << id.text();
+  }
+}
+
 // Guards against a task that crashes server after server, since only failed
 // ends counted against it.
 TEST(CrashingTasksTest, TaskThatCrashesItsRunnersIsGivenUp) {
@@ -94,21 +111,16 @@
   std::iota(seeds.begin(), seeds.end(), 1);
   seeds.insert(seeds.end(), {75, 164, 221, 229, 439, 591, 941});
   for (const uint64_t seed : seeds) {
-    SCOPED_TRACE("seed " + std::to_string(seed));
-    CrashingFleet fleet(8);
-    Arrivals arrivals(fleet, seed, 250);
-    std::uniform_int_distribution<uint32_t> any_runner(0, 7);
-    for (int i = 0; i < 20; ++i) {
-      arrivals.Run(3, 0);
-      fleet.CrashRunner(any_runner(arrivals.random()));
-    }
-    fleet.RunFor(seconds(30));
-    for (const JobId& id : arrivals.sound()) {
-      EXPECT_EQ(fleet.OutcomeOf(id), JobOutcome::kCompleted) << id.text();
-    }
+    ExpectSoundJobsCompleteAmongCrashes(seed);
   }
 }
 
+// A task starts on four runners in a row just before they crash.
+TEST(CrashingTasksTest, FourCrashesByChanceFailNoJob) {
+  constexpr uint64_t kSeed = 781;
+  ExpectSoundJobsCompleteAmongCrashes(kSeed);
+}
+
 // A new leader has to know of the crashes that the last one saw.
 TEST(CrashingTasksTest, LeadersInTurnGiveUpATaskThatCrashesRunners) {
   CrashingFleet fleet(8);
