Cluster: Logs what delays the leader and the stop of a cancelled task

What operators saw: a cancelled task ran on for 6.2 s, and the logs can't tell whether its leader heard of the cancelling late, was busy, or held the stop back.

New metric papayadrift_leader_step_seconds.

No decision changes.

--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -25,6 +25,9 @@
       store_seconds_(registry.AddHistogram(
           "papayadrift_progress_append_seconds",
           "Time in which the store answers the leader's appends.")),
+      step_seconds_(registry.AddHistogram(
+          "papayadrift_leader_step_seconds",
+          "Time that the leader takes for one round of decisions.")),
       term_(registry.AddGauge("papayadrift_leader_term",
                               "Term in which this process leads.")),
       open_jobs_(registry.AddGauge("papayadrift_open_jobs",
@@ -62,4 +65,8 @@
   store_seconds_.Record(duration);
 }
 
+void ClusterMetrics::OnStep(microseconds duration) {
+  step_seconds_.Record(duration);
+}
+
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/cluster_metrics.h
+++ b/src/libs/cluster/cluster_metrics.h
@@ -22,11 +22,13 @@
                           size_t open_jobs,
                           size_t waiting_tasks);
   void OnAppendStored(microseconds duration);
+  void OnStep(microseconds duration);
 
  private:
   metrics::Registry& registry_;
   metrics::Histogram& submit_seconds_;
   metrics::Histogram& store_seconds_;
+  metrics::Histogram& step_seconds_;
   metrics::Gauge& term_;
   metrics::Gauge& open_jobs_;
   metrics::Gauge& waiting_tasks_;
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -34,12 +34,16 @@
 // The store delays the answer this long while there are no new jobs. Short
 // enough to detect a dead connection soon.
 constexpr milliseconds kJobsPollWait(1000);
+// A round of decisions that takes this long is logged: agents wait 250 ms for
+// the answer to an order.
+constexpr milliseconds kLongStep(100);
 
 Event EventOf(const jobs::JobSchedulerEvent::Kind kind) {
   using Kind = jobs::JobSchedulerEvent::Kind;
   switch (kind) {
     case Kind::kRunClaimed:
     case Kind::kRunEnded:
+    case Kind::kRunStopped:
     case Kind::kRunPaced:
     case Kind::kTargetMissed:
     case Kind::kTargetMet:
@@ -302,6 +306,7 @@
     return;
   }
   const Instant now = context_.clock.Now();
+  const uint64_t examined_runs = scheduler_->fleet().ExaminedRuns();
   scheduler_->Advance(now, context_.clock.WallNow().time_since_epoch().count());
   Flush();
   SendOrders();
@@ -309,9 +314,27 @@
   DeleteExpiredJobs();
   metrics_.UpdateLeaderGauges(record_.term, scheduler_->open_jobs(),
                               scheduler_->waiting_tasks());
+  ReportStep(now, scheduler_->fleet().ExaminedRuns() - examined_runs);
   ScheduleStep(settings_.max_step_interval);
 }
 
+void Leader::ReportStep(Instant started_at, uint64_t examined_runs) {
+  const microseconds duration = context_.clock.Now() - started_at;
+  metrics_.OnStep(duration);
+  if (duration < kLongStep) {
+    return;
+  }
+  context_.logger.Log(
+      Event::kLeaderDelayed,
+      {{"term", static_cast<int64_t>(record_.term)},
+       {"milliseconds",
+        static_cast<int64_t>(
+            std::chrono::floor<milliseconds>(duration).count())},
+       {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
+       {"waiting_tasks", static_cast<int64_t>(scheduler_->waiting_tasks())},
+       {"examined_runs", static_cast<int64_t>(examined_runs)}});
+}
+
 void Leader::Flush() {
   const Instant now = context_.clock.Now();
   if (is_writing_) {
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -18,6 +18,7 @@
 
 Resources Runner::Used() const {
   Resources used;
+  examined_runs += runs.size();
   for (const Run& run : runs | std::views::values) {
     Resources need = run.need;
     if (run.is_filler) {
@@ -33,6 +34,7 @@
 
 int64_t Runner::FillerMillicores() const {
   int64_t sum = 0;
+  examined_runs += runs.size();
   for (const Run& run : runs | std::views::values) {
     sum += run.is_filler ? run.need.millicores : 0;
   }
@@ -64,6 +66,21 @@
   return runners_[incarnation];
 }
 
+void Fleet::Remove(const RunnerIncarnation& incarnation) {
+  if (const Runner* runner = Find(incarnation)) {
+    examined_runs_of_removed_ += runner->examined_runs;
+    runners_.erase(incarnation);
+  }
+}
+
+uint64_t Fleet::ExaminedRuns() const {
+  uint64_t sum = examined_runs_of_removed_;
+  for (const Runner& runner : runners_ | std::views::values) {
+    sum += runner.examined_runs;
+  }
+  return sum;
+}
+
 std::vector<RunnerIncarnation> Fleet::OtherIncarnations(
     const RunnerIncarnation& incarnation) const {
   std::vector<RunnerIncarnation> older;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -65,6 +65,7 @@
   bool is_long_running = false;
   bool is_accepted = false;
   bool is_withdrawn = false;  // Has to be stopped, or kept from starting.
+  Instant withdrawn_at;
   bool is_stop_accepted = false;
   // The runner has listed it after its start could have crashed the runner.
   bool has_survived_start = false;
@@ -115,6 +116,9 @@
   // Smoothed ratio of actual to expected task durations.
   double slowness = 1.0;
 
+  // Runs looked at so far to compute what the runner has left.
+  mutable uint64_t examined_runs = 0;
+
   Resources Used() const;
   // Millicores of fillers, which do not count as used.
   int64_t FillerMillicores() const;
@@ -135,9 +139,7 @@
   const Runner* Find(const RunnerIncarnation& incarnation) const;
   // Returns the runner, adding it if it is not known.
   Runner& Get(const RunnerIncarnation& incarnation);
-  void Remove(const RunnerIncarnation& incarnation) {
-    runners_.erase(incarnation);
-  }
+  void Remove(const RunnerIncarnation& incarnation);
 
   // Returns the other incarnations of the same node, which end when this one
   // starts.
@@ -146,11 +148,16 @@
   // Returns whether a later incarnation of the same node is known.
   bool IsSuperseded(const RunnerIncarnation& incarnation) const;
 
+  // Runs looked at so far to compute what runners have left: what placement
+  // costs.
+  uint64_t ExaminedRuns() const;
+
   Runners& runners() { return runners_; }
   const Runners& runners() const { return runners_; }
 
  private:
   Runners runners_;
+  uint64_t examined_runs_of_removed_ = 0;
 };
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -60,6 +60,8 @@
       return "ended";
     case Kind::kRunWithdrawn:
       return "withdrawn";
+    case Kind::kRunStopped:
+      return "stopped";
     case Kind::kRunLost:
       return "lost";
     case Kind::kTaskGivenUp:
@@ -153,6 +155,7 @@
     Run run = RunOf(entry->job.steps[key.step], task.run);
     run.sends = 2;
     run.is_withdrawn = stored.outcome != JobOutcome::kOpen;
+    run.withdrawn_at = created_at_;
     run.checkpoint = task.checkpoint;
     run.progressed_at = created_at_;
     run.is_isolated = CrashRecord(key)->crashes > 0;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -103,6 +103,7 @@
     kRunClaimed,
     kRunEnded,
     kRunWithdrawn,
+    kRunStopped,
     kRunLost,
     kTaskGivenUp,
     kJobEnded,
@@ -302,6 +303,11 @@
                 std::string reason,
                 Instant now);
   void WithdrawGang(const TaskKey& task, Instant now);
+  // Reports that a withdrawn run is no longer active.
+  void EmitStopped(const Runner& runner,
+                   const TaskKey& task,
+                   const Run& run,
+                   Instant now) const;
   void RemoveRunner(const RunnerIncarnation& incarnation,
                     const std::string& reason,
                     const std::optional<RunnerCrash>& crash,
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -197,6 +197,9 @@
     }
     const std::string checkpoint =
         ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint;
+    if (run->is_withdrawn) {
+      EmitStopped(runner, ended.task, *run, now);
+    }
     runner.runs.erase(ended.task);
     interference_.Forget(ended.task);
     Emit(JobSchedulerEvent::Kind::kRunEnded, ToText(ended.task), ended.run,
@@ -328,6 +331,7 @@
     return;
   }
   run.is_withdrawn = true;
+  run.withdrawn_at = now;
   runner.headrooms.reset();
   run.send_due = now;
   Emit(JobSchedulerEvent::Kind::kRunWithdrawn, ToText(task), run.number,
@@ -346,6 +350,17 @@
   }
 }
 
+void JobScheduler::EmitStopped(const Runner& runner,
+                               const TaskKey& task,
+                               const Run& run,
+                               Instant now) const {
+  const auto ms =
+      std::chrono::floor<milliseconds>(now - run.withdrawn_at).count();
+  Emit(JobSchedulerEvent::Kind::kRunStopped, ToText(task), run.number,
+       ToText(runner.report.incarnation),
+       "It was withdrawn " + std::to_string(ms) + " ms before.");
+}
+
 void JobScheduler::ProcessMissingRun(Runner& runner,
                                      const TaskKey& task,
                                      Run& run,
@@ -354,6 +369,7 @@
   if (run.is_withdrawn && run.is_stop_accepted &&
       listed_at_ms >= run.stop_accepted_at_ms) {
     const std::string checkpoint = run.checkpoint;
+    EmitStopped(runner, task, run, now);
     runner.runs.erase(task);
     interference_.Forget(task);
     Release(task, checkpoint);
@@ -488,6 +504,7 @@
     if (runner.report.state != RunnerState::kReady ||
         run.sends >= settings_.max_sends) {
       run.is_withdrawn = true;
+      run.withdrawn_at = now;
       Emit(JobSchedulerEvent::Kind::kRunWithdrawn, ToText(task), run.number,
            ToText(runner.report.incarnation),
            "The start was not answered in time.");
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -13,6 +13,7 @@
 constexpr double kToleratedSlowness = 1.4;
 
 uint32_t TasksOfStep(const Runner& runner, const TaskKey& task) {
+  runner.examined_runs += runner.runs.size();
   return static_cast<uint32_t>(std::ranges::count_if(
       runner.runs | std::views::keys, [&](const TaskKey& other) {
         return other.job == task.job && other.occurrence == task.occurrence &&
--- a/src/libs/jobs/serving_groups.cpp
+++ b/src/libs/jobs/serving_groups.cpp
@@ -72,6 +72,7 @@
 
 int64_t MillicoresForFillers(const Runner& runner) {
   int64_t left = runner.report.capacity.millicores;
+  runner.examined_runs += runner.runs.size();
   for (const Run& run : runner.runs | std::views::values) {
     left -= run.is_serving ? ExpectedUse(run.need) : run.need.millicores;
   }
