--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -294,6 +294,19 @@
   EXPECT_EQ(CountStarts(orders), 0U);
 }
 
+// Guards against a cancelled task that runs on while its agent's reports arrive
+// late: an overloaded leader takes them in seconds after they were sent.
+TEST_F(JobSchedulerTest, StopsACancelledRunAlthoughReportsAreLate) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  Report(kFirst, 100, {{Task(0), 1, "", 50, 0}});
+  scheduler_.Cancel(JobId("a"), At(2500));
+  const auto orders = Orders(2500);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<StopOrder>(orders[0].second));
+}
+
 TEST_F(JobSchedulerTest, StopsRunsThatItDidNotClaim) {
   Report(kFirst, 1, {{Task(0), 7, "", 0, 0}});
   const auto orders = Orders(1);
