Jobs: Keeps the sums over a runner's runs until they change

Cause: to choose the runner of one task, the leader added up all runs of all runners several times, 1.1 ms of its time for each of 600 tasks a second.

Change: RunTable holds the runs of a runner and keeps their sums until one is added or removed; tasks of a step are found by their place in the order.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -17,41 +17,25 @@
 }  // namespace
 
 Resources Runner::Used() const {
-  Resources used;
-  examined_runs += runs.size();
-  for (const Run& run : runs | std::views::values) {
-    Resources need = run.need;
-    if (run.is_filler) {
-      need.millicores = 0;
-    }
-    used = used + need;
-  }
+  Resources used = runs.totals().used;
   for (const OrphanRun& orphan : orphans | std::views::values) {
     used = used + orphan.need;
   }
   return used;
 }
 
-int64_t Runner::FillerMillicores() const {
-  int64_t sum = 0;
-  examined_runs += runs.size();
-  for (const Run& run : runs | std::views::values) {
-    sum += run.is_filler ? run.need.millicores : 0;
-  }
-  return sum;
-}
-
 bool Runner::HasLabel(const std::string& label) const {
   return std::ranges::find(report.labels, label) != report.labels.end();
 }
 
 bool Runner::IsIsolating(Instant now) const {
   return now < reserved_until ||
-         std::ranges::any_of(
-             runs | std::views::values,
-             [&](const Run& run) {
-               return run.is_isolated && !run.IsSettled(now);
-             });
+         (runs.totals().has_isolated && std::ranges::any_of(
+                                            runs | std::views::values,
+                                            [&](const Run& run) {
+                                              return run.is_isolated &&
+                                                     !run.IsSettled(now);
+                                            }));
 }
 
 Runner* Fleet::Find(const RunnerIncarnation& incarnation) {
@@ -68,7 +52,7 @@
 
 void Fleet::Remove(const RunnerIncarnation& incarnation) {
   if (const Runner* runner = Find(incarnation)) {
-    examined_runs_of_removed_ += runner->examined_runs;
+    examined_runs_of_removed_ += runner->runs.examined();
     runners_.erase(incarnation);
   }
 }
@@ -76,7 +60,7 @@
 uint64_t Fleet::ExaminedRuns() const {
   uint64_t sum = examined_runs_of_removed_;
   for (const Runner& runner : runners_ | std::views::values) {
-    sum += runner.examined_runs;
+    sum += runner.runs.examined();
   }
   return sum;
 }
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -10,69 +10,11 @@
 #include "base/instant.h"
 #include "base/resources.h"
 #include "jobs/job.h"
+#include "jobs/run_table.h"
 #include "jobs/runner.h"
 
 namespace papayadrift::jobs {
 
-// A run that was claimed for a runner and may be running there.
-struct Run {
-  uint32_t number = 0;
-  // Start orders of this run that may have been sent. Unknown for a run that an
-  // earlier leader claimed; assumed to be more than one.
-  uint32_t sends = 0;
-  Resources need;
-  // The scheduler version that has to be stored before the start is sent.
-  uint64_t claim_version = 0;
-  Instant send_due;            // Of the next order for it.
-  Instant first_sent_at;       // When its start was sent first.
-  int64_t accepted_at_ms = 0;  // On the agent's clock.
-  // Time on the agent's clock by which the run had started; 0: unknown.
-  int64_t started_by_ms = 0;
-  int64_t stop_accepted_at_ms = 0;  // On the agent's clock.
-  Instant progressed_at;            // When `percent` was last seen to change.
-  int64_t gauge = 0;                // See ActiveRun.
-  std::string checkpoint;
-  std::string image;
-  int64_t tail_target_ms = 0;
-  uint32_t percent = 0;
-  // When the run was first listed, and its progress then: a resumed run starts
-  // with that of its checkpoint.
-  Instant listed_since;
-  uint32_t first_percent = 0;
-  uint32_t pace_percent = 100;  // As last sent in an order.
-  Instant paced_at;
-  // An unanswered pace order may take effect late and override later ones; the
-  // pace is resent until then.
-  Instant pace_uncertain_until;
-  double smoothed_gauge = 0;  // Of a serving task; single gauges are noisy.
-  // Since when the smoothed tail latency of a serving task has been at or above
-  // its target.
-  std::optional<Instant> over_target_since;
-  Instant slow_since;  // Since when the pace has been below `slow_percent`.
-  Instant started_at;  // When its start was accepted.
-  // Expected duration of the rest of the critical path, when it was claimed.
-  int64_t remaining_ms = 0;
-  int64_t target_ms = 0;  // Unix time at which its job should be done.
-  int64_t cutoff_ms = 0;  // Unix time from which a result has no value.
-  // Until then its start may still crash the runner; unset while the start is
-  // not confirmed.
-  std::optional<Instant> settles_at;
-  bool is_filler = false;
-  bool is_gang = false;
-  // Started alone, since runners have crashed under the task.
-  bool is_isolated = false;
-  bool is_serving = false;  // Has a tail target.
-  bool is_long_running = false;
-  bool is_accepted = false;
-  bool is_withdrawn = false;  // Has to be stopped, or kept from starting.
-  Instant withdrawn_at;
-  bool is_stop_accepted = false;
-  // The runner has listed it after its start could have crashed the runner.
-  bool has_survived_start = false;
-
-  bool IsSettled(Instant now) const { return settles_at && now >= *settles_at; }
-};
-
 // A run that the runner lists but that this leader did not claim for it.
 struct OrphanRun {
   uint32_t number = 0;
@@ -96,7 +38,7 @@
   bool has_report = false;
   // Until then its runs may be running even without reports from its agent.
   Instant lease_expires_at;
-  std::map<TaskKey, Run> runs;
+  RunTable runs;
   std::map<TaskKey, OrphanRun> orphans;
   uint64_t handled_ends = 0;                   // Highest number processed.
   uint64_t recorded_ends = 0;                  // Highest number that is stored.
@@ -116,12 +58,9 @@
   // Smoothed ratio of actual to expected task durations.
   double slowness = 1.0;
 
-  // Runs looked at so far to compute what the runner has left.
-  mutable uint64_t examined_runs = 0;
-
   Resources Used() const;
   // Millicores of fillers, which do not count as used.
-  int64_t FillerMillicores() const;
+  int64_t FillerMillicores() const { return runs.totals().filler_millicores; }
   bool HasLabel(const std::string& label) const;
   bool IsReservedForOther(const TaskKey& crash_record, Instant now) const {
     return now < reserved_until && reserved_for != crash_record;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -315,7 +315,7 @@
   // Records the crash with the tasks that may have caused it, and gives up
   // those that have.
   void RecordCrash(const RunnerIncarnation& incarnation,
-                   const std::map<TaskKey, Run>& runs,
+                   const RunTable& runs,
                    const RunnerCrash& crash,
                    Instant now);
   // Returns the progress with which crashes under the task are recorded.
--- a/src/libs/jobs/job_scheduler_crashes.cpp
+++ b/src/libs/jobs/job_scheduler_crashes.cpp
@@ -14,7 +14,7 @@
 namespace papayadrift::jobs {
 
 void JobScheduler::RecordCrash(const RunnerIncarnation& incarnation,
-                               const std::map<TaskKey, Run>& runs,
+                               const RunTable& runs,
                                const RunnerCrash& crash,
                                Instant now) {
   const std::set<TaskKey> suspects =
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -392,7 +392,7 @@
   Emit(crash ? JobSchedulerEvent::Kind::kRunnerCrashed
              : JobSchedulerEvent::Kind::kRunnerGone,
        ToText(incarnation), 0, {}, reason);
-  const std::map<TaskKey, Run> runs = std::move(runner->runs);
+  const RunTable runs = std::move(runner->runs);
   fleet_.Remove(incarnation);
   pace_orders_.erase(incarnation);
   for (const auto& [task, run] : runs) {
--- /dev/null
+++ b/src/libs/jobs/run_table.cpp
@@ -0,0 +1,51 @@
+#include "jobs/run_table.h"
+
+#include <ranges>
+
+namespace papayadrift::jobs {
+
+Run& RunTable::operator[](const TaskKey& task) {
+  totals_.reset();
+  return runs_[task];
+}
+
+void RunTable::erase(const TaskKey& task) {
+  totals_.reset();
+  runs_.erase(task);
+}
+
+const RunTotals& RunTable::totals() const {
+  if (totals_) {
+    return *totals_;
+  }
+  examined_ += runs_.size();
+  RunTotals totals;
+  for (const Run& run : runs_ | std::views::values) {
+    Resources need = run.need;
+    if (run.is_filler) {
+      need.millicores = 0;
+      totals.filler_millicores += run.need.millicores;
+    } else if (run.is_serving) {
+      totals.serving_millicores += run.need.millicores;
+    } else {
+      totals.other_millicores += run.need.millicores;
+    }
+    totals.used = totals.used + need;
+    totals.has_isolated = totals.has_isolated || run.is_isolated;
+  }
+  totals_ = totals;
+  return *totals_;
+}
+
+uint32_t RunTable::CountOfStep(const TaskKey& task) const {
+  const TaskKey step = StepOf(task);
+  uint32_t count = 0;
+  for (auto it = runs_.lower_bound(step);
+       it != runs_.end() && StepOf(it->first) == step; ++it) {
+    ++count;
+  }
+  examined_ += count;
+  return count;
+}
+
+}  // namespace papayadrift::jobs
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -12,15 +12,6 @@
 // Slowness up to this factor is within the normal variation of task durations.
 constexpr double kToleratedSlowness = 1.4;
 
-uint32_t TasksOfStep(const Runner& runner, const TaskKey& task) {
-  runner.examined_runs += runner.runs.size();
-  return static_cast<uint32_t>(std::ranges::count_if(
-      runner.runs | std::views::keys, [&](const TaskKey& other) {
-        return other.job == task.job && other.occurrence == task.occurrence &&
-               other.step == task.step;
-      }));
-}
-
 double CapacityOf(const Runner& runner) {
   return static_cast<double>(
       std::max<int64_t>(1, runner.report.capacity.millicores));
@@ -56,14 +47,11 @@
                    const PlacementCosts& costs,
                    const Step& step) {
   const double capacity = CapacityOf(runner);
-  int64_t serving = 0;
-  bool has_same_image = false;
-  for (const Run& run : runner.runs | std::views::values) {
-    if (run.is_serving) {
-      serving += run.need.millicores;
-      has_same_image = has_same_image || run.image == step.image;
-    }
-  }
+  const int64_t serving = runner.runs.totals().serving_millicores;
+  const bool has_same_image = std::ranges::any_of(
+      runner.runs | std::views::values, [&](const Run& run) {
+        return run.is_serving && run.image == step.image;
+      });
   const double fillers =
       static_cast<double>(runner.FillerMillicores()) / capacity;
   double cost = costs.slowed_fillers * fillers;
@@ -159,7 +147,7 @@
         !CanAttributeCrash(runner, request, now)) {
       continue;
     }
-    const uint32_t same_step = TasksOfStep(runner, request.task);
+    const uint32_t same_step = runner.runs.CountOfStep(request.task);
     if (step.max_per_runner > 0 && same_step >= step.max_per_runner) {
       continue;
     }
--- a/src/libs/jobs/runner_crash.cpp
+++ b/src/libs/jobs/runner_crash.cpp
@@ -20,7 +20,7 @@
   return RunnerCrash{runner.report.listed_at_ms, now};
 }
 
-std::set<TaskKey> CrashSuspects(const std::map<TaskKey, Run>& runs,
+std::set<TaskKey> CrashSuspects(const RunTable& runs,
                                 const RunnerCrash& crash,
                                 milliseconds window) {
   std::set<TaskKey> suspects;
--- a/src/libs/jobs/runner_crash.h
+++ b/src/libs/jobs/runner_crash.h
@@ -38,7 +38,7 @@
 
 // Returns the tasks whose start may have crashed the runner, as by
 // CrashRecordOf(): those that started less than `window` before or may have.
-std::set<TaskKey> CrashSuspects(const std::map<TaskKey, Run>& runs,
+std::set<TaskKey> CrashSuspects(const RunTable& runs,
                                 const RunnerCrash& crash,
                                 milliseconds window);
 
--- a/src/libs/jobs/serving_groups.cpp
+++ b/src/libs/jobs/serving_groups.cpp
@@ -71,12 +71,10 @@
 }
 
 int64_t MillicoresForFillers(const Runner& runner) {
-  int64_t left = runner.report.capacity.millicores;
-  runner.examined_runs += runner.runs.size();
-  for (const Run& run : runner.runs | std::views::values) {
-    left -= run.is_serving ? ExpectedUse(run.need) : run.need.millicores;
-  }
-  return left;
+  const RunTotals& totals = runner.runs.totals();
+  return runner.report.capacity.millicores - totals.filler_millicores -
+         totals.other_millicores -
+         totals.serving_millicores * kServingUsePercent / 100;
 }
 
 double UsableByFillers(const Runner& runner, const Interference& interference) {
