Jobs: Looks at a runner's details only if its load leaves it in question

Cause: the tasks of the step and the interference with services were computed for each runner with room, though its load alone made most dearer than the best one.

Change: such runners are passed over; the other parts of the cost only add to it.

--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -26,11 +26,8 @@
       static_cast<double>(step.need.millicores) / CapacityOf(runner));
 }
 
-bool HasRoom(const Runner& runner,
-             const Interference& interference,
-             const PaceSettings& pacing,
-             const Step& step,
-             bool has_waited) {
+// Returns whether the runner has the capacity that the step needs.
+bool HasRoom(const Runner& runner, const Step& step, bool has_waited) {
   Resources need = step.need;
   const Resources free = runner.report.capacity - runner.Used();
   if (!step.is_filler) {
@@ -38,8 +35,15 @@
   }
   need.millicores = 0;
   return FitsIn(need, free) &&
-         (has_waited || (step.need.millicores <= MillicoresForFillers(runner) &&
-                         Excess(runner, interference, pacing, step) <= 0));
+         (has_waited || step.need.millicores <= MillicoresForFillers(runner));
+}
+
+// Returns the part of the cost of a task that is not serving that depends on
+// the load of the runner; the other parts only add to it.
+double LoadCost(const Runner& runner, const Step& step) {
+  const int64_t load = runner.Used().millicores + runner.FillerMillicores() +
+                       step.need.millicores;
+  return static_cast<double>(load) / CapacityOf(runner);
 }
 
 double ServingCost(const Runner& runner,
@@ -100,9 +104,7 @@
   if (step.tail_target_ms > 0) {
     cost += ServingCost(runner, interference, costs, step);
   } else {
-    const int64_t load = runner.Used().millicores + runner.FillerMillicores() +
-                         step.need.millicores;
-    cost += static_cast<double>(load) / CapacityOf(runner);
+    cost += LoadCost(runner, step);
   }
   cost += costs.same_step * same_step;
   cost += costs.failure * runner.failure_streak;
@@ -142,8 +144,11 @@
     if (!AcceptsRuns(runner, request.service, now) ||
         (!step.required_label.empty() &&
          !runner.HasLabel(step.required_label)) ||
-        !HasRoom(runner, interference, policy.pacing, step,
-                 request.has_waited) ||
+        !HasRoom(runner, step, request.has_waited) ||
+        (best != nullptr && step.tail_target_ms == 0 &&
+         LoadCost(runner, step) >= best_cost) ||
+        (step.is_filler && !request.has_waited &&
+         Excess(runner, interference, policy.pacing, step) > 0) ||
         !CanAttributeCrash(runner, request, now)) {
       continue;
     }
