Jobs: Sends stops also to agents whose reports are late

What callers saw: tasks of a cancelled job ran on (UNASKED).

Cause: no order was sent to an agent whose last report was older than 2 s, also no stop. The leader was overloaded and took in no report of side-nordeste-c-33 from 27.9 to 38.4 s, so nine withdrawn runs got no stop in that time.

Change: only starts need a recent report, since they depend on what the runner has left. A stop is right at any time: the run was withdrawn or never claimed.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -526,11 +526,17 @@
 JobScheduler::TakeOrders(Instant now) {
   std::vector<std::pair<RunnerIncarnation, std::vector<Order>>> batches;
   for (auto& [incarnation, runner] : fleet_.runners()) {
-    if (!runner.has_report || now - runner.reported_at > kMaxReportAge) {
+    if (!runner.has_report) {
       continue;
     }
+    // Starts need to know what the runner has left; a stop is right at any
+    // time.
+    const bool may_start = now - runner.reported_at <= kMaxReportAge;
     std::vector<Order> orders;
     for (auto& [task, run] : runner.runs) {
+      if (!may_start && !run.is_withdrawn) {
+        continue;
+      }
       if (auto order = NextOrder(runner, task, run, now)) {
         orders.push_back(std::move(*order));
       }
