Jobs: Places a burst in rounds of 64 claims

Cause: one round of decisions placed all tasks whose turn had come. Nothing else was handled until its end, up to 1103 ms later (leader.delayed).

Change: a round claims at most 64 runs; the leader starts the next one after the events that have come in meanwhile. What is placed and in which order stays the same; the emulation goes on with rounds until all is placed.

--- a/benchmarks/experiment/simulation.cpp
+++ b/benchmarks/experiment/simulation.cpp
@@ -140,7 +140,9 @@
 
   // Changes are stored and orders answered within one step.
   void StepScheduler() {
-    scheduler_.Advance(now_, UnixNow());
+    do {
+      scheduler_.Advance(now_, UnixNow());
+    } while (scheduler_.has_more_to_place());
     scheduler_.OnStored(scheduler_.TakeChanges().version);
     for (const auto& runner : runners_) {
       runner->AcknowledgeEnds(scheduler_.RecordedEnds(runner->incarnation()));
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -315,7 +315,8 @@
   metrics_.UpdateLeaderGauges(record_.term, scheduler_->open_jobs(),
                               scheduler_->waiting_tasks());
   ReportStep(now, scheduler_->fleet().ExaminedRuns() - examined_runs);
-  ScheduleStep(settings_.max_step_interval);
+  ScheduleStep(scheduler_->has_more_to_place() ? milliseconds(0)
+                                               : settings_.max_step_interval);
 }
 
 void Leader::ReportStep(Instant started_at, uint64_t examined_runs) {
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -317,8 +317,13 @@
   RelocateFillers(now);
   RegroupServing(now);
   waiting_tasks_ = 0;
+  claims_of_round_ = 0;
+  has_more_to_place_ = false;
   unplaceable_.clear();
   for (const ReadyStep& ready : ReadySteps(unix_ms)) {
+    if (has_more_to_place_) {
+      return;
+    }
     if (ready.entry->job.steps[ready.step].is_gang) {
       PlaceGang(ready, now);
     } else {
@@ -333,6 +338,7 @@
                          const Runner& chosen,
                          const ReadyStep& ready,
                          Instant now) {
+  ++claims_of_round_;
   TaskProgress& progress = *TaskOf(task);
   progress.phase = TaskPhase::kClaimed;
   progress.run = number;
@@ -385,6 +391,10 @@
     if (tasks[i].phase != TaskPhase::kWaiting) {
       continue;
     }
+    if (claims_of_round_ >= settings_.max_claims_per_round) {
+      has_more_to_place_ = true;
+      return;
+    }
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     const bool is_isolated = tasks[i].crashes > 0;
     if (!is_isolated && !has_room) {
@@ -442,6 +452,10 @@
 }
 
 bool JobScheduler::PlaceGang(const ReadyStep& ready, Instant now) {
+  if (claims_of_round_ >= settings_.max_claims_per_round) {
+    has_more_to_place_ = true;
+    return false;
+  }
   const Step& step = ready.entry->job.steps[ready.step];
   auto& tasks =
       ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -38,6 +38,9 @@
   // Interval between two sends of an unanswered order: several round trips to a
   // busy agent.
   milliseconds resend_period{400};
+  // Number of runs claimed in one round of decisions. What callers and agents
+  // send meanwhile waits for its end, also on VMs with a tenth of a core.
+  uint32_t max_claims_per_round = 64;
   // Number of sends of a start after which the run is withdrawn and placed
   // elsewhere.
   uint32_t max_sends = 4;
@@ -169,8 +172,11 @@
   // Everything up to `version` is stored.
   void OnStored(uint64_t version);
 
-  // Expires leases and claims capacity for ready tasks.
+  // Expires leases and claims capacity for ready tasks, a limited number of
+  // them at once.
   void Advance(Instant now, int64_t unix_ms);
+  // Returns whether the last Advance() left tasks that may have a place.
+  bool has_more_to_place() const { return has_more_to_place_; }
 
   // Returns when a job ended, or std::nullopt if it is open or unknown.
   std::optional<Instant> EndedAt(const JobId& id) const;
@@ -357,6 +363,8 @@
   std::set<TaskKey> changed_tasks_;
   std::vector<UnplaceableNeed> unplaceable_;
   size_t waiting_tasks_ = 0;
+  uint32_t claims_of_round_ = 0;
+  bool has_more_to_place_ = false;
 };
 
 }  // namespace papayadrift::jobs
