Jobs: Considers waiting work again only for runners that changed

Cause: in each round, all runners were considered for each step that waits for capacity.

Change: a step remembers when no runner had room for it, and a runner when more may fit on it: a report, an end, a withdrawal, an order that was refused, a pause or reservation that is over. Only runners of which that is later are considered.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -306,7 +306,7 @@
     return;
   }
   const Instant now = context_.clock.Now();
-  const uint64_t examined_runs = scheduler_->fleet().ExaminedRuns();
+  const jobs::PlacementWork before = scheduler_->fleet().work();
   scheduler_->Advance(now, context_.clock.WallNow().time_since_epoch().count());
   Flush();
   SendOrders();
@@ -314,17 +314,18 @@
   DeleteExpiredJobs();
   metrics_.UpdateLeaderGauges(record_.term, scheduler_->open_jobs(),
                               scheduler_->waiting_tasks());
-  ReportStep(now, scheduler_->fleet().ExaminedRuns() - examined_runs);
+  ReportStep(now, before);
   ScheduleStep(scheduler_->has_more_to_place() ? milliseconds(0)
                                                : settings_.max_step_interval);
 }
 
-void Leader::ReportStep(Instant started_at, uint64_t examined_runs) {
+void Leader::ReportStep(Instant started_at, const jobs::PlacementWork& before) {
   const microseconds duration = context_.clock.Now() - started_at;
   metrics_.OnStep(duration);
   if (duration < kLongStep) {
     return;
   }
+  const jobs::PlacementWork work = scheduler_->fleet().work();
   context_.logger.Log(
       Event::kLeaderDelayed,
       {{"term", static_cast<int64_t>(record_.term)},
@@ -333,7 +334,9 @@
             std::chrono::floor<milliseconds>(duration).count())},
        {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
        {"waiting_tasks", static_cast<int64_t>(scheduler_->waiting_tasks())},
-       {"examined_runs", static_cast<int64_t>(examined_runs)}});
+       {"considered_runners",
+        static_cast<int64_t>(work.runners - before.runners)},
+       {"examined_runs", static_cast<int64_t>(work.runs - before.runs)}});
 }
 
 void Leader::Flush() {
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -113,8 +113,9 @@
   jobs::AgentList KnownAgents() const;
   void ScheduleStep(milliseconds delay);
   void Step();
-  // Logs a round of decisions that took long.
-  void ReportStep(Instant started_at, uint64_t examined_runs);
+  // Logs a round of decisions that took long; `before` is the work of placement
+  // until its start.
+  void ReportStep(Instant started_at, const jobs::PlacementWork& before);
   void Flush();
   void Write(const std::shared_ptr<keyed_log::Append>& append,
              uint64_t version);
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -52,15 +52,22 @@
 
 void Fleet::Remove(const RunnerIncarnation& incarnation) {
   if (const Runner* runner = Find(incarnation)) {
-    examined_runs_of_removed_ += runner->runs.examined();
+    work_of_removed_.runners += runner->considerations;
+    work_of_removed_.runs += runner->runs.examined();
     runners_.erase(incarnation);
   }
 }
 
-uint64_t Fleet::ExaminedRuns() const {
-  uint64_t sum = examined_runs_of_removed_;
+void Fleet::MarkChanged(Runner& runner) {
+  runner.changed_at = ++changes_;
+  runner.headrooms.reset();
+}
+
+PlacementWork Fleet::work() const {
+  PlacementWork sum = work_of_removed_;
   for (const Runner& runner : runners_ | std::views::values) {
-    sum += runner.runs.examined();
+    sum.runners += runner.considerations;
+    sum.runs += runner.runs.examined();
   }
   return sum;
 }
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -43,6 +43,11 @@
   uint64_t handled_ends = 0;                   // Highest number processed.
   uint64_t recorded_ends = 0;                  // Highest number that is stored.
   std::map<uint64_t, uint64_t> unstored_ends;  // Number to scheduler version.
+  // The number of the last change after which more work may fit here; see
+  // Fleet::MarkChanged().
+  uint64_t changed_at = 0;
+  // Times that the runner was considered for a task.
+  mutable uint64_t considerations = 0;
   // Computed on demand and reset whenever the set of runs changes. Weights
   // learned since then are included after the next report.
   mutable std::optional<std::vector<ServingHeadroom>> headrooms;
@@ -69,6 +74,13 @@
   bool IsIsolating(Instant now) const;
 };
 
+struct PlacementWork {
+  uint64_t runners = 0;
+  uint64_t runs = 0;
+
+  friend bool operator==(const PlacementWork&, const PlacementWork&) = default;
+};
+
 // The runner incarnations that may hold runs or accept new ones.
 class Fleet {
  public:
@@ -80,6 +92,11 @@
   Runner& Get(const RunnerIncarnation& incarnation);
   void Remove(const RunnerIncarnation& incarnation);
 
+  // Notes that more work may fit on the runner than before.
+  void MarkChanged(Runner& runner);
+  // The number of the last of these changes.
+  uint64_t changes() const { return changes_; }
+
   // Returns the other incarnations of the same node, which end when this one
   // starts.
   std::vector<RunnerIncarnation> OtherIncarnations(
@@ -87,16 +104,17 @@
   // Returns whether a later incarnation of the same node is known.
   bool IsSuperseded(const RunnerIncarnation& incarnation) const;
 
-  // Runs looked at so far to compute what runners have left: what placement
-  // costs.
-  uint64_t ExaminedRuns() const;
+  // Runners considered so far for tasks, and runs looked at to compute what
+  // they have left: what placement costs.
+  PlacementWork work() const;
 
   Runners& runners() { return runners_; }
   const Runners& runners() const { return runners_; }
 
  private:
   Runners runners_;
-  uint64_t examined_runs_of_removed_ = 0;
+  uint64_t changes_ = 0;
+  PlacementWork work_of_removed_;
 };
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -118,6 +118,13 @@
 
 void JobScheduler::SetRoutes(RouteTable routes) {
   routes_ = std::move(routes);
+  // Steps may go to other runners from now on.
+  for (const JobId& id : open_) {
+    for (WaitingStep& it : jobs_.at(id).waiting | std::views::values) {
+      it.failed.reset();
+      it.failed_after_wait.reset();
+    }
+  }
 }
 
 void JobScheduler::AddJob(const JobId& id, Job job) {
@@ -229,6 +236,7 @@
     }
     if (runner.reserved_for && runner.reserved_for->job == id) {
       runner.reserved_until = Instant();
+      fleet_.MarkChanged(runner);
     }
   }
 }
@@ -363,6 +371,7 @@
   Runner& runner = fleet_.Get(chosen.report.incarnation);
   if (runner.reserved_for == CrashRecordOf(task, step.is_gang)) {
     runner.reserved_until = Instant();
+    fleet_.MarkChanged(runner);
   }
   runner.runs[task] = std::move(run);
   runner.headrooms.reset();
@@ -382,10 +391,11 @@
   auto& tasks =
       ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
   const std::pair position(ready.occurrence, ready.step);
-  const auto [since, is_new] =
-      ready.entry->waiting_since.try_emplace(position, now);
+  WaitingStep& waiting =
+      ready.entry->waiting.try_emplace(position, WaitingStep{now})
+          .first->second;
   bool has_waited =
-      step.is_filler && now - since->second >= settings_.longest_wait;
+      step.is_filler && now - waiting.since >= settings_.longest_wait;
   bool has_room = has_waited || !IsKnownUnplaceable(ready);
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].phase != TaskPhase::kWaiting) {
@@ -410,9 +420,15 @@
     if (is_isolated) {
       runner = ChooseIsolated(request, now);
     } else {
+      std::optional<PlacementAttempt>& failed_attempt =
+          has_waited ? waiting.failed_after_wait : waiting.failed;
+      request.failed_attempt = failed_attempt;
       runner =
           ChooseRunner(fleet_, interference_, settings_.policy, request, now);
       has_room = runner != nullptr;
+      if (!has_room) {
+        failed_attempt = PlacementAttempt{fleet_.changes(), now};
+      }
       if (!has_room && !has_waited && step.max_per_runner == 0) {
         unplaceable_.push_back({ready.queue->service, step.image,
                                 step.required_label, step.is_filler,
@@ -425,7 +441,7 @@
       continue;
     }
     Claim(task, tasks[i].run + 1, step, *runner, ready, now);
-    since->second = now;
+    waiting.since = now;
   }
 }
 
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -203,14 +203,21 @@
   size_t waiting_tasks() const { return waiting_tasks_; }
 
  private:
+  // Tasks of a step that wait for capacity.
+  struct WaitingStep {
+    Instant since;
+    // The last attempt that found no runner, and the last one with the rules
+    // for work that has waited long.
+    std::optional<PlacementAttempt> failed;
+    std::optional<PlacementAttempt> failed_after_wait;
+  };
   struct Entry {
     Job job;
     JobProgress progress;
     std::map<TaskKey, RunnerIncarnation> failed_on;
     Instant ended_at;  // Unset while the job is open.
-    // Since when tasks of a step have waited for capacity, by occurrence and
-    // step.
-    std::map<std::pair<uint32_t, uint32_t>, Instant> waiting_since;
+    // By occurrence and step.
+    std::map<std::pair<uint32_t, uint32_t>, WaitingStep> waiting;
   };
   struct ReadyStep;
   // A request that fitted on no runner in this pass over the ready steps.
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -35,7 +35,7 @@
   runner.report = report;
   runner.report.active.clear();
   runner.report.ended.clear();
-  runner.headrooms.reset();
+  fleet_.MarkChanged(runner);
   runner.has_report = true;
   runner.reported_at = now;
   runner.lease_expires_at = std::max(runner.lease_expires_at, now);
@@ -51,7 +51,7 @@
     WithdrawStartsBeyondCapacity(runner, now);
     CheckProgress(runner, now);
     UpdatePaces(runner, now);
-    runner.headrooms.reset();
+    fleet_.MarkChanged(runner);
   }
   return true;
 }
@@ -332,7 +332,7 @@
   }
   run.is_withdrawn = true;
   run.withdrawn_at = now;
-  runner.headrooms.reset();
+  fleet_.MarkChanged(runner);
   run.send_due = now;
   Emit(JobSchedulerEvent::Kind::kRunWithdrawn, ToText(task), run.number,
        ToText(runner.report.incarnation), std::move(reason));
@@ -426,7 +426,7 @@
   if (runner == nullptr || result.verdict == OrderVerdict::kSuperseded) {
     return;
   }
-  runner->headrooms.reset();
+  fleet_.MarkChanged(*runner);
   if (const auto* stop = std::get_if<StopOrder>(&order)) {
     Run* run = FindOrNull(runner->runs, stop->task);
     if (run != nullptr && run->number == stop->run &&
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -121,6 +121,15 @@
   return cost;
 }
 
+// Returns whether the runner may have room for a task that it had none for at
+// the time of `attempt`.
+bool MayHaveOpened(const Runner& runner, const PlacementAttempt& attempt) {
+  return runner.changed_at > attempt.fleet_changes ||
+         runner.suspended_until > attempt.at ||
+         runner.reserved_until > attempt.at ||
+         runner.runs.totals().has_isolated;
+}
+
 }  // namespace
 
 bool AcceptsRuns(const Runner& runner,
@@ -141,6 +150,11 @@
   const Runner* best = nullptr;
   double best_cost = 0;
   for (const Runner& runner : fleet.runners() | std::views::values) {
+    if (request.failed_attempt &&
+        !MayHaveOpened(runner, *request.failed_attempt)) {
+      continue;
+    }
+    ++runner.considerations;
     if (!AcceptsRuns(runner, request.service, now) ||
         (!step.required_label.empty() &&
          !runner.HasLabel(step.required_label)) ||
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -16,6 +16,15 @@
 
 namespace papayadrift::jobs {
 
+// An attempt to place a task of a step that found no runner.
+struct PlacementAttempt {
+  uint64_t fleet_changes = 0;  // See Fleet::changes().
+  Instant at;
+
+  friend bool operator==(const PlacementAttempt&,
+                         const PlacementAttempt&) = default;
+};
+
 struct PlacementRequest {
   TaskKey task;
   const Step* step = nullptr;
@@ -29,6 +38,8 @@
   bool is_isolated = false;
   // Returns also runners that are not free for an isolated start yet.
   bool may_wait_for_isolation = false;
+  // Runners that have not changed since then are passed over.
+  std::optional<PlacementAttempt> failed_attempt;
 };
 
 // Older reports are ignored: three of the agents' report periods and a slow
--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -32,15 +32,21 @@
     routes.services = {Service{"s", false, false}};
     scheduler_.SetRoutes(routes);
     for (uint32_t i = 0; i < runners; ++i) {
-      RunnerReport report;
-      report.incarnation = {"node-" + std::to_string(i), "i", 1};
-      report.service = "s";
-      report.capacity = {kRunnerMillicores, kRunnerMillicores, 0};
-      report.sent_at_ms = 1;
-      scheduler_.OnReport(report, now_);
+      Report(i);
     }
   }
 
+  PlacementWork work() const { return scheduler_.fleet().work(); }
+
+  void Report(uint32_t index) {
+    RunnerReport report;
+    report.incarnation = {"node-" + std::to_string(index), "i", 1};
+    report.service = "s";
+    report.capacity = {kRunnerMillicores, kRunnerMillicores, 0};
+    report.sent_at_ms = 1;
+    scheduler_.OnReport(report, now_);
+  }
+
   void Submit(const std::string& id, uint32_t tasks) {
     Job job;
     job.queue = "q";
@@ -71,14 +77,14 @@
     Submit("a", runners_ * kRunsOfRunner);
     while (Step() > 0) {
     }
-    const uint64_t before = scheduler_.fleet().ExaminedRuns();
+    const uint64_t before = work().runs;
     Submit("b", tasks);
     size_t starts = 0;
     while (const size_t n = Step()) {
       starts += n;
     }
     EXPECT_EQ(starts, tasks);
-    return static_cast<double>(scheduler_.fleet().ExaminedRuns() - before) /
+    return static_cast<double>(work().runs - before) /
            static_cast<double>(starts);
   }
 
@@ -110,5 +116,23 @@
   EXPECT_EQ(starts, kTasks);
 }
 
+// Guards against a leader that is kept busy by work that waits for capacity: it
+// looked at all runners for each waiting step in each round.
+TEST(LargeFleetTest, WaitingWorkIsConsideredOnlyForRunnersThatChanged) {
+  constexpr uint32_t kRunners = 240;
+  LargeFleet fleet(kRunners);
+  fleet.Submit("a", kRunners * kRunnerMillicores / kSmallNeed.millicores);
+  while (fleet.Step() > 0) {
+  }
+  fleet.Submit("b", 1);
+  EXPECT_EQ(fleet.Step(), 0U);
+  const uint64_t before = fleet.work().runners;
+  EXPECT_EQ(fleet.Step(), 0U);
+  EXPECT_EQ(fleet.work().runners - before, 0U);
+  fleet.Report(7);
+  EXPECT_EQ(fleet.Step(), 0U);
+  EXPECT_EQ(fleet.work().runners - before, 1U);
+}
+
 }  // namespace
 }  // namespace papayadrift::jobs
