--- a/src/libs/async_http/beast.cpp
+++ b/src/libs/async_http/beast.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "async_http/address.h"
 #include "async_http/beast_p.h"
 
 namespace papayadrift::async_http {
@@ -50,6 +51,11 @@
   return Endpoint(ip, port);
 }
 
+bool IsAddress(const std::string& text) {
+  const auto endpoint = EndpointOf(text);
+  return endpoint && endpoint->port() != 0;
+}
+
 void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
   // Without these the connection works too, only less well.
   boost::system::error_code ignored;
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -26,6 +26,8 @@
 // Maximum time for which ends that are not recorded yet delay the next listing
 // of runs.
 constexpr milliseconds kEndsRecordingDelay(300);
+// Largest difference between the clocks of two VMs, with room to spare.
+constexpr milliseconds kMaxClockDifference(3'600'000);
 
 // Whether `announcement` is newer than `known`.
 bool IsNewer(const Announcement& announcement, const Announcement& known) {
@@ -85,6 +87,17 @@
   if (announced_ && !IsNewer(announcement, *announced_)) {
     return;
   }
+  const int64_t latest_start = (context_.clock.WallNow() + kMaxClockDifference)
+                                   .time_since_epoch()
+                                   .count();
+  if (announcement.start_unix_ms > latest_start) {
+    // All true announcements would look older.
+    context_.logger.Log(Event::kMessageUnreadable,
+                        {{"from", "runner"},
+                         {"instance", announcement.instance},
+                         {"start_unix_ms", announcement.start_unix_ms}});
+    return;
+  }
   if (!announced_ || has_ended_ ||
       announcement.instance != announced_->instance ||
       announcement.start_unix_ms != announced_->start_unix_ms) {
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "async_http/server.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
@@ -28,6 +30,20 @@
                  std::function<void(jobs::OrderVerdict)> /*done*/) override {}
 };
 
+// Records which addresses are called.
+class CalledRunners : public SilentRunner {
+ public:
+  void RenewLease(const std::string& address,
+                  const std::string& /*instance*/,
+                  const LeaseRenewalRequest& /*call*/,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> /*done*/) override {
+    addresses.insert(address);
+  }
+
+  std::set<std::string> addresses;
+};
+
 constexpr int64_t kSuspendedMs = 3000;
 
 // A runner that breaks the first call and does not listen afterwards. Its VM
@@ -144,5 +160,35 @@
             (jobs::CrashTime{kAnnouncedMs, kAnnouncedMs + kSuspendedMs}));
 }
 
+// Guards against an agent that loses its runner since another writer has
+// announced one that will start in the year 2255.
+TEST_F(RunnerAgentTest, DoesNotFollowARunnerThatStartsInTheFuture) {
+  CalledRunners runners;
+  RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
+                    context(), runners);
+  std::optional<jobs::RunnerReport> last;
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        last = jobs::Decode<jobs::RunnerReport>(request.body);
+        respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  constexpr int64_t kFutureMs = 9'000'000'000'000;
+  Announcement odd{"odd", kFutureMs, 1, "127.0.0.1:2", "s"};
+  Announcement own{"own", 1000, 1, "127.0.0.1:3", "s"};
+  clock_.Advance(milliseconds(2000));
+  agent.OnAnnouncement(odd);
+  agent.OnAnnouncement(own);
+  while (!last) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(last->incarnation.instance, "own");
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
--- a/tests/auto/platform/wire_test.cpp
+++ b/tests/auto/platform/wire_test.cpp
@@ -3,6 +3,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace papayadrift::platform {
 namespace {
 
@@ -63,6 +68,83 @@
   }
 }
 
+std::string NestedArrays(size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Returns the announcement of a runner with one member replaced, or added.
+std::string AnnouncementWith(const std::string& name,
+                             const std::string& value) {
+  std::map<std::string, std::string> members = {
+      {"service", R"("s")"},   {"address", R"("1.2.3.4:5")"},
+      {"state", R"("ready")"}, {"sequence", "4"},
+      {"born", "9"},           {"zone", R"("z")"},
+      {"machine", R"("m")"},   {"capacity", R"({"cpu":1,"mem_mb":2})"},
+      {"labels", R"(["a"])"}};
+  members[name] = value;
+  std::string body;
+  for (const auto& [key, text] : members) {
+    body += (body.empty() ? "{\"" : ",\"") + key + "\":" + text;
+  }
+  return body + "}";
+}
+
+// Guards against an agent that follows an odd announcement of another writer:
+// it loses its own runner, and the leader takes it for ended.
+TEST(WireTest, OddAnnouncementsNameNoRunner) {
+  EXPECT_TRUE(ReadAnnouncement("i", AnnouncementWith("other", "[[1]]")));
+  const std::vector<std::pair<std::string, std::string>> odd = {
+      {"address", R"("1.2.3.4:87050")"},
+      {"address", R"("1.2.3.4:0")"},
+      {"address", R"("1.2.3.4:-5")"},
+      {"address", R"("1.2.3.4")"},
+      {"address", "5"},
+      {"sequence", "18446744073709551615"},
+      {"sequence", "1e300"},
+      {"sequence", "1e999"},
+      {"born", "9223372036854775807"},
+      {"born", "18446744073709551615"},
+      {"born", "-1"},
+      {"capacity", R"({"cpu":9223372036854775807,"mem_mb":2})"},
+      {"capacity", R"({"cpu":1e300,"mem_mb":2})"},
+      {"capacity", R"({"cpu":1,"mem_mb":"2"})"},
+      {"capacity", R"({"cpu":123456789012345678901234567890})"},
+      {"zone", "7"},
+      {"machine", "{}"},
+      {"labels", NestedArrays(100)},
+      {"other", NestedArrays(100)},
+      {"other", NestedArrays(400000)}};
+  for (const auto& [name, value] : odd) {
+    EXPECT_FALSE(ReadAnnouncement("i", AnnouncementWith(name, value)))
+        << name << ": " << value.substr(0, 40);
+  }
+}
+
+// Guards against numbers of a runner's lists that are taken for others: with
+// one end of a very large number, all later ends would count as known.
+TEST(WireTest, OddRowsOfARunnersListsAreLeftOut) {
+  const auto answer = ReadLeaseRenewal(
+      R"({"clock_ms":1,"active":[["a.0.1.1",-2,"c",41],["a.0.1.2",1,"c",1e300],)"
+      R"(["a.0.1.3",4294967296,"c",1],["a.0.1.4",1,"c",1,1e300]],)"
+      R"("finished":[[-1,"a.0.1.5",1,"done",""],[1,"a.0.1.6",-1,"done",""],)"
+      R"([18446744073709551615,"a.0.1.7",1,"done",""]]})");
+  ASSERT_TRUE(answer);
+  ASSERT_EQ(answer->active.size(), 2U);
+  EXPECT_EQ(answer->active[0].task.index, 2U);
+  EXPECT_EQ(answer->active[0].percent, 100U);
+  EXPECT_EQ(answer->active[1].task.index, 4U);
+  EXPECT_TRUE(answer->ended.empty());
+  EXPECT_FALSE(
+      ReadLeaseRenewal(R"({"clock_ms":1e300,"active":[],"finished":[]})"));
+}
+
+// Guards against a job that takes all memory of each process that reads it.
+TEST(WireTest, RejectsJobsOfTooManyTasks) {
+  EXPECT_TRUE(ReadJob(R"({"steps":[{"count":160}],"repeat_count":8})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{"count":4096}],"repeat_count":4096})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{}],"x":)" + NestedArrays(100) + "}"));
+}
+
 RC_GTEST_PROP(WireTest,
               ReadsBackRecords,
               (std::string key, std::string value)) {
