--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -118,6 +118,7 @@
 
 void JobScheduler::SetRoutes(RouteTable routes) {
   routes_ = std::move(routes);
+  std::ranges::stable_sort(routes_.queues, {}, &Queue::name);
   // Steps may go to other runners from now on.
   for (const JobId& id : open_) {
     for (WaitingStep& it : jobs_.at(id).waiting | std::views::values) {
@@ -185,6 +186,12 @@
   durations_.ImportDurations(learned.durations);
 }
 
+const Queue* JobScheduler::FindQueue(const std::string& name) const {
+  const auto it =
+      std::ranges::lower_bound(routes_.queues, name, {}, &Queue::name);
+  return it == routes_.queues.end() || it->name != name ? nullptr : &*it;
+}
+
 TaskProgress* JobScheduler::TaskOf(const TaskKey& task) {
   Entry* entry = FindOrNull(jobs_, task.job);
   return entry == nullptr ? nullptr : FindTask(entry->progress, task);
@@ -286,7 +293,7 @@
   std::vector<ReadyStep> ready;
   for (const JobId& id : open_) {
     Entry& entry = jobs_.at(id);
-    const Queue* queue = routes_.Find(entry.job.queue);
+    const Queue* queue = FindQueue(entry.job.queue);
     if (queue == nullptr) {
       continue;
     }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -233,6 +233,7 @@
   uint64_t Change(const TaskKey& task);
   TaskProgress* TaskOf(const TaskKey& task);
   const Step* FindStep(const TaskKey& task) const;
+  const Queue* FindQueue(const std::string& name) const;
   bool IsStepReady(const Entry& entry,
                    uint32_t occurrence,
                    uint32_t step,
@@ -351,7 +352,7 @@
   const JobSchedulerSettings settings_;
   const Instant created_at_;
   const JobSchedulerEventListener event_listener_;
-  RouteTable routes_;
+  RouteTable routes_;  // Its queues are sorted by name.
   std::map<JobId, Entry> jobs_;
   std::set<JobId> open_;
   Fleet fleet_;
--- a/src/libs/jobs/job_scheduler_moves.cpp
+++ b/src/libs/jobs/job_scheduler_moves.cpp
@@ -19,7 +19,7 @@
                                            Instant now) const {
   const Entry& entry = jobs_.at(task.job);
   const Step& step = entry.job.steps[task.step];
-  const Queue* queue = routes_.Find(entry.job.queue);
+  const Queue* queue = FindQueue(entry.job.queue);
   if (queue == nullptr || step.is_gang) {
     return false;
   }
@@ -89,7 +89,7 @@
                                                    Instant now) const {
   const Entry& entry = jobs_.at(task.job);
   const Step& step = entry.job.steps[task.step];
-  const Queue* queue = routes_.Find(entry.job.queue);
+  const Queue* queue = FindQueue(entry.job.queue);
   if (queue == nullptr) {
     return std::nullopt;
   }
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -289,7 +289,7 @@
   TaskProgress* progress = TaskOf(task);
   ++progress->failures;
   Change(task);
-  const Queue* queue = routes_.Find(entry.job.queue);
+  const Queue* queue = FindQueue(entry.job.queue);
   const uint32_t max_count =
       queue == nullptr ? UINT32_MAX : queue->max_failures;
   uint32_t failures = progress->failures;
