--- a/src/libs/logging/line_writer.cpp
+++ b/src/libs/logging/line_writer.cpp
@@ -67,6 +67,7 @@
     }
     Push({std::move(line)});
   }
+  changed_.notify_all();
   return true;
 }
 
@@ -89,21 +90,6 @@
 void LineWriter::Push(Line line) {
   pending_bytes_ += line.text.size();
   lines_.push_back(std::move(line));
-  if (lines_.size() == 1) {
-    changed_.notify_all();
-  }
-}
-
-LineWriter::Batch LineWriter::TakeBatch() {
-  Batch batch;
-  while (!lines_.empty() &&
-         (batch.ends.empty() ||
-          batch.text.size() + lines_.front().text.size() <= kChunkBytes)) {
-    batch.text += lines_.front().text;
-    batch.ends.emplace_back(batch.text.size(), lines_.front().is_gap);
-    lines_.pop_front();
-  }
-  return batch;
 }
 
 void LineWriter::Run() {
@@ -117,37 +103,35 @@
       pending_bytes_ = 0;
       return;
     }
-    const Batch batch = TakeBatch();
+    const Line line = std::move(lines_.front());
+    lines_.pop_front();
     lock.unlock();
-    const size_t written = Write(batch.text);
+    const bool is_written = Write(line.text);
     lock.lock();
-    pending_bytes_ -= batch.text.size();
-    dropped_count_ += static_cast<uint64_t>(
-        std::ranges::count_if(batch.ends, [written](const auto& it) {
-          const auto& [end, is_gap] = it;
-          return end > written && !is_gap;
-        }));
-    if (pending_bytes_ == 0) {
-      changed_.notify_all();
-    }
+    pending_bytes_ -= line.text.size();
+    dropped_count_ += is_written || line.is_gap ? 0 : 1;
+    changed_.notify_all();
   }
 }
 
-size_t LineWriter::Write(std::string_view bytes) const {
-  size_t written = 0;
-  while (written < bytes.size() && !is_given_up()) {
+bool LineWriter::Write(const std::string& bytes) const {
+  std::string_view left = bytes;
+  while (!left.empty()) {
+    if (is_given_up()) {
+      return false;
+    }
     if (!IsWritable(descriptor_)) {
       continue;
     }
-    const ssize_t n = write(descriptor_, bytes.data() + written,
-                            std::min(bytes.size() - written, kChunkBytes));
+    const ssize_t n =
+        write(descriptor_, left.data(), std::min(left.size(), kChunkBytes));
     if (n >= 0) {
-      written += static_cast<size_t>(n);
+      left.remove_prefix(static_cast<size_t>(n));
     } else if (errno != EINTR && errno != EAGAIN) {
-      break;  // The reader has gone.
+      return false;  // The reader has gone.
     }
   }
-  return written;
+  return true;
 }
 
 bool LineWriter::is_given_up() const {
--- a/src/libs/logging/line_writer.h
+++ b/src/libs/logging/line_writer.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <mutex>
 #include <string>
-#include <string_view>
 #include <thread>
 
 #include "base/instant.h"
@@ -63,20 +62,10 @@
     bool is_gap = false;  // Made here: it is not missed if it is lost.
   };
 
-  // Lines that are written together.
-  struct Batch {
-    std::string text;
-    // For each line, where it ends in the text and whether it is a gap line.
-    std::vector<std::pair<size_t, bool>> ends;
-  };
-
   void Push(Line line);
-  // Takes as many lines from the queue as a write takes, at least one.
-  Batch TakeBatch();
   void Run();
-  // Returns the number of bytes that were written: fewer than all once it is
-  // given up.
-  size_t Write(std::string_view bytes) const;
+  // Returns whether all bytes were written; false once it is given up.
+  bool Write(const std::string& bytes) const;
   bool is_given_up() const;
 
   const int descriptor_;
