Jobs: Releases a task only after its runner has seen the stop

If the agent had restarted and refused the stop by itself, or a call did not get through, that counted as the runner's word: with the next list the task was placed again, and the first start could take effect as well (TWICE, or UNASKED for a cancelled job).

Change: a verdict of the agent alone, and one of a runner that did nothing, no longer count.

JobSchedulerTest.StopThatTheAgentRefusedDoesNotReleaseTheTask failed before (the task started on another runner) and passes now. SendsNoStartAndNoPaceOnAnOldReport pins what still needs a recent report.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -429,8 +429,12 @@
   fleet_.MarkChanged(*runner);
   if (const auto* stop = std::get_if<StopOrder>(&order)) {
     Run* run = FindOrNull(runner->runs, stop->task);
-    if (run != nullptr && run->number == stop->run &&
-        result.verdict != OrderVerdict::kUnanswered) {
+    // A start that is still on its way takes effect unless the runner itself
+    // has seen the stop.
+    const bool has_arrived = result.verdict != OrderVerdict::kUnanswered &&
+                             result.verdict != OrderVerdict::kRefused &&
+                             result.verdict != OrderVerdict::kUnhealthy;
+    if (run != nullptr && run->number == stop->run && has_arrived) {
       run->is_stop_accepted = true;
       run->stop_accepted_at_ms = result.known_at_ms;
     }
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -307,6 +307,36 @@
   EXPECT_TRUE(std::holds_alternative<StopOrder>(orders[0].second));
 }
 
+// Guards against a task that is placed again while its first start is still on
+// its way: the agent had restarted and refused the stop by itself.
+TEST_F(JobSchedulerTest, StopThatTheAgentRefusedDoesNotReleaseTheTask) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  for (int64_t now_ms = 500; now_ms <= 1500; now_ms += 500) {
+    Report(kFirst, now_ms);
+    Orders(now_ms);
+  }
+  Report(kFirst, 2000);
+  const auto stops = Orders(2000);
+  ASSERT_EQ(stops.size(), 1U);
+  ASSERT_TRUE(std::holds_alternative<StopOrder>(stops[0].second));
+  scheduler_.OnOrderResult(kFirst, stops[0].second,
+                           {OrderVerdict::kRefused, 2010}, At(2010));
+  Report(kSecond, 2500);
+  Report(kFirst, 2500);
+  EXPECT_EQ(CountStarts(Orders(2500)), 0U);
+}
+
+// Guards against a pace that was planned on old gauges.
+TEST_F(JobSchedulerTest, SendsNoStartAndNoPaceOnAnOldReport) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  scheduler_.Advance(At(0), 0);
+  Store();
+  EXPECT_TRUE(scheduler_.TakeOrders(At(2500)).empty());
+}
+
 TEST_F(JobSchedulerTest, StopsRunsThatItDidNotClaim) {
   Report(kFirst, 1, {{Task(0), 7, "", 0, 0}});
   const auto orders = Orders(1);
