Jobs: Keeps paces back again while the report is old

Since stops are sent whatever the age of the report, paces that were planned on old gauges went out as well. Found by review.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -533,12 +533,12 @@
     if (!runner.has_report) {
       continue;
     }
-    // Starts need to know what the runner has left; a stop is right at any
-    // time.
-    const bool may_start = now - runner.reported_at <= kMaxReportAge;
+    // Starts and paces depend on the state of the runner; a stop is right at
+    // any time.
+    const bool is_report_recent = now - runner.reported_at <= kMaxReportAge;
     std::vector<Order> orders;
     for (auto& [task, run] : runner.runs) {
-      if (!may_start && !run.is_withdrawn) {
+      if (!is_report_recent && !run.is_withdrawn) {
         continue;
       }
       if (auto order = NextOrder(runner, task, run, now)) {
@@ -551,8 +551,8 @@
         orders.emplace_back(StopOrder{task, orphan.number});
       }
     }
-    const auto paced = pace_orders_.extract(incarnation);
-    if (!paced.empty()) {
+    if (const auto paced = pace_orders_.extract(incarnation);
+        !paced.empty() && is_report_recent) {
       std::ranges::move(paced.mapped(), std::back_inserter(orders));
     }
     if (!orders.empty()) {
