Jobs: Finds the runs of a job that has ended by their place in the order

Cause: each job that ended compared the job of all runs of all runners. Runs are ordered by job, so those of the job are found at once. No decision changes.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -236,10 +236,9 @@
        : outcome == JobOutcome::kCancelled ? "cancelled"
                                            : "failed");
   for (Runner& runner : fleet_.runners() | std::views::values) {
-    for (auto& [task, run] : runner.runs) {
-      if (task.job == id) {
-        Withdraw(runner, task, run, "The job has ended.", now);
-      }
+    for (auto it = runner.runs.lower_bound(TaskKey{id, 0, 0, 0});
+         it != runner.runs.end() && it->first.job == id; ++it) {
+      Withdraw(runner, it->first, it->second, "The job has ended.", now);
     }
     if (runner.reserved_for && runner.reserved_for->job == id) {
       runner.reserved_until = Instant();
--- a/src/libs/jobs/run_table.h
+++ b/src/libs/jobs/run_table.h
@@ -44,6 +44,10 @@
   Runs::const_iterator find(const TaskKey& task) const {
     return runs_.find(task);
   }
+  // The first run whose task is not before `task`.
+  Runs::iterator lower_bound(const TaskKey& task) {
+    return runs_.lower_bound(task);
+  }
   Run& at(const TaskKey& task) { return runs_.at(task); }
   const Run& at(const TaskKey& task) const { return runs_.at(task); }
   Run& operator[](const TaskKey& task);
