--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -26,8 +26,12 @@
 // Maximum time for which ends that are not recorded yet delay the next listing
 // of runs.
 constexpr milliseconds kEndsRecordingDelay(300);
-// Largest difference between the clocks of two VMs, with room to spare.
-constexpr milliseconds kMaxClockDifference(3'600'000);
+// Longest time by which the clock of the VM may be set back after its runner
+// has started, with room to spare.
+constexpr milliseconds kMaxClockStep(60'000);
+// Announcements by which the sequence number of one process may advance at
+// once: two weeks of them.
+constexpr uint64_t kMaxSequenceStep = 1'000'000;
 
 // Whether `announcement` is newer than `known`.
 bool IsNewer(const Announcement& announcement, const Announcement& known) {
@@ -80,6 +84,17 @@
   return *runner_clock_ms_ + (lease_until_ms_ - runner_clock_read_ms_);
 }
 
+bool RunnerAgent::IsPlausible(const Announcement& announcement) const {
+  const int64_t latest_start =
+      (context_.clock.WallNow() + kMaxClockStep).time_since_epoch().count();
+  const bool is_known = announced_ &&
+                        announcement.instance == announced_->instance &&
+                        announcement.start_unix_ms == announced_->start_unix_ms;
+  return announcement.start_unix_ms <= latest_start &&
+         (!is_known ||
+          announcement.sequence <= announced_->sequence + kMaxSequenceStep);
+}
+
 void RunnerAgent::OnAnnouncement(const Announcement& announcement) {
   if (announcement.service != settings_.service) {
     return;
@@ -87,15 +102,13 @@
   if (announced_ && !IsNewer(announcement, *announced_)) {
     return;
   }
-  const int64_t latest_start = (context_.clock.WallNow() + kMaxClockDifference)
-                                   .time_since_epoch()
-                                   .count();
-  if (announcement.start_unix_ms > latest_start) {
-    // All true announcements would look older.
-    context_.logger.Log(Event::kMessageUnreadable,
-                        {{"from", "runner"},
-                         {"instance", announcement.instance},
-                         {"start_unix_ms", announcement.start_unix_ms}});
+  if (!IsPlausible(announcement)) {
+    context_.logger.Log(
+        Event::kMessageUnreadable,
+        {{"from", "runner"},
+         {"instance", announcement.instance},
+         {"start_unix_ms", announcement.start_unix_ms},
+         {"sequence", static_cast<int64_t>(announcement.sequence)}});
     return;
   }
   if (!announced_ || has_ended_ ||
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -67,6 +67,9 @@
   bool HasLease() const;
   // End of the lease on the runner's clock.
   int64_t LeaseEndOnRunnerClock() const;
+  // Returns whether the announcement can be a true one; all true ones would
+  // look older than one that is not.
+  bool IsPlausible(const Announcement& announcement) const;
   void OnRunnerStarted(const Announcement& announcement);
   // `crash` is unset if the end was announced.
   void OnRunnerEnded(std::string_view reason,
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -161,8 +161,9 @@
 }
 
 // Guards against an agent that loses its runner since another writer has
-// announced one that will start in the year 2255.
-TEST_F(RunnerAgentTest, DoesNotFollowARunnerThatStartsInTheFuture) {
+// announced one that will start in the year 2255, or the billionth
+// announcement.
+TEST_F(RunnerAgentTest, DoesNotFollowAnAnnouncementAheadOfItsTime) {
   CalledRunners runners;
   RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
                     context(), runners);
@@ -188,6 +189,14 @@
     ASSERT_GT(loop_.run_one(), 0U);
   }
   EXPECT_EQ(last->incarnation.instance, "own");
+  own.sequence = 1'000'000'000;
+  agent.OnAnnouncement(own);
+  own.sequence = 2;
+  own.state = jobs::RunnerState::kDraining;
+  agent.OnAnnouncement(own);
+  while (last->state != jobs::RunnerState::kDraining) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
 }
 
 }  // namespace
--- a/tests/auto/platform/wire_test.cpp
+++ b/tests/auto/platform/wire_test.cpp
@@ -112,6 +112,9 @@
       {"zone", "7"},
       {"machine", "{}"},
       {"labels", NestedArrays(100)},
+      {"version", "1"},
+      {"slots", R"("x")"},
+      {"clock_ms", "null"},
       {"other", NestedArrays(100)},
       {"other", NestedArrays(400000)}};
   for (const auto& [name, value] : odd) {
@@ -138,9 +141,19 @@
       ReadLeaseRenewal(R"({"clock_ms":1e300,"active":[],"finished":[]})"));
 }
 
+TEST(WireTest, KeepsAnIntervalOfAMonth) {
+  constexpr int64_t kMonthMs = 2'592'000'000;
+  const auto job = ReadJob(R"({"steps":[{}],"repeat_count":2,"interval_ms":)" +
+                           std::to_string(kMonthMs) + "}");
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job->interval_ms, kMonthMs);
+}
+
 // Guards against a job that takes all memory of each process that reads it.
 TEST(WireTest, RejectsJobsOfTooManyTasks) {
   EXPECT_TRUE(ReadJob(R"({"steps":[{"count":160}],"repeat_count":8})"));
+  EXPECT_TRUE(ReadJob(R"({"steps":[{"count":4096}],"repeat_count":16})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{"count":4096}],"repeat_count":17})"));
   EXPECT_FALSE(ReadJob(R"({"steps":[{"count":4096}],"repeat_count":4096})"));
   EXPECT_FALSE(ReadJob(R"({"steps":[{}],"x":)" + NestedArrays(100) + "}"));
 }
