Tests: Looks for waiting tasks that miss a runner with room

50 fleets of three runners with random reports, ends, failures, pauses, draining, capacities and cancellings: after every fifth event the scheduler forgets what it could not place, and must not place anything then.

--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <pcg_random.hpp>
 #include <ranges>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "jobs/job_scheduler.h"
 
@@ -134,5 +137,158 @@
   EXPECT_EQ(fleet.work().runners - before, 1U);
 }
 
+// Emulates a small fleet with random reports, ends, failures, pauses, draining,
+// capacities, cancellings and waiting work.
+class RandomFleet {
+ public:
+  explicit RandomFleet(uint64_t seed)
+      : random_(seed), scheduler_(JobSchedulerSettings(), now_, nullptr) {
+    Queue queue;
+    queue.name = "q";
+    queue.service = "s";
+    queue.max_failures = 3;
+    routes_.version = 1;
+    routes_.queues = {queue};
+    scheduler_.SetRoutes(routes_);
+  }
+
+  void DoSomething() {
+    now_ += milliseconds(random_(400));
+    constexpr uint32_t kActions = 8;
+    switch (random_(kActions)) {
+      case 0:
+        Submit();
+        break;
+      case 1:
+        scheduler_.Cancel(JobId(std::to_string(random_(jobs_ + 1))), now_);
+        break;
+      default:
+        Report(runners_[random_(runners_.size())]);
+    }
+  }
+
+  // Places what can be placed; returns the number of starts.
+  size_t Place() {
+    size_t starts = 0;
+    size_t orders = 0;
+    do {
+      scheduler_.Advance(now_, 1);
+      scheduler_.OnStored(scheduler_.TakeChanges().version);
+      orders = 0;
+      for (const auto& [incarnation, batch] : scheduler_.TakeOrders(now_)) {
+        for (const Order& order : batch) {
+          ++orders;
+          starts += Execute(incarnation, order) ? 1 : 0;
+        }
+      }
+    } while (orders > 0);
+    return starts;
+  }
+
+  // Lets the scheduler forget what it could not place.
+  void ForgetAttempts() { scheduler_.SetRoutes(routes_); }
+
+ private:
+  struct EmulatedRunner {
+    RunnerIncarnation incarnation;
+    std::map<TaskKey, uint32_t> runs;
+    std::vector<EndedRun> ended;
+    uint64_t ends = 0;
+    RunnerState state = RunnerState::kReady;
+    int64_t millicores = 4000;
+  };
+
+  void Submit() {
+    Job job;
+    job.queue = "q";
+    job.steps.resize(1);
+    job.steps[0].count = 1 + random_(6);
+    job.steps[0].need = {500 * (1 + random_(6)), 100, 0};
+    job.steps[0].max_per_runner = random_(3) == 0 ? 1 : 0;
+    scheduler_.AddJob(JobId(std::to_string(++jobs_)), job);
+  }
+
+  int64_t NowMs() const {
+    return std::chrono::floor<milliseconds>(now_).time_since_epoch().count();
+  }
+
+  void Report(EmulatedRunner& runner) {
+    constexpr int64_t kMaxThousands = 6;
+    if (random_(4) == 0) {
+      runner.millicores = 1000 * (1 + random_(kMaxThousands));
+    }
+    runner.state =
+        random_(5) == 0 ? RunnerState::kDraining : RunnerState::kReady;
+    if (!runner.runs.empty() && random_(2) == 0) {
+      const auto [task, run] = *runner.runs.begin();
+      runner.runs.erase(task);
+      runner.ended.push_back({++runner.ends, task, run,
+                              random_(3) == 0 ? RunEnd::kFailed : RunEnd::kDone,
+                              ""});
+    }
+    RunnerReport report;
+    report.incarnation = runner.incarnation;
+    report.service = "s";
+    report.state = runner.state;
+    report.capacity = {runner.millicores, 10000, 0};
+    report.sent_at_ms = NowMs();
+    report.listed_at_ms = NowMs();
+    for (const auto& [task, run] : runner.runs) {
+      report.active.push_back(
+          {task, run, "", static_cast<uint32_t>(random_(100)), 0});
+    }
+    report.ended = runner.ended;
+    scheduler_.OnReport(report, now_);
+    scheduler_.OnLeaseGranted(runner.incarnation, now_ + seconds(6));
+  }
+
+  // Returns whether the order is a start.
+  bool Execute(const RunnerIncarnation& incarnation, const Order& order) {
+    EmulatedRunner& runner =
+        *std::ranges::find(runners_, incarnation, &EmulatedRunner::incarnation);
+    OrderVerdict verdict = OrderVerdict::kDone;
+    const auto* start = std::get_if<StartOrder>(&order);
+    if (start != nullptr && random_(6) == 0) {
+      verdict = OrderVerdict::kNoRoom;
+    } else if (start != nullptr) {
+      runner.runs[start->task] = start->run;
+    } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
+      runner.runs.erase(stop->task);
+    }
+    scheduler_.OnOrderResult(incarnation, order, {verdict, NowMs()}, now_);
+    return start != nullptr;
+  }
+
+  pcg32 random_;
+  Instant now_ = Instant(seconds(1));
+  RouteTable routes_;
+  JobScheduler scheduler_;
+  std::vector<EmulatedRunner> runners_{{{"a", "i", 1}, {}, {}},
+                                       {{"b", "i", 1}, {}, {}},
+                                       {{"c", "i", 1}, {}, {}}};
+  uint32_t jobs_ = 0;
+};
+
+// Guards against a task that waits although a runner has room again: the
+// scheduler must not take the runner for unchanged.
+TEST(LargeFleetTest, NoWaitingTaskMissesARunnerThatHasRoomAgain) {
+  constexpr uint64_t kSeeds = 50;
+  constexpr int kEvents = 400;
+  constexpr int kEventsBetweenChecks = 5;
+  size_t placed = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RandomFleet fleet(seed);
+    for (int i = 0; i < kEvents; ++i) {
+      fleet.DoSomething();
+      placed += fleet.Place();
+      if (i % kEventsBetweenChecks == 0) {
+        fleet.ForgetAttempts();
+        ASSERT_EQ(fleet.Place(), 0U) << "seed " << seed << ", event " << i;
+      }
+    }
+  }
+  EXPECT_GT(placed, kSeeds);
+}
+
 }  // namespace
 }  // namespace papayadrift::jobs
