Jobs: Counts waiting tasks over whole rounds only

papayadrift_waiting_tasks and leader.delayed showed too few while a burst is placed in several rounds: steps after the limit were not counted. Found by review. Now the value of the last round that placed everything stays until the next such round.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -330,7 +330,7 @@
   }
   RelocateFillers(now);
   RegroupServing(now);
-  waiting_tasks_ = 0;
+  waiting_in_round_ = 0;
   claims_of_round_ = 0;
   has_more_to_place_ = false;
   unplaceable_.clear();
@@ -344,6 +344,9 @@
       PlaceStep(ready, now);
     }
   }
+  if (!has_more_to_place_) {
+    waiting_tasks_ = waiting_in_round_;
+  }
 }
 
 void JobScheduler::Claim(const TaskKey& task,
@@ -414,7 +417,7 @@
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     const bool is_isolated = tasks[i].crashes > 0;
     if (!is_isolated && !has_room) {
-      ++waiting_tasks_;
+      ++waiting_in_round_;
       continue;
     }
     PlacementRequest request{task, &step, ready.queue->service, std::nullopt};
@@ -443,7 +446,7 @@
       has_waited = false;
     }
     if (runner == nullptr) {
-      ++waiting_tasks_;
+      ++waiting_in_round_;
       continue;
     }
     Claim(task, tasks[i].run + 1, step, *runner, ready, now);
@@ -495,7 +498,7 @@
   const std::vector<RunnerIncarnation> chosen_runners =
       ChooseGangRunners(request, number + 1, now);
   if (chosen_runners.empty()) {
-    waiting_tasks_ += tasks.size();
+    waiting_in_round_ += tasks.size();
     if (request.is_isolated && !HasReservation(request, now)) {
       request.may_wait_for_isolation = true;
       for (const RunnerIncarnation& chosen :
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -370,7 +370,8 @@
   std::set<JobId> changed_outcomes_;
   std::set<TaskKey> changed_tasks_;
   std::vector<UnplaceableNeed> unplaceable_;
-  size_t waiting_tasks_ = 0;
+  size_t waiting_tasks_ = 0;  // As of the last round that placed everything.
+  size_t waiting_in_round_ = 0;
   uint32_t claims_of_round_ = 0;
   bool has_more_to_place_ = false;
 };
