--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -30,13 +30,13 @@
 }
 
 bool Runner::IsIsolating(Instant now) const {
-  return now < reserved_until ||
-         (runs.totals().has_isolated && std::ranges::any_of(
-                                            runs | std::views::values,
-                                            [&](const Run& run) {
-                                              return run.is_isolated &&
-                                                     !run.IsSettled(now);
-                                            }));
+  if (now < reserved_until) {
+    return true;
+  }
+  return runs.totals().has_isolated &&
+         std::ranges::any_of(runs | std::views::values, [&](const Run& run) {
+           return run.is_isolated && !run.IsSettled(now);
+         });
 }
 
 Runner* Fleet::Find(const RunnerIncarnation& incarnation) {
