--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -118,7 +118,6 @@
         line = f"{self.now():8.3f} {text}"
         self.lines.append((self.now(), text))
         self.records.write(line + "\n")
-        self.records.flush()
 
     def _settings(self, name, ip, cores, more, listen):
         first = free_port_pair(ip)
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -38,6 +38,7 @@
         self.lives = 0
         self.jobs = []
         self.is_up = False
+        self.ended = 0  # Runs that have ended, in all lives.
 
     async def start(self):
         """Begins a new life: it knows nothing of an earlier one."""
@@ -99,6 +100,7 @@
 
     def _end(self, task, how):
         run = self.active.pop(task)
+        self.ended += 1
         self.finished.append([self.next_end, task, run.number, how, ""])
         self.next_end += 1
         self.highest_ended[task] = max(self.highest_ended.get(task, 0), run.number)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -52,7 +52,7 @@
         self.is_down = False  # All connections are reset, and nothing is done.
         self.quiet_watches = asyncio.Event()
         self.quiet_watches.set()  # Cleared: waiting reads hear nothing.
-        self.rejected_appends = []  # (topic, reason) of appends that are too large.
+        self.rejected_appends = []  # (topic, bytes, largest record)
 
     @property
     def address(self):
@@ -87,16 +87,13 @@
         return 404, {}
 
     async def append(self, topic, request):
-        body, records = request.body, []
-        while body:
-            size = struct.unpack(">I", body[:4])[0]
-            records.append(body[4:4 + size])
-            body = body[4 + size:]
-        if (len(request.body) > MAX_REQUEST_BYTES or
-                any(len(it) > MAX_RECORD_BYTES for it in records)):
-            largest = max(len(it) for it in records)
-            self.rejected_appends.append((request.query["topic"], largest))
-            return 413, {"reason": "size"}
+        body, records, position = request.body, [], 0
+        while position < len(body):
+            size = struct.unpack_from(">I", body, position)[0]
+            records.append(body[position + 4:position + 4 + size])
+            position += 4 + size
+        largest = max((len(it) for it in records), default=0)
+        is_too_large = len(body) > MAX_REQUEST_BYTES or largest > MAX_RECORD_BYTES
         query = request.query
         async with topic.lock:
             await asyncio.sleep(self.append_s)
@@ -113,6 +110,9 @@
                         return 409, {"reason": "seq", "sequence": known[1] + 1}
             if "at" in query and int(query["at"]) != topic.end:
                 return 412, {"end_offset": topic.end}
+            if is_too_large:
+                self.rejected_appends.append((query["topic"], len(body), largest))
+                return 413, {"reason": "size"}
             first = topic.append(records)
             answer = 200, {"offset": first, "end_offset": topic.end}
             if producer is not None:
