Platform: Rejects heartbeats with missing members

Callers saw tasks run twice: an agent that got one heartbeat of another writer, with members missing, took it for a later process of its runner.

Cause: ReadAnnouncement checked the types of members but took missing ones for default values. The protocol says that such a message names no runner.

--- a/tests/auto/platform/wire_test.cpp
+++ b/tests/auto/platform/wire_test.cpp
@@ -52,8 +52,10 @@
 
 TEST(WireTest, RejectsInvalidAnnouncements) {
   constexpr char kGood[] =
-      R"({"service":"s","address":"1.2.3.4:5","state":"ready","sequence":4,)"
-      R"("born":9,"capacity":{"cpu":1,"mem_mb":2,"gpu":0},"labels":["a"]})";
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",)"
+      R"("slots":8,"state":"ready","cold_remaining_ms":0,"sequence":4,)"
+      R"("born":9,"clock_ms":7,"capacity":{"cpu":1,"mem_mb":2,"gpu":0},)"
+      R"("labels":["a"]})";
   const auto good = ReadAnnouncement("i", kGood);
   ASSERT_TRUE(good);
   EXPECT_EQ(good->start_unix_ms, 9);
@@ -72,16 +74,25 @@
   return std::string(depth, '[') + std::string(depth, ']');
 }
 
-// Returns the announcement of a runner with one member replaced, or added.
-std::string AnnouncementWith(const std::string& name,
-                             const std::string& value) {
-  std::map<std::string, std::string> members = {
-      {"service", R"("s")"},   {"address", R"("1.2.3.4:5")"},
-      {"state", R"("ready")"}, {"sequence", "4"},
-      {"born", "9"},           {"zone", R"("z")"},
-      {"machine", R"("m")"},   {"capacity", R"({"cpu":1,"mem_mb":2})"},
-      {"labels", R"(["a"])"}};
-  members[name] = value;
+using Members = std::map<std::string, std::string>;
+
+Members AnnouncementMembers() {
+  return {{"service", R"("s")"},
+          {"address", R"("1.2.3.4:5")"},
+          {"state", R"("ready")"},
+          {"sequence", "4"},
+          {"born", "9"},
+          {"zone", R"("z")"},
+          {"version", R"("v1")"},
+          {"slots", "8"},
+          {"cold_remaining_ms", "0"},
+          {"clock_ms", "7"},
+          {"machine", R"("m")"},
+          {"capacity", R"({"cpu":1,"mem_mb":2,"gpu":0})"},
+          {"labels", R"(["a"])"}};
+}
+
+std::string ObjectOf(const Members& members) {
   std::string body;
   for (const auto& [key, text] : members) {
     body.append(body.empty() ? "{\"" : ",\"");
@@ -90,6 +101,33 @@
   return body + "}";
 }
 
+// Returns the announcement of a runner with one member replaced, or added.
+std::string AnnouncementWith(const std::string& name,
+                             const std::string& value) {
+  Members members = AnnouncementMembers();
+  members[name] = value;
+  return ObjectOf(members);
+}
+
+// Guards against an announcement of another writer that replaces a sound
+// runner: all tasks of that runner started a second time elsewhere.
+TEST(WireTest, AnnouncementsWithMissingMembersNameNoRunner) {
+  for (const auto& [name, value] : AnnouncementMembers()) {
+    Members members = AnnouncementMembers();
+    members.erase(name);
+    // Only runners on a machine that may move name it.
+    const bool is_optional = name == "machine";
+    EXPECT_EQ(ReadAnnouncement("i", ObjectOf(members)).has_value(), is_optional)
+        << name;
+  }
+  for (const char* capacity :
+       {R"({"cpu":1,"mem_mb":2})", R"({"cpu":1,"gpu":0})",
+        R"({"mem_mb":2,"gpu":0})"}) {
+    EXPECT_FALSE(ReadAnnouncement("i", AnnouncementWith("capacity", capacity)))
+        << capacity;
+  }
+}
+
 // Guards against an agent that follows an odd announcement of another writer:
 // it loses its own runner, and the leader takes it for ended.
 TEST(WireTest, OddAnnouncementsNameNoRunner) {
@@ -106,10 +144,11 @@
       {"born", "9223372036854775807"},
       {"born", "18446744073709551615"},
       {"born", "-1"},
-      {"capacity", R"({"cpu":9223372036854775807,"mem_mb":2})"},
-      {"capacity", R"({"cpu":1e300,"mem_mb":2})"},
-      {"capacity", R"({"cpu":1,"mem_mb":"2"})"},
-      {"capacity", R"({"cpu":123456789012345678901234567890})"},
+      {"capacity", R"({"cpu":9223372036854775807,"mem_mb":2,"gpu":0})"},
+      {"capacity", R"({"cpu":1e300,"mem_mb":2,"gpu":0})"},
+      {"capacity", R"({"cpu":1,"mem_mb":"2","gpu":0})"},
+      {"capacity",
+       R"({"cpu":123456789012345678901234567890,"mem_mb":2,"gpu":0})"},
       {"zone", "7"},
       {"machine", "{}"},
       {"labels", NestedArrays(100)},
