Jobs: Concludes nothing from a partial list of ended runs

Cause: a runner lists 500 ends at a time and the rest once these are acknowledged. JobScheduler::ProcessLists counted a run that is neither active nor listed as missing, stopped it, and released its task.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -138,6 +138,7 @@
   listed_at_ms_ = 0;
   active_.clear();
   ended_.clear();
+  has_all_ends_ = true;
   recorded_ends_ = 0;
   lease_until_ms_ = 0;
   context_.logger.Log(Event::kRunnerChanged,
@@ -277,6 +278,7 @@
   listed_at_ms_ = sent_at_ms;
   active_ = renewal.active;
   ended_ = renewal.ended;
+  has_all_ends_ = renewal.has_all_ends;
   const bool has_unrecorded_ends =
       std::ranges::any_of(ended_, [this](const jobs::EndedRun& ended) {
         return ended.number > recorded_ends_;
@@ -334,6 +336,7 @@
     report.listed_at_ms = listed_at_ms_;
     report.active = active_;
     report.ended = ended_;
+    report.has_all_ends = has_all_ends_;
   } else {
     report.crash = crash_;
   }
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -121,6 +121,7 @@
   int64_t listed_at_ms_ = 0;
   std::vector<jobs::ActiveRun> active_;
   std::vector<jobs::EndedRun> ended_;
+  bool has_all_ends_ = true;
   uint64_t recorded_ends_ = 0;
   uint64_t term_ = 0;
   int64_t lease_until_ms_ = 0;  // On this process's clock.
--- a/src/libs/cluster/runner_api.h
+++ b/src/libs/cluster/runner_api.h
@@ -47,6 +47,7 @@
   int64_t start_unix_ms = 0;  // 0: not reported.
   std::vector<jobs::ActiveRun> active;
   std::vector<jobs::EndedRun> ended;
+  bool has_all_ends = true;  // See jobs::RunnerReport.
 
   friend bool operator==(const LeaseRenewalResponse&,
                          const LeaseRenewalResponse&) = default;
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -66,7 +66,7 @@
   return std::tie(value.incarnation, value.agent_address, value.service,
                   value.zone, value.vm, value.state, value.capacity,
                   value.labels, value.sent_at_ms, value.listed_at_ms,
-                  value.active, value.ended, value.crash);
+                  value.active, value.ended, value.crash, value.has_all_ends);
 }
 static auto Fields(ReportAnswer& value) {
   return std::tie(value.term, value.recorded_ends, value.lease_until_ms);
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -97,6 +97,10 @@
   for (const EndedRun& ended : report.ended) {
     ProcessEndedRun(runner, ended, now);
   }
+  if (!report.has_all_ends) {
+    // A run that is not listed may have ended as well.
+    return;
+  }
   std::vector<TaskKey> absent;
   for (const TaskKey& task : runner.runs | std::views::keys) {
     const Run& run = runner.runs.at(task);
--- a/src/libs/jobs/runner.h
+++ b/src/libs/jobs/runner.h
@@ -75,6 +75,9 @@
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
   std::optional<CrashTime> crash;  // If it ended without announcing it.
+  // Whether `ended` has all ends that are not acknowledged; a runner lists a
+  // limited number of them at once.
+  bool has_all_ends = true;
 
   static constexpr size_t kRequiredFields = 12;  // Before `crash`.
 
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -160,6 +160,46 @@
             (jobs::CrashTime{kAnnouncedMs, kAnnouncedMs + kSuspendedMs}));
 }
 
+// A runner that lists one end and holds back others.
+class RunnerWithManyEnds : public SilentRunner {
+ public:
+  void RenewLease(const std::string& /*address*/,
+                  const std::string& /*instance*/,
+                  const LeaseRenewalRequest& /*call*/,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> done) override {
+    LeaseRenewalResponse response;
+    response.ended = {{1, {JobId("a"), 0, 0, 0}, 1, jobs::RunEnd::kDone, ""}};
+    response.has_all_ends = false;
+    done(response);
+  }
+};
+
+// Guards against a leader that takes a part of the ends for all of them.
+TEST_F(RunnerAgentTest, ReportsThatEndsAreMissing) {
+  RunnerWithManyEnds runner;
+  RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
+                    context(), runner);
+  std::optional<jobs::RunnerReport> last;
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        last = jobs::Decode<jobs::RunnerReport>(request.body);
+        respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  clock_.Advance(milliseconds(1000));
+  agent.OnAnnouncement({"own", 1000, 1, "127.0.0.1:3", "s"});
+  while (!last || last->ended.empty()) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_FALSE(last->has_all_ends);
+}
+
 // Guards against an agent that loses its runner since another writer has
 // announced one that will start in the year 2255, or the billionth
 // announcement.
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -283,6 +283,33 @@
   }
 }
 
+// Guards against tasks that run twice after an outage of the store: more runs
+// had ended than a runner lists at once, and the others counted as missing.
+TEST_F(JobSchedulerTest, AnEndThatIsNotListedYetDoesNotReleaseTheTask) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(2, 1000));
+  const auto starts = Orders(0);
+  ASSERT_EQ(CountStarts(starts), 2U);
+  for (const Order& start : starts | std::views::values) {
+    scheduler_.OnOrderResult(kFirst, start, {OrderVerdict::kDone, 10}, At(10));
+  }
+  RunnerReport part = ReportOf(kFirst);
+  part.ended = {{1, Task(0), 1, RunEnd::kDone, ""}};
+  part.has_all_ends = false;
+  for (int64_t now_ms = 500; now_ms <= 1000; now_ms += 100) {
+    part.sent_at_ms = part.listed_at_ms = now_ms;
+    scheduler_.OnReport(part, At(now_ms));
+    for (const auto& [incarnation, order] : Orders(now_ms)) {
+      EXPECT_FALSE(std::holds_alternative<StartOrder>(order)) << now_ms;
+      scheduler_.OnOrderResult(incarnation, order,
+                               {OrderVerdict::kDone, now_ms}, At(now_ms));
+    }
+  }
+  Report(kFirst, 1100, {}, {{2, Task(1), 1, RunEnd::kDone, ""}});
+  Store();
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kCompleted);
+}
+
 TEST_F(JobSchedulerTest, StopsRunsOfACancelledJob) {
   Report(kFirst, 0);
   scheduler_.AddJob(JobId("a"), JobOf(2, 1000));
--- a/tests/auto/platform/wire_test.cpp
+++ b/tests/auto/platform/wire_test.cpp
@@ -50,6 +50,25 @@
   EXPECT_EQ(answer->ended[0].number, 58U);
 }
 
+std::string ListsWithEnds(size_t count) {
+  std::string rows;
+  for (size_t i = 1; i <= count; ++i) {
+    rows.append(rows.empty() ? "[" : ",[").append(std::to_string(i));
+    rows.append(R"(,"a.0.1.1",1,"done",""])");
+  }
+  return R"({"clock_ms":1,"active":[],"finished":[)" + rows + "]}";
+}
+
+// Guards against a part of a runner's ends that is taken for all of them: the
+// leader started the tasks of the others again.
+TEST(WireTest, AFullPageOfEndsMayNotBeTheLast) {
+  const auto part = ReadLeaseRenewal(ListsWithEnds(500));
+  ASSERT_TRUE(part);
+  EXPECT_EQ(part->ended.size(), 500U);
+  EXPECT_FALSE(part->has_all_ends);
+  EXPECT_TRUE(ReadLeaseRenewal(ListsWithEnds(499))->has_all_ends);
+}
+
 TEST(WireTest, RejectsInvalidAnnouncements) {
   constexpr char kGood[] =
       R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",)"
