Jobs: Stops runs that were given up before their runner gets a lease

Cause: a start may arrive long after it was sent, when a cut has ended. By then the leader has given the run up, as the lease of its runner had expired, and the runner has a new lease. Nothing refuses the start: same leader, same process of the runner, and a run that it has never seen.

Change: the leader keeps the runs that it gave up while their starts may still arrive. Their runner, when it reports again, has to accept their stops before it gets a lease or new runs. Without a lease a start is refused, and after its stop the run is.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -560,18 +560,22 @@
 }
 
 void Leader::Answer(const PendingReport& report) {
-  // A new leader waits for a whole lease after its election, which comes after
-  // the store last confirmed this one.
-  const Instant lease_end = confirmed_at_ + settings_.scheduler.lease;
-  scheduler_->OnLeaseGranted(report.incarnation, lease_end);
-  const auto remaining =
-      std::chrono::floor<milliseconds>(lease_end - report.received_at);
+  int64_t lease_until_ms = 0;
+  if (scheduler_->MayLease(report.incarnation)) {
+    // A new leader waits for a whole lease after its election, which comes
+    // after the store last confirmed this one.
+    const Instant lease_end = confirmed_at_ + settings_.scheduler.lease;
+    scheduler_->OnLeaseGranted(report.incarnation, lease_end);
+    const auto remaining =
+        std::chrono::floor<milliseconds>(lease_end - report.received_at);
+    lease_until_ms = report.sent_at_ms + remaining.count();
+  }
   report.respond(
       {200,
        {},
        jobs::Encode(jobs::ReportAnswer{
            record_.term, scheduler_->RecordedEnds(report.incarnation),
-           report.sent_at_ms + remaining.count()})});
+           lease_until_ms})});
 }
 
 void Leader::AnswerReports() {
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -523,6 +523,10 @@
   }
   if (call->next == orders.size() && call->in_flight == 0) {
     call->respond({200, {}, jobs::Encode(call->answer)});
+    if (announced_ && !has_ended_ && !HasLease()) {
+      // The leader may have been waiting for this to grant a lease.
+      ReportNow();
+    }
   }
 }
 
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -40,6 +40,9 @@
   Instant lease_expires_at;
   RunTable runs;
   std::map<TaskKey, OrphanRun> orphans;
+  // Runs that were given up while their starts could still arrive. The runner
+  // gets neither a lease nor new runs before it has accepted their stops.
+  std::map<TaskKey, OrphanRun> released;
   uint64_t handled_ends = 0;                   // Highest number processed.
   uint64_t recorded_ends = 0;                  // Highest number that is stored.
   std::map<uint64_t, uint64_t> unstored_ends;  // Number to scheduler version.
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -163,6 +163,9 @@
 
   // Processes a report; returns false if it is from a superseded incarnation.
   bool OnReport(const RunnerReport& report, Instant now);
+  // Returns whether the runner may get a lease: no start that may still arrive
+  // there belongs to a run that has been given up.
+  bool MayLease(const RunnerIncarnation& incarnation) const;
   // Leases of the runner may last until `until` on this process's clock.
   void OnLeaseGranted(const RunnerIncarnation& incarnation, Instant until);
   void OnOrderResult(const RunnerIncarnation& incarnation,
@@ -326,6 +329,10 @@
                     const std::string& reason,
                     const std::optional<RunnerCrash>& crash,
                     Instant now);
+  // Hands the runs that were given up under the name of `incarnation` over to
+  // its runner, and forgets those of earlier runners of the node.
+  void TakeOverReleasedRuns(const RunnerIncarnation& incarnation,
+                            Runner& runner);
   // Records the crash with the tasks that may have caused it, and gives up
   // those that have.
   void RecordCrash(const RunnerIncarnation& incarnation,
@@ -356,6 +363,10 @@
   std::map<JobId, Entry> jobs_;
   std::set<JobId> open_;
   Fleet fleet_;
+  // See Runner::released; of runners that are not known now, by node and
+  // instance.
+  std::map<std::pair<std::string, std::string>, std::map<TaskKey, OrphanRun>>
+      released_;
   Interference interference_;
   DurationEstimator durations_;
   CrashHistory crashes_;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -40,8 +40,13 @@
   runner.reported_at = now;
   runner.lease_expires_at = std::max(runner.lease_expires_at, now);
   if (is_new) {
+    TakeOverReleasedRuns(incarnation, runner);
     Emit(JobSchedulerEvent::Kind::kRunnerJoined, ToText(incarnation), 0,
-         report.service);
+         report.service,
+         runner.released.empty()
+             ? std::string()
+             : "It has to stop " + std::to_string(runner.released.size()) +
+                   " runs that were given up before it gets a lease.");
   }
   if (was_ready && report.state == RunnerState::kDraining) {
     Emit(JobSchedulerEvent::Kind::kRunnerDraining, ToText(incarnation));
@@ -397,6 +402,7 @@
              : JobSchedulerEvent::Kind::kRunnerGone,
        ToText(incarnation), 0, {}, reason);
   const RunTable runs = std::move(runner->runs);
+  std::map<TaskKey, OrphanRun> released = std::move(runner->released);
   fleet_.Remove(incarnation);
   pace_orders_.erase(incarnation);
   for (const auto& [task, run] : runs) {
@@ -404,16 +410,37 @@
          ToText(incarnation), crash ? DescribeStart(run, *crash) : reason);
     interference_.Forget(task);
     Release(task, run.checkpoint);
+    if (run.MayStartLate()) {
+      released[task] = {run.number, {}, now};
+    }
     const Step* step = FindStep(task);
     if (step != nullptr && step->is_gang) {
       WithdrawGang(task, now);
     }
   }
+  if (!released.empty()) {
+    released_[{incarnation.node, incarnation.instance}] = std::move(released);
+  }
   if (crash) {
     RecordCrash(incarnation, runs, *crash, now);
   }
 }
 
+void JobScheduler::TakeOverReleasedRuns(const RunnerIncarnation& incarnation,
+                                        Runner& runner) {
+  if (auto own = released_.extract({incarnation.node, incarnation.instance})) {
+    runner.released.merge(own.mapped());
+  }
+  std::erase_if(released_, [&](const auto& it) {
+    return it.first.first == incarnation.node;
+  });
+}
+
+bool JobScheduler::MayLease(const RunnerIncarnation& incarnation) const {
+  const Runner* runner = fleet_.Find(incarnation);
+  return runner == nullptr || runner->released.empty();
+}
+
 void JobScheduler::OnLeaseGranted(const RunnerIncarnation& incarnation,
                                   Instant until) {
   if (Runner* runner = fleet_.Find(incarnation)) {
@@ -442,6 +469,10 @@
       run->is_stop_accepted = true;
       run->stop_accepted_at_ms = result.known_at_ms;
     }
+    const OrphanRun* released = FindOrNull(runner->released, stop->task);
+    if (released != nullptr && released->number == stop->run && has_arrived) {
+      runner->released.erase(stop->task);
+    }
     return;
   }
   if (const auto* pace = std::get_if<PaceOrder>(&order)) {
@@ -549,10 +580,12 @@
         orders.push_back(std::move(*order));
       }
     }
-    for (auto& [task, orphan] : runner.orphans) {
-      if (now >= orphan.send_due) {
-        orphan.send_due = now + settings_.resend_period;
-        orders.emplace_back(StopOrder{task, orphan.number});
+    for (auto* stopped : {&runner.orphans, &runner.released}) {
+      for (auto& [task, orphan] : *stopped) {
+        if (now >= orphan.send_due) {
+          orphan.send_due = now + settings_.resend_period;
+          orders.emplace_back(StopOrder{task, orphan.number});
+        }
       }
     }
     if (const auto paced = pace_orders_.extract(incarnation);
--- a/src/libs/jobs/run.h
+++ b/src/libs/jobs/run.h
@@ -67,6 +67,10 @@
   bool has_survived_start = false;
 
   bool IsSettled(Instant now) const { return settles_at && now >= *settles_at; }
+  // Whether a start that was sent may still arrive.
+  bool MayStartLate() const {
+    return sends > 1 || (sends == 1 && listed_since == Instant());
+  }
 };
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/runner.h
+++ b/src/libs/jobs/runner.h
@@ -88,7 +88,8 @@
   uint64_t term = 0;
   // Ends up to this number are stored, and the agent may drop them.
   uint64_t recorded_ends = 0;
-  // Leases of the runner may last until this time on the agent's clock.
+  // Leases of the runner may last until this time on the agent's clock; 0: no
+  // lease is granted yet.
   int64_t lease_until_ms = 0;
 
   friend bool operator==(const ReportAnswer&, const ReportAnswer&) = default;
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -136,6 +136,40 @@
   leader->Stop({});
 }
 
+// Guards against a runner that gets a lease while a start that was given up is
+// still on its way to it.
+TEST_F(LeaderTest, NoLeaseBeforeRunsThatWereGivenUpAreStopped) {
+  const AgentOfEndedRunner agent;
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  Store(kProgressTopic,
+        {KeyOf({JobId("a"), 0, 0, 0}), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  leader->HandleReport(agent.EndedRunnerRequest(),
+                       [](const http::Response&) {});
+  const auto lease_of = [&](const std::string& node) {
+    jobs::RunnerReport report;
+    report.incarnation = agent.ClaimedTask().incarnation;
+    report.incarnation.node = node;
+    http::Request request;
+    request.body = jobs::Encode(report);
+    std::optional<jobs::ReportAnswer> answer;
+    leader->HandleReport(request, [&](const http::Response& it) {
+      answer = jobs::Decode<jobs::ReportAnswer>(it.body);
+    });
+    return answer ? answer->lease_until_ms : -1;
+  };
+  EXPECT_EQ(lease_of("agent"), 0);
+  EXPECT_GT(lease_of("other"), 0);
+  leader->Stop({});
+}
+
 TEST_F(LeaderTest, StoppedLeaderStoresItsResignation) {
   const auto leader = MakeLeader("node-1");
   leader->Campaign();
--- /dev/null
+++ b/tests/auto/deployment/test_runs_once.py
@@ -0,0 +1,60 @@
+"""No task runs twice (rule TWICE), with real processes on loopback."""
+
+import asyncio
+import os
+import unittest
+
+from relayed_deployment import RelayedDeployment
+
+SEED = int(os.environ.get("SEED", "1"))
+TASKS_PER_JOB = 6
+TASK_MS = 800
+TASK_CPU = 400
+JOB_PERIOD_S = 0.1
+CUT_S = 7.5  # Longer than the longest lease with its margins.
+LATEST_ARRIVAL_S = 8  # Of what was sent during the cut, after it.
+
+
+class RunsOnceTest(unittest.IsolatedAsyncioTestCase):
+    async def play(self, disturb, **options):
+        it = RelayedDeployment(SEED, **options)
+        try:
+            await it.start()
+            feed = asyncio.ensure_future(self.feed(it))
+            await asyncio.sleep(2)
+            if os.environ.get("TROUBLE") != "0":
+                await disturb(it)
+            await asyncio.sleep(2)
+            feed.cancel()
+            await asyncio.sleep(TASK_MS / 1000 + 2)
+            self.assertEqual(it.doubled_runs(), [])
+        finally:
+            it.stop()
+
+    @staticmethod
+    async def feed(it):
+        calls = set()
+        while True:
+            call = asyncio.ensure_future(
+                it.submit_next(TASKS_PER_JOB, TASK_MS, TASK_CPU))
+            calls.add(call)
+            call.add_done_callback(calls.discard)
+            await asyncio.sleep(JOB_PERIOD_S)
+
+    # Orders that are under way when a machine is cut off arrive after its runs have
+    # been given up and its runner has a new lease.
+    async def test_orders_delayed_by_a_cut(self):
+        async def disturb(it):
+            cut = it.agents[:2]
+            it.record("cut off: " + ", ".join(agent.name for agent in cut))
+            it.relay.cut(cut)
+            await asyncio.sleep(CUT_S)
+            it.relay.heal()
+            it.record("the cut has ended")
+            await asyncio.sleep(LATEST_ARRIVAL_S)
+
+        await self.play(disturb, fronts=2, runners=4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -242,6 +242,50 @@
   EXPECT_EQ(orders[0].first, kSecond);
 }
 
+// Guards against tasks that run twice after a cut: their starts arrived when
+// they had been given up and their runner had a lease again.
+TEST_F(JobSchedulerTest, StopsWhatItGaveUpBeforeTheRunnerGetsALease) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  constexpr int64_t kExpiredMs = 7000;
+  Report(kSecond, kExpiredMs);
+  ASSERT_EQ(CountStarts(Orders(kExpiredMs)), 1U);
+  scheduler_.AddJob(JobId("b"), JobOf(4, 4000));
+  Report(kFirst, kExpiredMs + 500);
+  EXPECT_FALSE(scheduler_.MayLease(kFirst));
+  const auto orders = Orders(kExpiredMs + 500);
+  const auto stop = std::ranges::find(orders, kFirst,
+                                      [](const auto& it) { return it.first; });
+  ASSERT_NE(stop, orders.end());
+  EXPECT_EQ(stop->second, Order(StopOrder{Task(0), 1}));
+  EXPECT_EQ(std::ranges::count(orders, kFirst,
+                               [](const auto& it) { return it.first; }),
+            1);
+  scheduler_.OnOrderResult(kFirst, stop->second,
+                           {OrderVerdict::kRefused, kExpiredMs + 510},
+                           At(kExpiredMs + 510));
+  EXPECT_FALSE(scheduler_.MayLease(kFirst));
+  scheduler_.OnOrderResult(kFirst, stop->second,
+                           {OrderVerdict::kDone, kExpiredMs + 520},
+                           At(kExpiredMs + 520));
+  EXPECT_TRUE(scheduler_.MayLease(kFirst));
+  EXPECT_EQ(CountStarts(Orders(kExpiredMs + 520)), 1U);
+}
+
+// A run that was executed when its only start arrived can't start once more.
+TEST_F(JobSchedulerTest, RunnerGetsALeaseAtOnceIfNoStartIsOnItsWay) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  Report(kFirst, 100, {{Task(0), 1, "", 10, 0}});
+  constexpr int64_t kExpiredMs = 7000;
+  Report(kSecond, kExpiredMs);
+  ASSERT_EQ(CountStarts(Orders(kExpiredMs)), 1U);
+  Report(kFirst, kExpiredMs + 500);
+  EXPECT_TRUE(scheduler_.MayLease(kFirst));
+}
+
 TEST_F(JobSchedulerTest, NewIncarnationEndsTheEarlierOne) {
   Report(kFirst, 0);
   scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
