Jobs: Stops what a restarted runner may have got under its name

Callers may see tasks run twice (TWICE) when a runner crashes and starts again under its name before its agent notices: calls name a runner by its id, so the later process takes starts that were meant for the earlier one. Its first heartbeat made the leader release these runs at once.

Change: a run whose start may have reached the later process stays claimed until that process has stopped it. A run that the earlier process listed, and that was sent once, is released at once as before. An agent that is answered by a process that is not announced yet grants it no lease and no start.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -219,7 +219,11 @@
   is_renewing_ = true;
   LeaseRenewalRequest call;
   call.term = term_;
-  call.recorded_ends = recorded_ends_;
+  if (runner_clock_ms_ && !suspected_crash_) {
+    // Each process numbers its ends anew. One that may not be the announced one
+    // must not take ends for recorded that are not.
+    call.recorded_ends = recorded_ends_;
+  }
   if (HasLease()) {
     call.lease_until_ms = LeaseEndOnRunnerClock();
     call.wait = settings_.renewal_wait;
@@ -268,7 +272,9 @@
   if (renewal.start_unix_ms != 0 &&
       renewal.start_unix_ms != announced_->start_unix_ms) {
     // Another process of the runner has the same name; its announcement is
-    // still to come.
+    // still to come. It must not be granted a lease on the clock of the earlier
+    // one, nor start what was meant for that.
+    runner_clock_ms_.reset();
     ScheduleLeaseRenewal(kRetryDelay);
     return;
   }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -325,10 +325,19 @@
                    const TaskKey& task,
                    const Run& run,
                    Instant now) const;
+  // Removes the earlier processes of the runner; `successor` is the later one,
+  // unless that has ended too.
+  void RemoveEarlierIncarnations(const RunnerIncarnation& incarnation,
+                                 Runner* successor,
+                                 Instant now);
+  // Gives up the runs of the runner. A `successor` is a process under the same
+  // name: a run whose start it may get stays claimed until it has stopped it.
   void RemoveRunner(const RunnerIncarnation& incarnation,
                     const std::string& reason,
                     const std::optional<RunnerCrash>& crash,
-                    Instant now);
+                    Instant now,
+                    Runner* successor = nullptr);
+  void Inherit(Runner& successor, const TaskKey& task, Run run, Instant now);
   // Hands the runs that were given up under the name of `incarnation` over to
   // its runner, and forgets those of earlier runners of the node.
   void TakeOverReleasedRuns(const RunnerIncarnation& incarnation,
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -18,11 +18,8 @@
   if (fleet_.IsSuperseded(incarnation)) {
     return false;
   }
-  for (const RunnerIncarnation& older : fleet_.OtherIncarnations(incarnation)) {
-    RemoveRunner(older, "A later incarnation of the runner has started.",
-                 CrashOfReplaced(*fleet_.Find(older), now), now);
-  }
   if (report.state == RunnerState::kGone) {
+    RemoveEarlierIncarnations(incarnation, nullptr, now);
     const Runner* ended = fleet_.Find(incarnation);
     RemoveRunner(incarnation, "The agent reported that the runner has ended.",
                  ended == nullptr ? std::nullopt : CrashOf(*ended, report, now),
@@ -30,6 +27,8 @@
     return true;
   }
   Runner& runner = fleet_.Get(incarnation);
+  runner.report.incarnation = incarnation;
+  RemoveEarlierIncarnations(incarnation, &runner, now);
   const bool is_new = !runner.has_report;
   const bool was_ready = is_new || runner.report.state == RunnerState::kReady;
   runner.report = report;
@@ -390,10 +389,22 @@
   }
 }
 
+void JobScheduler::RemoveEarlierIncarnations(
+    const RunnerIncarnation& incarnation,
+    Runner* successor,
+    Instant now) {
+  for (const RunnerIncarnation& older : fleet_.OtherIncarnations(incarnation)) {
+    RemoveRunner(older, "A later incarnation of the runner has started.",
+                 CrashOfReplaced(*fleet_.Find(older), now), now,
+                 older.instance == incarnation.instance ? successor : nullptr);
+  }
+}
+
 void JobScheduler::RemoveRunner(const RunnerIncarnation& incarnation,
                                 const std::string& reason,
                                 const std::optional<RunnerCrash>& crash,
-                                Instant now) {
+                                Instant now,
+                                Runner* successor) {
   Runner* runner = fleet_.Find(incarnation);
   if (runner == nullptr) {
     return;
@@ -409,9 +420,13 @@
     Emit(JobSchedulerEvent::Kind::kRunLost, ToText(task), run.number,
          ToText(incarnation), crash ? DescribeStart(run, *crash) : reason);
     interference_.Forget(task);
-    Release(task, run.checkpoint);
-    if (run.MayStartLate()) {
-      released[task] = {run.number, {}, now};
+    if (run.MayStartLate() && successor != nullptr) {
+      Inherit(*successor, task, run, now);
+    } else {
+      Release(task, run.checkpoint);
+      if (run.MayStartLate()) {
+        released[task] = {run.number, {}, now};
+      }
     }
     const Step* step = FindStep(task);
     if (step != nullptr && step->is_gang) {
@@ -419,13 +434,33 @@
     }
   }
   if (!released.empty()) {
-    released_[{incarnation.node, incarnation.instance}] = std::move(released);
+    (successor != nullptr
+         ? successor->released
+         : released_[{incarnation.node, incarnation.instance}]) =
+        std::move(released);
   }
   if (crash) {
     RecordCrash(incarnation, runs, *crash, now);
   }
 }
 
+void JobScheduler::Inherit(Runner& successor,
+                           const TaskKey& task,
+                           Run run,
+                           Instant now) {
+  run.is_accepted = false;
+  run.started_by_ms = 0;
+  run.listed_since = Instant();
+  run.settles_at.reset();
+  run.has_survived_start = false;
+  run.is_withdrawn = false;
+  run.is_stop_accepted = false;
+  Run& inherited = successor.runs[task];
+  inherited = std::move(run);
+  Withdraw(successor, task, inherited,
+           "The runner has started again under the same name.", now);
+}
+
 void JobScheduler::TakeOverReleasedRuns(const RunnerIncarnation& incarnation,
                                         Runner& runner) {
   if (auto own = released_.extract({incarnation.node, incarnation.instance})) {
--- a/src/libs/jobs/run.h
+++ b/src/libs/jobs/run.h
@@ -67,7 +67,8 @@
   bool has_survived_start = false;
 
   bool IsSettled(Instant now) const { return settles_at && now >= *settles_at; }
-  // Whether a start that was sent may still arrive.
+  // Whether a start that was sent may be executed only after the runner has
+  // ended the run, or by a process that the runner starts under the same name.
   bool MayStartLate() const {
     return sends > 1 || (sends == 1 && listed_since == Instant());
   }
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 #include "async_http/server.h"
@@ -200,6 +201,83 @@
   EXPECT_FALSE(last->has_all_ends);
 }
 
+// A runner that crashes during a call once it has a lease and has been told
+// that ends are recorded, and starts again under its name.
+class RestartedRunner : public SilentRunner {
+ public:
+  void RenewLease(const std::string& /*address*/,
+                  const std::string& /*instance*/,
+                  const LeaseRenewalRequest& call,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> done) override {
+    LeaseRenewalResponse response;
+    if (call.lease_until_ms && call.recorded_ends > 0) {
+      has_restarted = true;
+      done(RunnerFailure::kUnanswered);
+      return;
+    }
+    acknowledged_ends =
+        std::max(acknowledged_ends, has_restarted ? call.recorded_ends : 0);
+    response.start_unix_ms = has_restarted ? 2000 : 1000;
+    answers_since_restart += has_restarted ? 1 : 0;
+    done(response);
+  }
+  void SendOrder(const std::string& /*address*/,
+                 const std::string& /*instance*/,
+                 const jobs::Order& /*order*/,
+                 uint64_t /*term*/,
+                 int64_t /*lease_until_ms*/,
+                 Instant /*deadline*/,
+                 std::function<void(jobs::OrderVerdict)> done) override {
+    done(jobs::OrderVerdict::kDone);
+  }
+
+  bool has_restarted = false;
+  int answers_since_restart = 0;
+  uint64_t acknowledged_ends = 0;  // By calls to the later process.
+};
+
+// Guards against a start that a later process of the runner executes, with a
+// lease on the clock of the earlier one, and against an end of it that is taken
+// for recorded.
+TEST_F(RunnerAgentTest, StartsNothingOnAProcessThatIsNotAnnounced) {
+  RestartedRunner runner;
+  RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
+                    context(), runner);
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& /*request*/,
+          const async_http::Respond& respond) {
+        respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 5, 60'000})});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  clock_.Advance(milliseconds(1000));
+  agent.OnAnnouncement({"own", 1000, 1, "127.0.0.1:3", "s"});
+  const auto verdict_of_start = [&] {
+    request.body = jobs::Encode(jobs::OrderBatch{
+        1,
+        {"agent", "own", 1000},
+        {jobs::StartOrder{{JobId("a"), 0, 0, 0}, 1, {}, {}, {}}}});
+    std::optional<jobs::OrderAnswer> answer;
+    agent.HandleOrders(request, [&](const http::Response& it) {
+      answer = jobs::Decode<jobs::OrderAnswer>(it.body);
+    });
+    return answer->results.at(0).verdict;
+  };
+  while (verdict_of_start() != jobs::OrderVerdict::kDone) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  while (runner.answers_since_restart < 3) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(verdict_of_start(), jobs::OrderVerdict::kLeaseExpired);
+  EXPECT_EQ(runner.acknowledged_ends, 0U);
+}
+
 // Guards against an agent that loses its runner since another writer has
 // announced one that will start in the year 2255, or the billionth
 // announcement.
--- a/tests/auto/deployment/test_runs_once.py
+++ b/tests/auto/deployment/test_runs_once.py
@@ -55,6 +55,18 @@
 
         await self.play(disturb, fronts=2, runners=4)
 
+    # A runner that starts again under the same name takes starts that were meant
+    # for its earlier process.
+    async def test_restarts_under_the_same_name(self):
+        async def disturb(it):
+            for _ in range(10):
+                runner = it.random.choice(it.runners)
+                await runner.restart(it.random.uniform(0.02, 0.2),
+                                     it.random.uniform(0, 1))
+                await asyncio.sleep(it.random.uniform(1, 2))
+
+        await self.play(disturb, fronts=2, runners=3)
+
 
 if __name__ == "__main__":
     unittest.main()
