Tests: Has the agent's test fail instead of hang without its fix

RunnerAgentTest.StartsNothingOnAProcessThatIsNotAnnounced let each call with recorded ends fail, so that it waited for ever on an agent that goes on telling its runner of them. Now only one call fails. Without the agent's check it fails with 5 ends acknowledged instead of 0, seen so.

--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -211,7 +211,7 @@
                   Instant /*deadline*/,
                   std::function<void(LeaseRenewalResult)> done) override {
     LeaseRenewalResponse response;
-    if (call.lease_until_ms && call.recorded_ends > 0) {
+    if (!has_restarted && call.lease_until_ms && call.recorded_ends > 0) {
       has_restarted = true;
       done(RunnerFailure::kUnanswered);
       return;
