Jobs: Logs why a withdrawn run is not known to be gone

The log of a lasting task that stood still for 37 s has one line, "The start was not answered in time.", the same for a start without an answer and for one that was refused for want of a lease; nothing is said of its stop, and nothing by agents whose reports fail.

A run that is withdrawn now says what the last answer was. One that is not known to be gone 2 s later is logged once, as run.interrupted with the change stop_overdue: whether the runner has executed a stop, the last answer, and by how much the runner's list is too old to count. Agents log report.unanswered when their reports begin to fail. Each line comes once a run, or once a change.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -51,6 +51,7 @@
     case Kind::kRunWithdrawn:
     case Kind::kRunLost:
     case Kind::kTaskGivenUp:
+    case Kind::kStopOverdue:
       return Event::kRunInterrupted;
     case Kind::kJobEnded:
       return Event::kJobEnded;
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -368,6 +368,15 @@
     answer = jobs::Decode<jobs::ReportAnswer>(response->body);
   }
   if (!answer || answer->term < term_) {
+    if (!std::exchange(is_report_failing_, true)) {
+      context_.logger.Log(
+          Event::kReportUnanswered,
+          {{"term", static_cast<int64_t>(leader_term)},
+           {"status", response == nullptr
+                          ? int64_t{0}
+                          : static_cast<int64_t>(response->status)},
+           {"has_lease", HasLease()}});
+    }
     if (leader_.term > leader_term) {
       Report();
     } else {
@@ -375,6 +384,7 @@
     }
     return;
   }
+  is_report_failing_ = false;
   term_ = answer->term;
   if (generation == generation_) {
     is_end_recorded_ = has_ended_;
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -129,6 +129,7 @@
   bool is_renewing_ = false;
   bool is_reporting_ = false;
   bool is_report_needed_ = false;
+  bool is_report_failing_ = false;  // Whether the last report failed.
   bool is_looking_up_leader_ = false;
   boost::asio::steady_timer renewal_timer_;
   boost::asio::steady_timer report_timer_;
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -62,6 +62,8 @@
       return "withdrawn";
     case Kind::kRunStopped:
       return "stopped";
+    case Kind::kStopOverdue:
+      return "stop_overdue";
     case Kind::kRunLost:
       return "lost";
     case Kind::kTaskGivenUp:
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -44,6 +44,9 @@
   // Number of sends of a start after which the run is withdrawn and placed
   // elsewhere.
   uint32_t max_sends = 4;
+  // A withdrawn run that is not known to be gone after this time is reported:
+  // a stop and the list after it take well under a second.
+  milliseconds stop_overdue_limit{2000};
   // How long a runner gets no new runs after it refused a start although it
   // seemed to have capacity.
   milliseconds refusal_pause{500};
@@ -107,6 +110,7 @@
     kRunEnded,
     kRunWithdrawn,
     kRunStopped,
+    kStopOverdue,
     kRunLost,
     kTaskGivenUp,
     kJobEnded,
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -9,6 +9,7 @@
 #include "base/lookup.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/pace_plan.h"
+#include "jobs/run_description.h"
 #include "jobs/runner_choice.h"
 
 namespace papayadrift::jobs {
@@ -500,7 +501,11 @@
     const bool has_arrived = result.verdict != OrderVerdict::kUnanswered &&
                              result.verdict != OrderVerdict::kRefused &&
                              result.verdict != OrderVerdict::kUnhealthy;
+    if (run != nullptr && run->number == stop->run) {
+      run->last_verdict = result.verdict;
+    }
     if (run != nullptr && run->number == stop->run && has_arrived) {
+      ++run->accepted_stops;
       run->is_stop_accepted = true;
       run->stop_accepted_at_ms = result.known_at_ms;
     }
@@ -523,6 +528,7 @@
   if (run == nullptr || run->number != start->run) {
     return;
   }
+  run->last_verdict = result.verdict;
   switch (result.verdict) {
     case OrderVerdict::kDone:
       run->is_accepted = true;
@@ -580,12 +586,18 @@
       run.is_withdrawn = true;
       run.withdrawn_at = now;
       Emit(JobSchedulerEvent::Kind::kRunWithdrawn, ToText(task), run.number,
-           ToText(runner.report.incarnation),
-           "The start was not answered in time.");
+           ToText(runner.report.incarnation), DescribeFailedStart(run));
     }
   }
   run.send_due = now + settings_.resend_period;
   if (run.is_withdrawn) {
+    if (!run.is_stop_overdue &&
+        now - run.withdrawn_at >= settings_.stop_overdue_limit) {
+      run.is_stop_overdue = true;
+      Emit(JobSchedulerEvent::Kind::kStopOverdue, ToText(task), run.number,
+           ToText(runner.report.incarnation),
+           DescribeOverdueStop(run, runner.report.listed_at_ms, now));
+    }
     return StopOrder{task, run.number};
   }
   if (run.sends == 0) {
--- a/src/libs/jobs/run.h
+++ b/src/libs/jobs/run.h
@@ -7,6 +7,7 @@
 
 #include "base/instant.h"
 #include "base/resources.h"
+#include "jobs/runner.h"
 
 namespace papayadrift::jobs {
 
@@ -63,6 +64,10 @@
   bool is_withdrawn = false;  // Has to be stopped, or kept from starting.
   Instant withdrawn_at;
   bool is_stop_accepted = false;
+  // Stops that the runner has executed; the first suffices.
+  uint32_t accepted_stops = 0;
+  std::optional<OrderVerdict> last_verdict;  // On the last order for it.
+  bool is_stop_overdue = false;
   // The runner has listed it after its start could have crashed the runner.
   bool has_survived_start = false;
 
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -62,6 +62,8 @@
      "The process was asked to stop and takes nothing new."},
     {Event::kRecordRejected, kWarning, "record.rejected",
      "A record that this process wrote was rejected at its offset."},
+    {Event::kReportUnanswered, kWarning, "report.unanswered",
+     "An agent's reports to the leader began to fail, or were rejected."},
     {Event::kRequestAnswered, kInfo, "request.answered",
      "A request's answer goes to its caller."},
     {Event::kRequestRefused, kWarning, "request.refused",
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -38,6 +38,7 @@
   kProcessStopped,
   kProcessStopping,
   kRecordRejected,
+  kReportUnanswered,
   kRequestAnswered,
   kRequestRefused,
   kRequestSendFailed,
