Tests: Adds a task that waits for ever for a confirmed stop, known red

JobSchedulerTest.RepeatedStopsReleaseARunThat NeverStarted drives a scheduler on the manual clock: four starts are refused since the runner has no lease, each stop is executed at once, and the agent reports every 500 ms a list that is 450 ms old. The task is never started again (run 1 is still the last after 4 s, expected 2).

--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -433,6 +433,34 @@
   EXPECT_EQ(CountStarts(Orders(2500)), 0U);
 }
 
+// Guards against a task that waits for ever because each repeated stop asks for
+// a newer list than the runner's agent has reported by then.
+TEST_F(JobSchedulerTest, RepeatedStopsReleaseARunThatNeverStarted) {
+  constexpr int64_t kListAgeMs = 450;
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  uint32_t last_started = 0;
+  for (int64_t now_ms = 0; now_ms <= 4000; now_ms += 50) {
+    if (now_ms % 500 == 0) {
+      RunnerReport report = ReportOf(kFirst);
+      report.sent_at_ms = now_ms;
+      report.listed_at_ms = std::max<int64_t>(1, now_ms - kListAgeMs);
+      scheduler_.OnReport(report, At(now_ms));
+    }
+    for (const auto& [incarnation, order] : Orders(now_ms)) {
+      const auto* start = std::get_if<StartOrder>(&order);
+      if (start != nullptr) {
+        last_started = start->run;
+      }
+      scheduler_.OnOrderResult(
+          incarnation, order,
+          {start != nullptr ? OrderVerdict::kLeaseExpired : OrderVerdict::kDone,
+           now_ms},
+          At(now_ms));
+    }
+  }
+  EXPECT_EQ(last_started, 2U);
+}
+
 // Guards against a pace that was planned on old gauges.
 TEST_F(JobSchedulerTest, SendsNoStartAndNoPaceOnAnOldReport) {
   Report(kFirst, 0);
