Jobs: Takes the first stop that a runner executes, not the last

Cause: a withdrawn run that never started has no end that its runner could list. It is known to be gone once a list that was asked for after its stop lacks it. Stops are repeated every 400 ms until then, and each answer moved that time on. An idle runner's list is asked for 400 ms before it is answered and reported up to 500 ms later, so it was always older than the last stop. The run kept its task and its capacity; with all capacity withdrawn the runner stayed idle, and so it went on for ever. Sixty runs on a runner also meant sixty useless stops every 400 ms, which a small leader has no time for.

Change: the time of the first stop stays. A later one replaces it only if the clock of the VM has started anew (StopCountsAlthoughTheClockOfItsVmHasStartedAnew).

Why it works: a runner refuses a run that it has stopped once, so any list that was asked for after the first stop tells.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -375,7 +375,7 @@
                                      Run& run,
                                      int64_t listed_at_ms,
                                      Instant now) {
-  if (run.is_withdrawn && run.is_stop_accepted &&
+  if (run.is_withdrawn && run.accepted_stops > 0 &&
       listed_at_ms >= run.stop_accepted_at_ms) {
     const std::string checkpoint = run.checkpoint;
     EmitStopped(runner, task, run, now);
@@ -455,7 +455,7 @@
   run.settles_at.reset();
   run.has_survived_start = false;
   run.is_withdrawn = false;
-  run.is_stop_accepted = false;
+  run.accepted_stops = 0;
   Run& inherited = successor.runs[task];
   inherited = std::move(run);
   Withdraw(successor, task, inherited,
@@ -505,9 +505,14 @@
       run->last_verdict = result.verdict;
     }
     if (run != nullptr && run->number == stop->run && has_arrived) {
+      // The first stop counts: there is never a list that is newer than the
+      // last of those that are repeated meanwhile. A later one has an earlier
+      // time if the clock of the VM has started anew.
+      run->stop_accepted_at_ms =
+          run->accepted_stops == 0
+              ? result.known_at_ms
+              : std::min(run->stop_accepted_at_ms, result.known_at_ms);
       ++run->accepted_stops;
-      run->is_stop_accepted = true;
-      run->stop_accepted_at_ms = result.known_at_ms;
     }
     const OrphanRun* released = FindOrNull(runner->released, stop->task);
     if (released != nullptr && released->number == stop->run && has_arrived) {
--- a/src/libs/jobs/run.h
+++ b/src/libs/jobs/run.h
@@ -25,7 +25,7 @@
   int64_t accepted_at_ms = 0;  // On the agent's clock.
   // Time on the agent's clock by which the run had started; 0: unknown.
   int64_t started_by_ms = 0;
-  int64_t stop_accepted_at_ms = 0;  // On the agent's clock.
+  int64_t stop_accepted_at_ms = 0;  // The first, on the agent's clock.
   Instant progressed_at;            // When `percent` was last seen to change.
   int64_t gauge = 0;                // See ActiveRun.
   std::string checkpoint;
@@ -63,7 +63,6 @@
   bool is_accepted = false;
   bool is_withdrawn = false;  // Has to be stopped, or kept from starting.
   Instant withdrawn_at;
-  bool is_stop_accepted = false;
   // Stops that the runner has executed; the first suffices.
   uint32_t accepted_stops = 0;
   std::optional<OrderVerdict> last_verdict;  // On the last order for it.
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -461,6 +461,21 @@
   EXPECT_EQ(last_started, 2U);
 }
 
+// Guards against a task that waits until the clock of a VM that has lost power
+// reaches the time of a stop from before.
+TEST_F(JobSchedulerTest, StopCountsAlthoughTheClockOfItsVmHasStartedAnew) {
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  Report(kFirst, 0);
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  scheduler_.Cancel(JobId("a"), At(100));
+  for (const int64_t known_at_ms : {90'000, 300}) {
+    scheduler_.OnOrderResult(kFirst, StopOrder{Task(0), 1},
+                             {OrderVerdict::kDone, known_at_ms}, At(300));
+  }
+  Report(kFirst, 500);
+  EXPECT_TRUE(scheduler_.fleet().Find(kFirst)->runs.empty());
+}
+
 // Guards against a pace that was planned on old gauges.
 TEST_F(JobSchedulerTest, SendsNoStartAndNoPaceOnAnOldReport) {
   Report(kFirst, 0);
