Cluster: Lets a front that is no standby take over without a second wait

Cause: a front that is no standby reads the stored jobs once it has seen no leader for 4 s. Each record that it read counted as a sign of a leader, also those that had been stored before. So it was no longer due to follow, asked the lost leader once a second again, and campaigned only when another 4 s had passed: longer than leases last, so that all runs lapsed. The same made a restarted front wait 1.3 s instead of 0.7 s for a record of a leader.

Evidence: two tests that failed before. RecordsFromBeforeTheStartAreNoSignOfALeader: 1450 ms, expected below 1300. NonStandbyThatHasReadTheStateCampaigns: 3550 ms after it had read, expected below 1300.

Change: what is read first counts as history; only later records are a sign of a leader. A front that takes over goes on until it sees one, and does so after 3 s: it takes a second to find out, one to read and campaign, and leases last 6 s.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -146,8 +146,13 @@
     return;
   }
   if (!is_following()) {
-    CheckLeaderRemotely();
-    return;
+    if (context_.clock.Now() - leader_seen_at_ <
+        settings_.standby_takeover_timeout) {
+      CheckLeaderRemotely();
+      return;
+    }
+    is_taking_over_ = true;
+    initial_state_read_at_.reset();
   }
   const Instant started_at = context_.clock.Now();
   // Reads the jobs that were accepted in the meantime, in parallel.
@@ -158,20 +163,23 @@
       return;
     }
     store_answered_at_ = std::max(store_answered_at_, started_at);
-    leader_seen_at_ = std::max(leader_seen_at_, replica_.leader_seen_at());
-    if (!std::exchange(has_read_initial_state_, true)) {
-      // Records from before the start do not prove that the leader is still
-      // running.
-      leader_seen_at_ = context_.clock.Now() - settings_.leader_timeout +
-                        settings_.startup_leader_timeout;
+    // Records from before do not prove that the leader is still running.
+    if (!initial_state_read_at_) {
+      initial_state_read_at_ = context_.clock.Now();
+      leader_seen_at_ = *initial_state_read_at_ - settings_.leader_timeout;
+      if (!is_taking_over_) {
+        leader_seen_at_ += settings_.startup_leader_timeout;
+      }
+    } else if (replica_.leader_seen_at() > *initial_state_read_at_) {
+      leader_seen_at_ = std::max(leader_seen_at_, replica_.leader_seen_at());
+      is_taking_over_ = false;
     }
     CampaignIfDue();
   });
 }
 
 bool JobFrontend::is_following() const {
-  return frontends_.IsOwnStandby() || context_.clock.Now() - leader_seen_at_ >
-                                          settings_.standby_takeover_timeout;
+  return frontends_.IsOwnStandby() || is_taking_over_;
 }
 
 const std::string& JobFrontend::leader_address() const {
@@ -250,6 +258,7 @@
     if (is_leader) {
       leader_seen_at_ = context_.clock.Now() - settings_.leader_timeout +
                         settings_.leader_check_period;
+      is_taking_over_ = false;
     } else if (term == replica_.leader().term && !leader_ && !is_stopping_) {
       StartCampaign();
       return;
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -58,8 +58,9 @@
   milliseconds announcement_period{10000};
   milliseconds frontend_timeout{35000};
   // A frontend that is not a standby replicates and campaigns like one if no
-  // leader has been seen for this long.
-  milliseconds standby_takeover_timeout{4000};
+  // leader has been seen for this long: twice the time in which a standby
+  // leads, and half of that for which leases last without a leader.
+  milliseconds standby_takeover_timeout{3000};
 
   friend bool operator==(const JobFrontendSettings&,
                          const JobFrontendSettings&) = default;
@@ -183,8 +184,11 @@
   std::optional<Instant> leaderless_since_;
   // The list of other frontends has been read.
   bool has_read_frontends_ = false;
-  // What was stored before the start has been read.
-  bool has_read_initial_state_ = false;
+  // When all that had been stored before was read; unset until then.
+  std::optional<Instant> initial_state_read_at_;
+  // This process is no standby, but replicates and campaigns like one until it
+  // sees a leader.
+  bool is_taking_over_ = false;
   FrontendList frontends_;
   keyed_log::TopicFollower frontend_records_;
   jobs::LeaderRecord published_leader_;  // As published in the leader topic.
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -30,6 +30,14 @@
     return settings;
   }
 
+  // With timers that need little time; the clock is moved by the tests.
+  static JobFrontendSettings PromptSettings() {
+    JobFrontendSettings settings = Settings();
+    settings.leader_check_period = milliseconds(5);
+    settings.frontend_poll_period = milliseconds(5);
+    return settings;
+  }
+
   void Submit() {
     result_.reset();
     frontend_.Submit(kId, job_, clock_.Now() + kSubmitTimeout,
@@ -163,6 +171,65 @@
   frontend_.Stop();
 }
 
+// Guards against a restarted cluster that takes what it reads of its last
+// leader for a sign that this one is alive.
+TEST_F(JobFrontendTest, RecordsFromBeforeTheStartAreNoSignOfALeader) {
+  const jobs::LeaderRecord last{3, "node-9", FreeAddress()};
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(last)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  JobFrontend frontend(PromptSettings(), context());
+  frontend.Start();
+  log_.Settle();
+  const size_t before = log_.append_count();
+  const Instant started_at = clock_.Now();
+  while (log_.append_count() == before) {
+    clock_.Advance(milliseconds(50));
+    ASSERT_GT(loop_.run_one(), 0U);
+    log_.Settle();
+  }
+  EXPECT_LT(clock_.Now() - started_at, Settings().leader_timeout);
+  frontend.Stop();
+}
+
+// Guards against a cluster that has no leader for eight seconds, longer than
+// leases last, when all standbys are lost at once.
+TEST_F(JobFrontendTest, NonStandbyThatHasReadTheStateCampaigns) {
+  const std::string address = FreeAddress();
+  const auto store = [this](const std::string& topic, const std::string& key,
+                            const std::string& value) {
+    log_.Write({topic, {{key, value}}, std::nullopt, std::nullopt}, {},
+               [](const keyed_log::AppendResult&) {});
+  };
+  for (size_t i = 0; i < JobFrontendSettings().standbys; ++i) {
+    const std::string node = "strong-" + std::to_string(i);
+    store(kLeaderTopic, std::string(kFrontendPrefix) + node,
+          Encode(FrontendRecord{node, address, 1, 64000}));
+  }
+  const jobs::LeaderRecord last{1, "strong-0", address};
+  store(kLeaderTopic, kLeaderKey, jobs::Encode(last));
+  store(kProgressTopic, kLeaderKey, jobs::Encode(last));
+  JobFrontend frontend(PromptSettings(), context());
+  frontend.Start();
+  log_.Settle();
+  const auto run_until = [&](const std::function<bool()>& condition) {
+    while (!condition()) {
+      clock_.Advance(milliseconds(50));
+      ASSERT_GT(loop_.run_one(), 0U);
+      log_.Settle();
+    }
+  };
+  clock_.Advance(Settings().standby_takeover_timeout);
+  run_until([&] { return log_.read_count(kProgressTopic) > 0; });
+  const Instant read_at = clock_.Now();
+  const size_t before = log_.append_count();
+  run_until([&] { return log_.append_count() > before; });
+  EXPECT_LT(clock_.Now() - read_at, Settings().leader_timeout);
+  frontend.Stop();
+}
+
 // Guards against every frontend of a large deployment reading everything that
 // is stored.
 TEST_F(JobFrontendTest, NonStandbyRelaysToTheLeader) {
