Cluster: Has a leader on a small VM hand over to a larger one

Larger leaders never hand over to smaller ones, so leadership does not go back and forth. A large front that is listed but gone doesn't answer, and nothing changes.

Tests: JobFrontendTest.LeaderOnASmallVmHandsOverToALargerOne and FrontendListTest.OnlySmallVmsHandOverToLargerOnes (there was no such call before).

--- a/src/libs/cluster/frontend_list.cpp
+++ b/src/libs/cluster/frontend_list.cpp
@@ -13,9 +13,12 @@
 namespace papayadrift::cluster {
 namespace {
 
-// A VM is too small to lead if it has less than the cores of the largest one
-// divided by this.
-constexpr uint32_t kMinCapacityDivisor = 2;
+// Whether a VM has too few cores to lead, if the largest one has
+// `max_millicores`.
+bool IsTooSmall(const FrontendRecord& record, uint32_t max_millicores) {
+  constexpr uint32_t kMinCapacityDivisor = 2;
+  return record.millicores * kMinCapacityDivisor < max_millicores;
+}
 
 // The hash spreads ranks over availability zones, since names of VMs in one
 // zone are alike.
@@ -85,9 +88,21 @@
       std::min(standbys.size(), IsOwnStandby() ? standbys_ - 1 : standbys_));
   const uint32_t max_millicores = standbys.front().millicores;
   std::erase_if(standbys, [max_millicores](const FrontendRecord& it) {
-    return it.millicores * kMinCapacityDivisor < max_millicores;
+    return IsTooSmall(it, max_millicores);
   });
   return std::ranges::max(standbys, {}, &FrontendRecord::started_ms);
 }
 
+std::vector<FrontendRecord> FrontendList::LargerLeaders() const {
+  std::vector<FrontendRecord> larger = Ranked();
+  if (larger.empty() || !IsTooSmall(own_, larger.front().millicores)) {
+    return {};
+  }
+  const uint32_t max_millicores = larger.front().millicores;
+  std::erase_if(larger, [max_millicores](const FrontendRecord& it) {
+    return IsTooSmall(it, max_millicores);
+  });
+  return larger;
+}
+
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/frontend_list.h
+++ b/src/libs/cluster/frontend_list.h
@@ -51,6 +51,10 @@
   // is the last to be stopped again.
   std::optional<FrontendRecord> ChooseSuccessor() const;
 
+  // The frontends that should lead rather than this one, since its VM is too
+  // small beside theirs.
+  std::vector<FrontendRecord> LargerLeaders() const;
+
  private:
   struct Peer {
     FrontendRecord record;
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -141,6 +141,7 @@
   if (leader_) {
     if (is_leading()) {
       store_answered_at_ = context_.clock.Now();
+      HandOverIfTooSmall();
     }
     ScheduleLeaderCheck(settings_.leader_check_period);
     return;
@@ -267,7 +268,32 @@
   });
 }
 
+void JobFrontend::HandOverIfTooSmall() {
+  const std::vector<FrontendRecord> larger = frontends_.LargerLeaders();
+  if (larger.empty() || context_.clock.Now() < handover_due_at_) {
+    return;
+  }
+  handover_due_at_ = context_.clock.Now() + settings_.handover_period;
+  const FrontendRecord& candidate =
+      larger[handover_attempts_++ % larger.size()];
+  http::Request request;
+  request.method = "GET";
+  request.path = kStandbyPath;
+  context_.client.Send(candidate.address, request,
+                       context_.clock.Now() + settings_.leader_query_timeout,
+                       [this, candidate](const http::ClientResult& result) {
+                         const auto* response =
+                             std::get_if<http::Response>(&result);
+                         if (response != nullptr && response->status == 200 &&
+                             is_leading() && !is_stopping_) {
+                           is_taking_over_ = false;
+                           leader_->Stop(candidate);
+                         }
+                       });
+}
+
 void JobFrontend::StartCampaign() {
+  handover_due_at_ = context_.clock.Now() + settings_.handover_period;
   leader_ = std::make_shared<Leader>(
       settings_.leader, context_, *metrics_, directory_, replica_, [this] {
         leader_seen_at_ = context_.clock.Now();
@@ -282,6 +308,15 @@
   respond({is_leading() ? 200 : 409, {}, {}});
 }
 
+void JobFrontend::HandleStandbyQuery(const async_http::Respond& respond) const {
+  const bool is_up_to_date =
+      replica_.caught_up_at() + settings_.leader_timeout >=
+      context_.clock.Now();
+  const bool may_lead =
+      !is_stopping_ && !leader_ && initial_state_read_at_ && is_up_to_date;
+  respond({may_lead ? 200 : 409, {}, {}});
+}
+
 void JobFrontend::HandleSuccession(const async_http::Respond& respond) {
   respond({is_stopping_ ? 409 : 200, {}, {}});
   CheckLeader();
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -635,7 +635,7 @@
                            // store a little later.
                          });
   }
-  End("The process is stopping.");
+  End("It has resigned.");
 }
 
 void Leader::RejectPendingReports() {
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -43,6 +43,8 @@
 // POST to an agent: a leader announces its term. GET from a frontend: whether
 // it leads.
 inline constexpr char kLeaderPath[] = "/internal/v1/leader";
+// GET from a frontend: whether it could lead at once.
+inline constexpr char kStandbyPath[] = "/internal/v1/standby";
 // POST to a frontend: it should campaign for leadership.
 inline constexpr char kSuccessionPath[] = "/internal/v1/succession";
 
--- a/tests/auto/cluster/frontend_list_test.cpp
+++ b/tests/auto/cluster/frontend_list_test.cpp
@@ -48,6 +48,19 @@
   EXPECT_EQ(frontends.ChooseSuccessor()->node, "node-2");
 }
 
+TEST(FrontendListTest, OnlySmallVmsHandOverToLargerOnes) {
+  FrontendList small = ListOf(69);
+  FrontendList large = ListOf(500);
+  EXPECT_TRUE(small.LargerLeaders().empty());
+  for (FrontendList* frontends : {&small, &large}) {
+    frontends->Put({"node-2", "a:2", 100, 69}, At(0));
+    frontends->Put({"node-3", "a:3", 100, 500}, At(0));
+  }
+  ASSERT_EQ(small.LargerLeaders().size(), 1U);
+  EXPECT_EQ(small.LargerLeaders()[0].node, "node-3");
+  EXPECT_TRUE(large.LargerLeaders().empty());
+}
+
 TEST(FrontendListTest, NoSuccessorWithoutPeers) {
   FrontendList frontends = ListOf();
   frontends.Put({"node-1", "a:1", 900, 500}, At(0));
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -230,6 +230,51 @@
   frontend.Stop();
 }
 
+// Guards against a frontend with a fourteenth of a core that goes on leading
+// after those with half a core are back.
+TEST_F(JobFrontendTest, LeaderOnASmallVmHandsOverToALargerOne) {
+  const std::string address = FreeAddress();
+  bool is_standby = false;
+  int query_count = 0;
+  bool is_named = false;
+  async_http::Server larger(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        query_count += request.path == kStandbyPath ? 1 : 0;
+        is_named |= request.path == kSuccessionPath;
+        respond({is_standby ? 200 : 409, {}, {}});
+      });
+  ASSERT_TRUE(larger.Open());
+  log_.Write({kLeaderTopic,
+              {{std::string(kFrontendPrefix) + "larger",
+                Encode(FrontendRecord{"larger", address, 1, 64000})}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  JobFrontend frontend(PromptSettings(), context());
+  frontend.Start();
+  log_.Settle();
+  const auto run_until = [&](const std::function<bool()>& condition) {
+    while (!condition()) {
+      clock_.Advance(milliseconds(20));
+      ASSERT_GT(loop_.run_one(), 0U);
+      log_.Settle();
+    }
+  };
+  const auto leader_status = [&] {
+    int status = 0;
+    frontend.HandleLeaderQuery(
+        [&](const http::Response& it) { status = it.status; });
+    return status;
+  };
+  run_until([&] { return query_count == 2; });
+  EXPECT_EQ(leader_status(), 200);
+  is_standby = true;
+  run_until([&] { return is_named; });
+  EXPECT_EQ(leader_status(), 409);
+  frontend.Stop();
+}
+
 // Guards against every frontend of a large deployment reading everything that
 // is stored.
 TEST_F(JobFrontendTest, NonStandbyRelaysToTheLeader) {
