Jobs: Places no work on a runner that is not known to have a lease

Callers saw tasks that waited although other runners had room: the leader placed them on runners whose agents got no answer to their reports, and so had no lease.

A report that is taken in is no proof that its answer arrives. So a runner accepts runs only once this leader has granted it a lease, which it does with the answer to the first report, after the ends in it are stored. And a start that is refused for want of a lease counts as any other refusal: nothing was started, the task goes elsewhere at once if this was its only send, and the runner gets no new work for 500 ms.

JobSchedulerTest.RunnerWithoutALeaseGetsNoStart and StartRefusedForWantOfALeaseIsPlaced Elsewhere fail without their mechanism. Fixtures that place work now grant a lease, as a leader does; RepeatedStopsReleaseARunThatNeverStarted has its starts unanswered instead of refused, since refused ones no longer need a stop, and still fails with the last stop in place of the first.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -479,10 +479,15 @@
 
 void JobScheduler::OnLeaseGranted(const RunnerIncarnation& incarnation,
                                   Instant until) {
-  if (Runner* runner = fleet_.Find(incarnation)) {
-    runner->lease_expires_at =
-        std::max(runner->lease_expires_at, LeaseExpiry(until));
+  Runner* runner = fleet_.Find(incarnation);
+  if (runner == nullptr) {
+    return;
+  }
+  if (runner->lease_expires_at <= runner->reported_at) {
+    fleet_.MarkChanged(*runner);
   }
+  runner->lease_expires_at =
+      std::max(runner->lease_expires_at, LeaseExpiry(until));
 }
 
 void JobScheduler::OnOrderResult(const RunnerIncarnation& incarnation,
@@ -549,13 +554,17 @@
       }
       return;
     case OrderVerdict::kUnanswered:
-    case OrderVerdict::kLeaseExpired:
     case OrderVerdict::kSuperseded:
       return;  // Resent when it is due.
     case OrderVerdict::kStaleRun:
       Withdraw(*runner, start->task, *run,
                "The runner has already seen this run or a later one.", now);
       return;
+    case OrderVerdict::kLeaseExpired:
+      if (run->sends > 1) {
+        return;  // An earlier send may have started it.
+      }
+      [[fallthrough]];
     case OrderVerdict::kNoRoom:
     case OrderVerdict::kBadTicket:
     case OrderVerdict::kUnhealthy:
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -138,7 +138,8 @@
   return runner.has_report && runner.report.service == service &&
          runner.report.state == RunnerState::kReady &&
          now - runner.reported_at <= kMaxReportAge &&
-         now >= runner.suspended_until && runner.released.empty();
+         runner.lease_expires_at > now && now >= runner.suspended_until &&
+         runner.released.empty();
 }
 
 const Runner* ChooseRunner(const Fleet& fleet,
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -445,6 +445,8 @@
       report.sent_at_ms = now_ms;
       report.listed_at_ms = std::max<int64_t>(1, now_ms - kListAgeMs);
       scheduler_.OnReport(report, At(now_ms));
+      scheduler_.OnLeaseGranted(kFirst,
+                                At(now_ms) + JobSchedulerSettings().lease);
     }
     for (const auto& [incarnation, order] : Orders(now_ms)) {
       const auto* start = std::get_if<StartOrder>(&order);
@@ -453,7 +455,7 @@
       }
       scheduler_.OnOrderResult(
           incarnation, order,
-          {start != nullptr ? OrderVerdict::kLeaseExpired : OrderVerdict::kDone,
+          {start != nullptr ? OrderVerdict::kUnanswered : OrderVerdict::kDone,
            now_ms},
           At(now_ms));
     }
@@ -476,6 +478,48 @@
   EXPECT_TRUE(scheduler_.fleet().Find(kFirst)->runs.empty());
 }
 
+// Guards against work that waits at a runner whose agent gets no answers to its
+// reports, while others have room.
+TEST_F(JobSchedulerTest, RunnerWithoutALeaseGetsNoStart) {
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  scheduler_.OnReport(ReportOf(kFirst), At(0));
+  EXPECT_EQ(CountStarts(Orders(0)), 0U);
+  scheduler_.OnLeaseGranted(kFirst, At(JobSchedulerSettings().lease.count()));
+  EXPECT_EQ(CountStarts(Orders(10)), 1U);
+}
+
+// The answer with the lease may be lost.
+TEST_F(JobSchedulerTest, StartRefusedForWantOfALeaseIsPlacedElsewhere) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  const auto refused = Orders(0);
+  ASSERT_EQ(CountStarts(refused), 1U);
+  Report(kSecond, 10);
+  scheduler_.OnOrderResult(kFirst, refused[0].second,
+                           {OrderVerdict::kLeaseExpired, 10}, At(10));
+  const auto placed = Orders(20);
+  ASSERT_EQ(CountStarts(placed), 1U);
+  EXPECT_EQ(placed[0].first, kSecond);
+}
+
+// Guards against a new leader that stops runs of the last one because their
+// agents have restarted with it.
+TEST_F(JobSchedulerTest, RunOfTheLastLeaderOutlivesARefusalForWantOfALease) {
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  scheduler_.Restore(JobId("a"),
+                     {JobOutcome::kOpen,
+                      {{Task(0), {TaskPhase::kClaimed, 3, 0, kFirst, ""}}}});
+  scheduler_.OnReport(ReportOf(kFirst), At(0));
+  for (const auto& [incarnation, order] : Orders(0)) {
+    scheduler_.OnOrderResult(incarnation, order,
+                             {OrderVerdict::kLeaseExpired, 5}, At(5));
+  }
+  Report(kFirst, 100, {{Task(0), 3, "", 10, 0}});
+  const jobs::Run& run = scheduler_.fleet().Find(kFirst)->runs.at(Task(0));
+  EXPECT_TRUE(run.is_accepted);
+  EXPECT_FALSE(run.is_withdrawn);
+}
+
 // Guards against a pace that was planned on old gauges.
 TEST_F(JobSchedulerTest, SendsNoStartAndNoPaceOnAnOldReport) {
   Report(kFirst, 0);
--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -48,6 +48,7 @@
     report.capacity = {kRunnerMillicores, kRunnerMillicores, 0};
     report.sent_at_ms = 1;
     scheduler_.OnReport(report, now_);
+    scheduler_.OnLeaseGranted(report.incarnation, now_ + seconds(6));
   }
 
   void Submit(const std::string& id, uint32_t tasks) {
--- a/tests/auto/jobs/runner_choice_test.cpp
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -17,6 +17,7 @@
       runner.report.service = "s";
       runner.report.capacity = {10000, 10000, 0};
       runner.has_report = true;
+      runner.lease_expires_at = Instant() + seconds(6);
     }
     step_.need = {2000, 100, 0};
   }
@@ -115,6 +116,7 @@
   third.report.service = "s";
   third.report.capacity = {10000, 10000, 0};
   third.has_report = true;
+  third.lease_expires_at = Instant() + seconds(6);
   EXPECT_EQ(Choose(), &third);
 }
 
