Jobs: Says of an overdue stop whether the runner still lists the run

An overdue stop whose run is still listed said that the list was "-300 ms older". Runs that a later process of the runner inherits kept the answers to orders for the earlier one.

--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -45,7 +45,7 @@
   // elsewhere.
   uint32_t max_sends = 4;
   // A withdrawn run that is not known to be gone after this time is reported:
-  // a stop and the list after it take well under a second.
+  // a stop, and the list and the report after it, take 1.3 s at most.
   milliseconds stop_overdue_limit{2000};
   // How long a runner gets no new runs after it refused a start although it
   // seemed to have capacity.
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -456,6 +456,8 @@
   run.has_survived_start = false;
   run.is_withdrawn = false;
   run.accepted_stops = 0;
+  run.last_verdict.reset();
+  run.is_stop_overdue = false;
   Run& inherited = successor.runs[task];
   inherited = std::move(run);
   Withdraw(successor, task, inherited,
@@ -510,9 +512,9 @@
       run->last_verdict = result.verdict;
     }
     if (run != nullptr && run->number == stop->run && has_arrived) {
-      // The first stop counts: there is never a list that is newer than the
-      // last of those that are repeated meanwhile. A later one has an earlier
-      // time if the clock of the VM has started anew.
+      // The first stop counts: stops are repeated until a list is newer, and
+      // lists are hardly ever newer than the last stop. A later one has an
+      // earlier time if the clock of the VM has started anew.
       run->stop_accepted_at_ms =
           run->accepted_stops == 0
               ? result.known_at_ms
--- a/src/libs/jobs/run_description.cpp
+++ b/src/libs/jobs/run_description.cpp
@@ -51,10 +51,13 @@
     return withdrawn + "no stop was executed, the last answer: " +
            std::string(DescribeAnswer(run)) + ".";
   }
-  return withdrawn + std::to_string(run.accepted_stops) +
-         " stops were executed, and the runner's list is " +
-         std::to_string(run.stop_accepted_at_ms - listed_at_ms) +
-         " ms older than the one that counts.";
+  const std::string executed =
+      withdrawn + std::to_string(run.accepted_stops) + " stops were executed, ";
+  const int64_t age_ms = run.stop_accepted_at_ms - listed_at_ms;
+  return age_ms > 0
+             ? executed + "and the runner's list is " + std::to_string(age_ms) +
+                   " ms older than the first."
+             : executed + "and the runner still lists it, or not all ends.";
 }
 
 }  // namespace papayadrift::jobs
