Cluster: Holds cancellations in whatever order they are read

Cause: the leader then reads the newest record of each key in the order of the keys, and cancellations ("c/...") come before jobs ("j/..."). JobReplica passed the cancellation on at once, JobScheduler::Cancel ignores a job that it doesn't know, and AddJob took the job as an open one. The replica knew the cancellation, but nobody asked it until the next change of leaders.

Change: the listener is told of a cancellation once both it and its job are known, whichever comes last.

Why it works: what the listener has been told depends only on the set of records, and it always learns of the job first. Directory was right in either order; DirectoryTest.CancellationMayComeBeforeTheJob (passed before) keeps it so.

--- a/src/libs/cluster/job_replica.cpp
+++ b/src/libs/cluster/job_replica.cpp
@@ -41,7 +41,6 @@
     if (record.value.empty()) {
       directory_.Forget(*id);
       content_.jobs.erase(*id);
-      content_.cancelled.erase(*id);
       return;
     }
     auto job = jobs::Decode<jobs::Job>(record.value);
@@ -54,13 +53,22 @@
       listener_.on_job(*id, *job);
     }
     content_.jobs.insert_or_assign(*id, std::move(*job));
-  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key);
-             cancelled && !record.value.empty()) {
+    NotifyIfCancelled(*id);
+  } else if (const auto cancelled = JobOfKey(kCancelPrefix, record.key)) {
+    if (record.value.empty()) {
+      content_.cancelled.erase(*cancelled);
+      return;
+    }
     directory_.OnCancelled(*cancelled);
     content_.cancelled.insert(*cancelled);
-    if (listener_.on_cancel) {
-      listener_.on_cancel(*cancelled);
-    }
+    NotifyIfCancelled(*cancelled);
+  }
+}
+
+void JobReplica::NotifyIfCancelled(const JobId& id) {
+  if (listener_.on_cancel && content_.cancelled.contains(id) &&
+      content_.jobs.contains(id)) {
+    listener_.on_cancel(id);
   }
 }
 
--- a/src/libs/cluster/job_replica.h
+++ b/src/libs/cluster/job_replica.h
@@ -28,7 +28,8 @@
     jobs::LearnedModel learned;
     jobs::AgentList agents;
   };
-  // Notified of records of jobs that are read from then on.
+  // Notified of records of jobs that are read from then on, and of each
+  // cancellation after its job, in whatever order they are read.
   struct Listener {
     std::function<void(const JobId&, const jobs::Job&)> on_job;
     std::function<void(const JobId&)> on_cancel;
@@ -58,6 +59,9 @@
 
  private:
   void OnJobRecord(const keyed_log::Record& record);
+  // The newest of each key is read in the order of the keys, so cancellations
+  // may come before their jobs.
+  void NotifyIfCancelled(const JobId& id);
   void OnProgressRecord(const keyed_log::Record& record);
   void OnOutcomeRecord(const JobId& id, const keyed_log::Record& record);
   void OnTaskRecord(const jobs::TaskKey& task, const keyed_log::Record& record);
--- a/tests/auto/cluster/job_replica_test.cpp
+++ b/tests/auto/cluster/job_replica_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 #include "process_fixture.h"
@@ -68,5 +71,22 @@
   EXPECT_TRUE(replica_.content().jobs.contains(JobId("b")));
 }
 
+// Guards against a cancelled job that runs: a reload reads cancellations before
+// jobs, and the listener was told of a cancellation of an unknown job.
+TEST_F(JobReplicaTest, ListenerLearnsOfACancellationAfterItsJob) {
+  std::vector<std::string> told;
+  replica_.SetListener(
+      {[&](const JobId& id, const jobs::Job&) {
+         told.push_back("job " + id.text());
+       },
+       [&](const JobId& id) { told.push_back("cancellation " + id.text()); }});
+  CatchUp();
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(jobs::Job())});
+  Store(kJobsTopic, {KeyOf(kCancelPrefix, JobId("a")), "x"});
+  log_.Expire(kJobsTopic, 2);
+  CatchUp();
+  EXPECT_EQ(told, (std::vector<std::string>{"job a", "cancellation a"}));
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -257,6 +257,24 @@
   leader->Stop({});
 }
 
+// Guards against a cancelled job that runs: after the store had dropped its
+// history, the leader read cancellations before jobs.
+TEST_F(LeaderTest, CancellationThatIsReadBeforeItsJobHolds) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  jobs::Job job;
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  Store(kJobsTopic, {KeyOf(kCancelPrefix, JobId("a")), "x"});
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("b")), jobs::Encode(job)});
+  log_.Expire(kJobsTopic, 3);
+  log_.Settle();
+  EXPECT_EQ(leader->scheduler()->open_jobs(), 1U);
+  leader->Stop({});
+}
+
 // Guards against a leader that resigns while an append is in flight: the store
 // received both out of order and refused the resignation.
 TEST_F(LeaderTest, LeaderResignsAfterItsLastAppend) {
--- a/tests/auto/jobs/directory_test.cpp
+++ b/tests/auto/jobs/directory_test.cpp
@@ -37,6 +37,16 @@
   EXPECT_EQ(directory.CountQueued("q"), 0U);
 }
 
+// A reader of the newest of each key meets cancellations before jobs.
+TEST(DirectoryTest, CancellationMayComeBeforeTheJob) {
+  Directory directory;
+  directory.OnCancelled(kId);
+  EXPECT_EQ(directory.StateOf("q", kId), std::nullopt);
+  directory.OnJob(kId, JobOfQueue("q"));
+  EXPECT_EQ(directory.StateOf("q", kId), JobState::kCancelled);
+  EXPECT_EQ(directory.CountQueued("q"), 0U);
+}
+
 TEST(DirectoryTest, CountsJobsThatHaveNotBegun) {
   Directory directory;
   directory.OnJob(kId, JobOfQueue("q"));
