Keyed log: Hands on a reload as a whole

A front may start to lead without claims of the last leader, and start their tasks a second time, if a caller's query makes its replica reload while its candidacy is in flight. Queries that come during a reload are answered from a part of the jobs.

Cause: when the store has dropped its history, TopicFollower cleared the reader's state, then handed on page after page. The store accepts a candidacy that expects the end of what the replica had read before; Leader::StartLeading then takes what the replica has just now, which may be nothing or a part.

Evidence, before: LeaderTest.LeaderBeginsFromAWholeState leads without the runner of two claimed tasks.

Change: TopicFollower collects the pages and what was stored while they were read, up to the end of the topic, and then hands it on in one go, right after the call that clears the reader's state. The offset (next) changes at the same moment. An answer to Wait that comes during a reload counts as one more request to catch up.

Until then the reader has the state that belongs to its offset, so a candidacy that the store accepts at that offset is for that very state. All runs in one call of the event loop; nobody sees a part.

Cost: the records of a reload are taken in at once.

--- a/src/libs/cluster/job_replica.h
+++ b/src/libs/cluster/job_replica.h
@@ -48,6 +48,7 @@
   void WaitForJobs(milliseconds wait, Done done);
   void SetListener(Listener listener) { listener_ = std::move(listener); }
 
+  // A whole state: all that was stored by some time, also during a reload.
   const Content& content() const { return content_; }
   // Offset after the last progress record in `content()`.
   uint64_t progress_end() const { return progress_.next(); }
--- a/src/libs/keyed_log/topic_follower.cpp
+++ b/src/libs/keyed_log/topic_follower.cpp
@@ -1,10 +1,24 @@
 #include "keyed_log/topic_follower.h"
 
+#include <map>
 #include <optional>
+#include <ranges>
 #include <utility>
 #include <variant>
 
 namespace papayadrift::keyed_log {
+namespace {
+
+// The newest of each key as far as it has been read, and the offset behind
+// it. Pages are no snapshot: what changes while they are read follows behind
+// the end that the first one tells, and is whole once that is read too.
+struct Reload {
+  std::map<std::string, Record> newest;
+  std::optional<uint64_t> next;
+  bool has_all_pages = false;
+};
+
+}  // namespace
 
 class TopicFollower::Private : public std::enable_shared_from_this<Private> {
  public:
@@ -32,21 +46,21 @@
       return;
     }
     const Instant begun_at = clock_.Now();
-    log_.Read(settings_.topic, next_, wait,
-              begun_at + wait + settings_.answer_limit,
-              [weak = weak_from_this(), begun_at,
-               done = std::move(done)](const ReadResult& result) {
-                const auto self = weak.lock();
-                if (!self) {
-                  return;
-                }
-                if (std::holds_alternative<TooOld>(result)) {
-                  self->is_loaded_ = false;
-                  self->CatchUp(done);
-                  return;
-                }
-                done(self->Take(result, begun_at));
-              });
+    log_.Read(
+        settings_.topic, next_, wait, begun_at + wait + settings_.answer_limit,
+        [weak = weak_from_this(), begun_at,
+         done = std::move(done)](const ReadResult& result) {
+          const auto self = weak.lock();
+          if (!self) {
+            return;
+          }
+          if (std::holds_alternative<TooOld>(result) || !self->is_loaded_) {
+            self->is_loaded_ = false;
+            self->CatchUp(done);
+            return;
+          }
+          done(self->Take(result, begun_at));
+        });
   }
 
   void Stop() {
@@ -62,20 +76,29 @@
     is_reading_ = true;
     served_ = std::exchange(waiting_, {});
     begun_at_ = clock_.Now();
-    if (is_loaded_) {
+    if (is_loaded_ || (reload_ && reload_->has_all_pages)) {
       ReadOn();
     } else {
-      Reload();
+      BeginReload();
     }
   }
 
-  void Reload() {
+  void BeginReload() {
     is_loaded_ = false;
-    loaded_end_.reset();
+    reload_.emplace();
+    LoadPage({});
+  }
+
+  void EndReload() {
+    const Reload reload = *std::exchange(reload_, std::nullopt);
+    next_ = *reload.next;
+    is_loaded_ = true;
     if (on_reload_) {
       on_reload_();
     }
-    LoadPage({});
+    for (const Record& record : reload.newest | std::views::values) {
+      on_record_(record);
+    }
   }
 
   void End(bool is_caught_up) {
@@ -90,8 +113,8 @@
   }
 
   void ReadOn() {
-    log_.Read(settings_.topic, next_, milliseconds(0),
-              clock_.Now() + settings_.answer_limit,
+    log_.Read(settings_.topic, reload_ ? *reload_->next : next_,
+              milliseconds(0), clock_.Now() + settings_.answer_limit,
               [weak = weak_from_this()](const ReadResult& result) {
                 if (const auto self = weak.lock()) {
                   self->OnRead(result);
@@ -101,7 +124,11 @@
 
   void OnRead(const ReadResult& result) {
     if (std::holds_alternative<TooOld>(result)) {
-      Reload();
+      BeginReload();
+      return;
+    }
+    if (reload_) {
+      OnReadAfterPages(result);
       return;
     }
     if (!Take(result, begun_at_)) {
@@ -115,6 +142,25 @@
     End(true);
   }
 
+  void OnReadAfterPages(const ReadResult& result) {
+    const auto* read = std::get_if<Records>(&result);
+    if (read == nullptr || !on_record_) {
+      End(false);
+      return;
+    }
+    for (const StoredRecord& stored : read->records) {
+      reload_->next = stored.offset + 1;
+      reload_->newest.insert_or_assign(stored.record.key, stored.record);
+    }
+    if (*reload_->next < read->end) {
+      ReadOn();
+      return;
+    }
+    EndReload();
+    caught_up_at_ = std::max(caught_up_at_, begun_at_);
+    End(true);
+  }
+
   // Hands on what is new in `result`; returns false if the read failed.
   bool Take(const ReadResult& result, Instant begun_at) {
     const auto* read = std::get_if<Records>(&result);
@@ -149,20 +195,17 @@
       End(false);
       return;
     }
-    if (!loaded_end_) {
-      // Pages are no snapshot: what changes while they are read stands behind
-      // the end that the first one tells.
-      loaded_end_ = page->end;
+    if (!reload_->next) {
+      reload_->next = page->end;
     }
     for (const StoredRecord& stored : page->records) {
-      on_record_(stored.record);
+      reload_->newest.insert_or_assign(stored.record.key, stored.record);
     }
     if (page->has_more && !page->records.empty()) {
       LoadPage(page->records.back().record.key);
       return;
     }
-    next_ = *loaded_end_;
-    is_loaded_ = true;
+    reload_->has_all_pages = true;
     ReadOn();
   }
 
@@ -175,7 +218,7 @@
   std::vector<Done> served_;
   bool is_reading_ = false;
   bool is_loaded_ = false;
-  std::optional<uint64_t> loaded_end_;
+  std::optional<Reload> reload_;  // That is under way.
   uint64_t next_ = 0;
   Instant begun_at_;
   Instant caught_up_at_;
--- a/src/libs/keyed_log/topic_follower.h
+++ b/src/libs/keyed_log/topic_follower.h
@@ -24,14 +24,15 @@
 
 // Keeps a reader in step with one topic: first the newest of each key, then
 // every record behind it. A gap, when records have expired, is closed from the
-// newest of each key.
+// newest of each key. These are collected and handed on at once, in the order
+// of the keys, so that the reader has a whole state at any time.
 class TopicFollower {
  public:
   using OnRecord = std::function<void(const Record&)>;
   // Whether everything that was stored before the call has been handed on.
   using Done = std::function<void(bool is_caught_up)>;
-  // Runs before the newest of each key is read: what was handed on before may
-  // have been dropped since.
+  // Runs right before the newest of each key is handed on: what was handed on
+  // before may have been dropped since.
   using OnReload = std::function<void()>;
 
   TopicFollower(const FollowerSettings& settings,
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <iterator>
+
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
@@ -275,6 +277,35 @@
   leader->Stop({});
 }
 
+// Guards against a leader that begins without the claims of the last one: a
+// caller's query made the replica reload while the candidacy was in flight.
+TEST_F(LeaderTest, LeaderBeginsFromAWholeState) {
+  const AgentOfEndedRunner agent;
+  jobs::Job job;
+  job.steps.resize(1);
+  for (const char* id : {"a", "b"}) {
+    Store(kJobsTopic, {KeyOf(kJobPrefix, JobId(id)), jobs::Encode(job)});
+    Store(kProgressTopic,
+          {KeyOf({JobId(id), 0, 0, 0}), jobs::Encode(agent.ClaimedTask())});
+  }
+  log_.set_page_size(1);
+  CatchUp();
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  replica_.CatchUpOnProgress([](bool) {});
+  log_.AnswerNext();  // The candidacy.
+  log_.Expire(kProgressTopic, 3);
+  for (int i = 0; i < 20 && !leader->is_leading(); ++i) {
+    log_.AnswerNext();
+  }
+  ASSERT_TRUE(leader->is_leading());
+  const jobs::Runner* runner =
+      leader->scheduler()->fleet().Find(agent.ClaimedTask().incarnation);
+  ASSERT_NE(runner, nullptr);
+  EXPECT_EQ(std::distance(runner->runs.begin(), runner->runs.end()), 2);
+  leader->Stop({});
+}
+
 // Guards against a leader that resigns while an append is in flight: the store
 // received both out of order and refused the resignation.
 TEST_F(LeaderTest, LeaderResignsAfterItsLastAppend) {
--- a/tests/auto/keyed_log/topic_follower_test.cpp
+++ b/tests/auto/keyed_log/topic_follower_test.cpp
@@ -72,6 +72,43 @@
   EXPECT_EQ(seen_["b"], "3");
 }
 
+// Guards against a reader of a state that never was: a part of the keys as they
+// were before a change, and the rest as they were after it.
+TEST_F(TopicFollowerTest, HandsOnPagesWithWhatChangedWhileTheyWereRead) {
+  log_.set_page_size(1);
+  Put("a", "1");
+  Put("b", "1");
+  follower_->CatchUp([](bool) {});
+  log_.AnswerNext();
+  log_.Write({"t", {{"a", "2"}, {"c", "2"}}, std::nullopt, std::nullopt},
+             Instant(), [](const AppendResult&) {});
+  log_.AnswerNext();
+  log_.AnswerNext();
+  EXPECT_TRUE(seen_.empty());
+  log_.Settle();
+  const std::map<std::string, std::string> expected{
+      {"a", "2"}, {"b", "1"}, {"c", "2"}};
+  EXPECT_EQ(seen_, expected);
+  EXPECT_EQ(follower_->next(), 4U);
+}
+
+// An outage after the last page costs no second read of the pages.
+TEST_F(TopicFollowerTest, ContinuesBehindThePagesAfterAnOutage) {
+  Put("a", "1");
+  bool is_caught_up = true;
+  follower_->CatchUp([&](bool done) { is_caught_up = done; });
+  log_.AnswerNext();
+  log_.set_is_down(true);
+  log_.Settle();
+  EXPECT_FALSE(is_caught_up);
+  EXPECT_TRUE(seen_.empty());
+  log_.set_is_down(false);
+  const size_t before = log_.read_count("t");
+  ASSERT_TRUE(CatchUp());
+  EXPECT_EQ(log_.read_count("t"), before + 1);
+  EXPECT_EQ(seen_["a"], "1");
+}
+
 TEST_F(TopicFollowerTest, SaysThatAnOutageLeftItBehind) {
   Put("a", "1");
   log_.set_is_down(true);
