Job frontend: Looks an unknown job up before it says so

A caller that cancelled a job which another front had just accepted could be told that there was no such job (410), and the job ran on.

Cause: a front that doesn't lead answered from its copy if that was at most 100 ms old (state_freshness), also if the answer was that the job is unknown. A front that leads already read the store in that case.

Evidence, before: JobFrontendTest.UnknownJobIsLookedUpInTheStore gets kNoSuchJob for a job that is stored, and StateOfAnUnknownJobIsLookedUpInTheStore gets JobUnknown.

Change: freshness counts only for jobs that the copy knows. For others the front reads progress and jobs. If that fails and no other front answers either, the cancellation fails as unavailable, as it did during outages.

Why it works: a read that is asked for while one is under way is a further one, so it begins after the request and has every job accepted before it. States asked for by other fronts take the same path, so their answers hold too.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -343,7 +343,8 @@
     }
     return;
   }
-  if (replica_.caught_up_at() + freshness >= started_at) {
+  // Another frontend may have stored an unknown job after the last read.
+  if (is_job_known && replica_.caught_up_at() + freshness >= started_at) {
     done(true);
     return;
   }
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -49,7 +49,7 @@
   // if the store has no recent record of it.
   milliseconds leader_query_timeout{200};
   // Data that was read at most this long ago may answer a caller without
-  // another read.
+  // another read, unless the answer is that there is no such job.
   milliseconds state_freshness{100};
   milliseconds count_freshness{700};
   // Number of frontends that replicate the stored jobs, including the leader.
@@ -173,7 +173,8 @@
   void OnFrontendRecord(const keyed_log::Record& record);
   void FollowFrontends();
   // Reads the stored jobs and progress up to now, if the replica is older than
-  // `freshness`. A leader reads only if it does not know the job.
+  // `freshness` or does not know the job. A leader reads only in the latter
+  // case.
   void Refresh(milliseconds freshness,
                bool is_job_known,
                std::function<void(bool)> done);
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -314,5 +314,63 @@
   frontend_.Stop();
 }
 
+// Guards against a job that runs on although its caller was told that it did
+// not exist: another frontend had stored it after the copy was read.
+TEST_F(JobFrontendTest, UnknownJobIsLookedUpInTheStore) {
+  const auto store = [this](const std::string& topic,
+                            const keyed_log::Record& record) {
+    log_.Write({topic, {record}, std::nullopt, std::nullopt}, {},
+               [](const keyed_log::AppendResult&) {});
+  };
+  const jobs::LeaderRecord leader{3, "node-9", "127.0.0.1:9"};
+  store(kProgressTopic, {kLeaderKey, jobs::Encode(leader)});
+  frontend_.Start();
+  log_.Settle();
+  store(kJobsTopic, {KeyOf(kJobPrefix, kId), jobs::Encode(job_)});
+  log_.Settle();
+  std::optional<CancelResult> cancelled;
+  const auto cancel = [&](const JobId& id) {
+    cancelled.reset();
+    frontend_.Cancel("q", id, clock_.Now() + kSubmitTimeout,
+                     [&](CancelResult it) { cancelled = it; });
+    log_.Settle();
+  };
+  cancel(kId);
+  EXPECT_EQ(cancelled, CancelResult::kCancelled);
+  cancel(JobId("none"));
+  EXPECT_EQ(cancelled, CancelResult::kNoSuchJob);
+  log_.set_is_down(true);
+  cancel(JobId("none"));
+  while (!cancelled) {
+    // Nothing listens at the leader's address.
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(cancelled, CancelResult::kFailed);
+  frontend_.Stop();
+}
+
+// As above, for a caller that asks for the state of the job.
+TEST_F(JobFrontendTest, StateOfAnUnknownJobIsLookedUpInTheStore) {
+  const jobs::LeaderRecord leader{3, "node-9", "127.0.0.1:9"};
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(leader)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  frontend_.Start();
+  log_.Settle();
+  log_.Write({kJobsTopic,
+              {{KeyOf(kJobPrefix, kId), jobs::Encode(job_)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  std::optional<StateResult> state;
+  frontend_.State("q", kId, [&](const StateResult& it) { state = it; });
+  log_.Settle();
+  ASSERT_TRUE(state);
+  EXPECT_EQ(*state, StateResult(jobs::JobState::kQueued));
+  frontend_.Stop();
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
