--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -38,6 +38,15 @@
     return settings;
   }
 
+  // Moves the clock on with each event.
+  void RunUntil(const std::function<bool()>& condition) {
+    while (!condition()) {
+      clock_.Advance(milliseconds(20));
+      ASSERT_GT(loop_.run_one(), 0U);
+      log_.Settle();
+    }
+  }
+
   void Submit() {
     result_.reset();
     frontend_.Submit(kId, job_, clock_.Now() + kSubmitTimeout,
@@ -185,11 +194,7 @@
   log_.Settle();
   const size_t before = log_.append_count();
   const Instant started_at = clock_.Now();
-  while (log_.append_count() == before) {
-    clock_.Advance(milliseconds(50));
-    ASSERT_GT(loop_.run_one(), 0U);
-    log_.Settle();
-  }
+  RunUntil([&] { return log_.append_count() > before; });
   EXPECT_LT(clock_.Now() - started_at, Settings().leader_timeout);
   frontend.Stop();
 }
@@ -214,18 +219,11 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  const auto run_until = [&](const std::function<bool()>& condition) {
-    while (!condition()) {
-      clock_.Advance(milliseconds(50));
-      ASSERT_GT(loop_.run_one(), 0U);
-      log_.Settle();
-    }
-  };
   clock_.Advance(Settings().standby_takeover_timeout);
-  run_until([&] { return log_.read_count(kProgressTopic) > 0; });
+  RunUntil([&] { return log_.read_count(kProgressTopic) > 0; });
   const Instant read_at = clock_.Now();
   const size_t before = log_.append_count();
-  run_until([&] { return log_.append_count() > before; });
+  RunUntil([&] { return log_.append_count() > before; });
   EXPECT_LT(clock_.Now() - read_at, Settings().leader_timeout);
   frontend.Stop();
 }
@@ -254,23 +252,16 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  const auto run_until = [&](const std::function<bool()>& condition) {
-    while (!condition()) {
-      clock_.Advance(milliseconds(20));
-      ASSERT_GT(loop_.run_one(), 0U);
-      log_.Settle();
-    }
-  };
   const auto leader_status = [&] {
     int status = 0;
     frontend.HandleLeaderQuery(
         [&](const http::Response& it) { status = it.status; });
     return status;
   };
-  run_until([&] { return query_count == 2; });
+  RunUntil([&] { return query_count == 2; });
   EXPECT_EQ(leader_status(), 200);
   is_standby = true;
-  run_until([&] { return is_named; });
+  RunUntil([&] { return is_named; });
   EXPECT_EQ(leader_status(), 409);
   frontend.Stop();
 }
