Cluster: Tells when the leader can't keep up

Callers saw tasks that started seconds after their job's cancellation was acknowledged, and no line told that the leader was late, on what view of the jobs it acted, whether its reads failed, or what it spent its time on.

Decisions are unchanged.

--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -44,9 +44,15 @@
       overdue_leases_(
           registry.AddGauge("papayadrift_runners_without_lease",
                             "Runners that report and have no lease.")),
-      leaderless_(registry.AddGauge(
-          "papayadrift_leaderless_milliseconds",
-          "Time for which this process has seen no leader.")) {}
+      leaderless_(
+          registry.AddGauge("papayadrift_leaderless_milliseconds",
+                            "Time for which this process has seen no leader.")),
+      lag_(registry.AddGauge(
+          "papayadrift_leader_lag_milliseconds",
+          "By how much the leader begins its rounds later than due.")),
+      view_age_(registry.AddGauge(
+          "papayadrift_leader_view_age_milliseconds",
+          "Age of what the leader knows of the stored jobs.")) {}
 
 void ClusterMetrics::OnSubmitted(SubmitResult result, microseconds duration) {
   submit_seconds_.Record(duration);
@@ -85,6 +91,31 @@
   store_seconds_.Record(duration);
 }
 
+void ClusterMetrics::OnWork(WorkKind kind, uint64_t count, microseconds time) {
+  const metrics::Labels labels{{"kind", ToText(kind)}};
+  registry_
+      .AddCounter("papayadrift_leader_work_total",
+                  "What the leader has handled, by kind.", labels)
+      .Add(count);
+  registry_
+      .AddCounter("papayadrift_leader_work_microseconds_total",
+                  "Time that the leader has spent, by kind of work.", labels)
+      .Add(static_cast<uint64_t>(time.count()));
+}
+
+void ClusterMetrics::OnJobsRead(bool is_read) {
+  registry_
+      .AddCounter("papayadrift_leader_jobs_reads_total",
+                  "The leader's reads of the stored jobs, by outcome.",
+                  {{"outcome", is_read ? "read" : "failed"}})
+      .Add();
+}
+
+void ClusterMetrics::UpdateLag(microseconds lag, microseconds view_age) {
+  lag_.Set(std::chrono::floor<milliseconds>(lag).count());
+  view_age_.Set(std::chrono::floor<milliseconds>(view_age).count());
+}
+
 void ClusterMetrics::OnStep(microseconds duration) {
   step_seconds_.Record(duration);
 }
--- a/src/libs/cluster/cluster_metrics.h
+++ b/src/libs/cluster/cluster_metrics.h
@@ -5,6 +5,7 @@
 
 #include "base/instant.h"
 #include "cluster/job_frontend.h"
+#include "cluster/leader_load.h"
 #include "jobs/job_scheduler.h"
 #include "metrics/registry.h"
 
@@ -26,6 +27,12 @@
   void UpdateLeaderless(milliseconds duration);
   void OnAppendStored(microseconds duration);
   void OnStep(microseconds duration);
+  void OnWork(WorkKind kind, uint64_t count, microseconds time);
+  // A read of the stored jobs by the leader.
+  void OnJobsRead(bool is_read);
+  // Sets how late the leader begins its rounds, and the age of what it knows of
+  // the stored jobs.
+  void UpdateLag(microseconds lag, microseconds view_age);
 
  private:
   metrics::Registry& registry_;
@@ -39,6 +46,8 @@
   metrics::Gauge& overdue_stops_;
   metrics::Gauge& overdue_leases_;
   metrics::Gauge& leaderless_;
+  metrics::Gauge& lag_;
+  metrics::Gauge& view_age_;
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/job_replica.h
+++ b/src/libs/cluster/job_replica.h
@@ -54,6 +54,8 @@
   uint64_t progress_end() const { return progress_.next(); }
   // Everything stored by this time is in `content()`.
   Instant caught_up_at() const;
+  // The same for what callers have stored: jobs and their cancellations.
+  Instant jobs_caught_up_at() const { return jobs_.caught_up_at(); }
   const jobs::LeaderRecord& leader() const { return leader_; }
   // When a record written by a leader was last read.
   Instant leader_seen_at() const { return leader_seen_at_; }
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -74,6 +74,7 @@
       replica_(replica),
       on_end_(std::move(on_end)),
       metrics_(metrics),
+      load_(settings.load),
       step_timer_(context.loop) {}
 
 void Leader::After(milliseconds delay, std::function<void()> action) {
@@ -267,6 +268,10 @@
     if (!self || !self->is_leading_) {
       return;
     }
+    self->metrics_.OnJobsRead(is_read);
+    if (!is_read) {
+      self->load_.OnFailedRead();
+    }
     if (is_read) {
       self->FollowJobs();
     } else {
@@ -297,6 +302,7 @@
         const auto self = weak.lock();
         if (!ec && self && !self->has_ended_) {
           self->is_step_due_ = false;
+          self->UpdateLoad(self->context_.clock.Now() - self->step_due_);
           self->Step();
         }
       });
@@ -309,6 +315,7 @@
   const Instant now = context_.clock.Now();
   const jobs::PlacementWork before = scheduler_->fleet().work();
   scheduler_->Advance(now, context_.clock.WallNow().time_since_epoch().count());
+  CountWork(WorkKind::kPlacement, 1, now);
   Flush();
   SendOrders();
   AnswerReports();
@@ -321,6 +328,67 @@
                                                : settings_.max_step_interval);
 }
 
+void Leader::CountWork(WorkKind kind, uint64_t count, Instant started_at) {
+  load_.OnWork(kind, count, context_.clock.Now() - started_at);
+}
+
+void Leader::UpdateLoad(microseconds lag) {
+  if (!is_leading_) {
+    return;
+  }
+  const Instant now = context_.clock.Now();
+  const LeaderLoad::Change change =
+      load_.OnRound(now, lag, replica_.jobs_caught_up_at());
+  const bool is_due = now - load_reported_at_ >= settings_.load_period;
+  if (change == LeaderLoad::Change::kNone && !is_due) {
+    return;
+  }
+  load_reported_at_ = now;
+  const WorkSums work = load_.TakeWork();
+  for (size_t i = 0; i < kWorkKinds; ++i) {
+    metrics_.OnWork(static_cast<WorkKind>(i), work.at(i).count,
+                    work.at(i).time);
+  }
+  metrics_.UpdateLag(load_.smoothed_lag(), load_.view_age());
+  if (change == LeaderLoad::Change::kCaughtUp) {
+    LogLoad(Event::kLeaderCaughtUp, work);
+  } else if (load_.is_behind()) {
+    LogLoad(Event::kLeaderBehind, work);
+  }
+}
+
+void Leader::LogLoad(Event event, const WorkSums& work) {
+  const auto count_of = [&](WorkKind kind) {
+    return static_cast<int64_t>(work.at(static_cast<size_t>(kind)).count);
+  };
+  const auto ms_of = [&](WorkKind kind) {
+    return static_cast<int64_t>(std::chrono::floor<milliseconds>(
+                                    work.at(static_cast<size_t>(kind)).time)
+                                    .count());
+  };
+  const auto to_ms = [](microseconds time) {
+    return static_cast<int64_t>(std::chrono::floor<milliseconds>(time).count());
+  };
+  context_.logger.Log(
+      event,
+      {{"term", static_cast<int64_t>(record_.term)},
+       {"view_age_ms", to_ms(load_.view_age())},
+       {"lag_ms", to_ms(load_.smoothed_lag())},
+       {"failed_reads", static_cast<int64_t>(load_.TakeFailedReads())},
+       {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
+       {"waiting_tasks", static_cast<int64_t>(scheduler_->waiting_tasks())},
+       {"reports", count_of(WorkKind::kReports)},
+       {"reports_ms", ms_of(WorkKind::kReports)},
+       {"rounds", count_of(WorkKind::kPlacement)},
+       {"placement_ms", ms_of(WorkKind::kPlacement)},
+       {"records", count_of(WorkKind::kAppends)},
+       {"appends_ms", ms_of(WorkKind::kAppends)},
+       {"orders", count_of(WorkKind::kOrders)},
+       {"orders_ms", ms_of(WorkKind::kOrders)},
+       {"results", count_of(WorkKind::kResults)},
+       {"results_ms", ms_of(WorkKind::kResults)}});
+}
+
 void Leader::ReportStep(Instant started_at, const jobs::PlacementWork& before) {
   const microseconds duration = context_.clock.Now() - started_at;
   metrics_.OnStep(duration);
@@ -375,6 +443,7 @@
   is_writing_ = true;
   last_append_at_ = now;
   Write(append, version);
+  CountWork(WorkKind::kAppends, append->records.size(), now);
 }
 
 uint64_t Leader::AppendChanges(keyed_log::Append& append) {
@@ -485,7 +554,9 @@
 
 void Leader::SendOrders() {
   const Instant now = context_.clock.Now();
+  uint64_t order_count = 0;
   for (auto& [incarnation, orders] : scheduler_->TakeOrders(now)) {
+    order_count += orders.size();
     const jobs::Runner* runner = scheduler_->fleet().Find(incarnation);
     auto batch = std::make_shared<jobs::OrderBatch>(
         jobs::OrderBatch{record_.term, incarnation, std::move(orders),
@@ -501,6 +572,7 @@
           if (!self || self->has_ended_) {
             return;
           }
+          const Instant answered_at = self->context_.clock.Now();
           std::optional<jobs::OrderAnswer> answer;
           if (const auto* response = std::get_if<http::Response>(&result)) {
             answer = jobs::Decode<jobs::OrderAnswer>(response->body);
@@ -518,10 +590,13 @@
                 batch->incarnation, batch->orders[i],
                 answer && i < answer->results.size() ? answer->results[i]
                                                      : jobs::OrderResult{},
-                self->context_.clock.Now());
+                answered_at);
           }
+          self->CountWork(WorkKind::kResults, batch->orders.size(),
+                          answered_at);
         });
   }
+  CountWork(WorkKind::kOrders, order_count, now);
 }
 
 bool Leader::is_confirmed() const {
@@ -531,6 +606,13 @@
 
 void Leader::HandleReport(const http::Request& request,
                           const async_http::Respond& respond) {
+  const Instant started_at = context_.clock.Now();
+  ProcessReport(request, respond);
+  CountWork(WorkKind::kReports, 1, started_at);
+}
+
+void Leader::ProcessReport(const http::Request& request,
+                           const async_http::Respond& respond) {
   const auto report = jobs::Decode<jobs::RunnerReport>(request.body);
   if (!report) {
     respond({400, {}, {}});
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -13,6 +13,7 @@
 #include "async_http/server.h"
 #include "cluster/frontend_list.h"
 #include "cluster/job_replica.h"
+#include "cluster/leader_load.h"
 #include "cluster/process_context.h"
 #include "jobs/directory.h"
 #include "jobs/job_scheduler.h"
@@ -27,6 +28,10 @@
   std::string node;
   std::string address;  // "ip:port" to which agents send reports.
   jobs::JobSchedulerSettings scheduler;
+  LeaderLoadSettings load;
+  // Period at which the work done is added to the metrics, and logged by a
+  // leader that is behind.
+  milliseconds load_period{1000};
   // Period at which the learned model is stored. It takes a few kilobytes, and
   // a leader that ends loses little of it.
   milliseconds learned_period{2000};
@@ -100,6 +105,8 @@
     async_http::Respond respond;
   };
 
+  void ProcessReport(const http::Request& request,
+                     const async_http::Respond& respond);
   void SendCandidacy(int attempts_left);
   void OnElected();
   void PublishAddress();
@@ -113,6 +120,12 @@
   jobs::AgentList KnownAgents() const;
   void ScheduleStep(milliseconds delay);
   void Step();
+  // Notes how late a round begins, and logs when the leader falls behind or has
+  // caught up.
+  void UpdateLoad(microseconds lag);
+  void LogLoad(logging::Event event, const WorkSums& work);
+  // Adds the time since `started_at` to the work of that kind.
+  void CountWork(WorkKind kind, uint64_t count, Instant started_at);
   // Logs a round of decisions that took long; `before` is the work of placement
   // until its start.
   void ReportStep(Instant started_at, const jobs::PlacementWork& before);
@@ -166,6 +179,8 @@
   bool is_writing_ = false;
   bool is_deleting_jobs_ = false;
   Instant expiry_checked_at_;
+  LeaderLoad load_;
+  Instant load_reported_at_;
   std::vector<JobId> deleted_jobs_;  // Jobs whose progress is still stored.
   Instant last_append_at_;
   Instant learned_appended_at_;
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -22,6 +22,8 @@
   kJobCancelled,
   kJobEnded,
   kJobRefused,
+  kLeaderBehind,
+  kLeaderCaughtUp,
   kLeaderDelayed,
   kLeaderElected,
   kLeaderEnded,
