--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -340,6 +340,35 @@
   frontend_.Stop();
 }
 
+// Guards against a leader that shows too few waiting jobs: it counted those
+// that it had read seconds ago.
+TEST_F(JobFrontendTest, LeaderCountsNoJobsOfAnOldView) {
+  JobFrontend frontend(PromptSettings(), context());
+  frontend.Start();
+  log_.Settle();
+  const auto leader_status = [&] {
+    int status = 0;
+    frontend.HandleLeaderQuery(
+        [&](const http::Response& it) { status = it.status; });
+    return status;
+  };
+  RunUntil([&] { return leader_status() == 200; });
+  log_.Write({kJobsTopic,
+              {{KeyOf(kJobPrefix, kId), jobs::Encode(job_)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  log_.AnswerNext();  // The leader's read of it is not answered yet.
+  clock_.Advance(Settings().count_freshness + milliseconds(1));
+  ASSERT_EQ(leader_status(), 200);
+  std::optional<size_t> count;
+  frontend.CountQueued("q", [&](std::optional<size_t> it) { count = it; });
+  EXPECT_FALSE(count);
+  log_.Settle();
+  EXPECT_EQ(count, 1U);
+  frontend.Stop();
+}
+
 // As above, for a caller that asks for the state of the job.
 TEST_F(JobFrontendTest, StateOfAnUnknownJobIsLookedUpInTheStore) {
   const jobs::LeaderRecord leader{3, "node-9", "127.0.0.1:9"};
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -278,6 +278,60 @@
   leader->Stop({});
 }
 
+// Guards against a cancelled task that starts seconds after its caller was
+// told: a leader that was late in reading the cancellations went on placing
+// tasks.
+TEST_F(LeaderTest, PlacesNothingOnAnOldViewOfTheJobs) {
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  job.steps[0].count = 1;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  jobs::RouteTable routes;
+  routes.version = 1;
+  routes.queues.resize(1);
+  routes.queues[0].name = "q";
+  routes.queues[0].service = "s";
+  const auto leader = MakeLeader("node-1");
+  leader->SetRoutes(routes);
+  const auto step = [&] {
+    ASSERT_GT(loop_.run_one(), 0U);  // The leader's own timer.
+    log_.Settle();
+  };
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  // Meanwhile the store confirms the leader, but answers no read of the jobs.
+  constexpr milliseconds kCancellationLimit(3000);
+  const Instant viewed_at = clock_.Now();
+  while (clock_.Now() - viewed_at < kCancellationLimit) {
+    clock_.Advance(LeaderSettings().heartbeat_period);
+    step();
+  }
+  jobs::RunnerReport report;
+  report.incarnation = {"agent", "instance", 1};
+  report.service = "s";
+  report.sent_at_ms = report.listed_at_ms = 1;
+  http::Request request;
+  request.body = jobs::Encode(report);
+  leader->HandleReport(request, [](const http::Response&) {});
+  step();
+  const auto run_count = [&] {
+    const jobs::Runner* runner =
+        leader->scheduler()->fleet().Find(report.incarnation);
+    return runner == nullptr ? 0 : runner->runs.size();
+  };
+  EXPECT_EQ(run_count(), 0U);
+  for (const char* id : {"b", "c"}) {
+    // Answers the read, and the one after it.
+    Store(kJobsTopic, {KeyOf(kCancelPrefix, JobId(id)), "x"});
+    log_.Settle();
+  }
+  step();
+  EXPECT_EQ(run_count(), 1U);
+  leader->Stop({});
+}
+
 // Guards against a leader that begins without the claims of the last one: a
 // caller's query made the replica reload while the candidacy was in flight.
 TEST_F(LeaderTest, LeaderBeginsFromAWholeState) {
