Jobs: Starts nothing on an old view of the jobs

Cause: a claim and its start depended on the age of the runner's report, and on nothing else. How old the leader's knowledge of cancellations was had no bound, so a leader that was slow in reading them broke the promise for as long as it was slow.

Now the bound is part of the order. A batch tells the agent, on the agent's clock, by when stored jobs and cancellations were known; the agent passes on no start later than cancel_ms less 500 ms after that, and none without such a time or with one in the future. A cancellation that the leader doesn't know of was acknowledged later than that time, so no start can break its bound, whoever leads and however slow it is. A leader whose view is a second from that limit claims nothing, which leaves its time to reading. It polls the jobs for 300 ms at a time, so that an idle one's view is 0.3 to 0.6 s old.

A test whose agent gets a start now tells it a view.

--- a/benchmarks/experiment/simulation.cpp
+++ b/benchmarks/experiment/simulation.cpp
@@ -141,6 +141,7 @@
   // Changes are stored and orders answered within one step.
   void StepScheduler() {
     do {
+      scheduler_.OnJobsViewed(now_);
       scheduler_.Advance(now_, UnixNow());
     } while (scheduler_.has_more_to_place());
     scheduler_.OnStored(scheduler_.TakeChanges().version);
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -31,9 +31,9 @@
 // Timeout of the notification of an agent or a successor that the leader has
 // changed. Those that miss it read it from the store.
 constexpr milliseconds kNotificationTimeout(500);
-// The store delays the answer this long while there are no new jobs. Short
-// enough to detect a dead connection soon.
-constexpr milliseconds kJobsPollWait(1000);
+// The store delays the answer this long while there are no new jobs: the leader
+// knows of cancellations as of one or two of these times ago.
+constexpr milliseconds kJobsPollWait(300);
 // A round of decisions that takes this long is logged: agents wait 250 ms for
 // the answer to an order.
 constexpr milliseconds kLongStep(100);
@@ -314,6 +314,7 @@
   }
   const Instant now = context_.clock.Now();
   const jobs::PlacementWork before = scheduler_->fleet().work();
+  scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
   scheduler_->Advance(now, context_.clock.WallNow().time_since_epoch().count());
   CountWork(WorkKind::kPlacement, 1, now);
   Flush();
@@ -560,7 +561,8 @@
     const jobs::Runner* runner = scheduler_->fleet().Find(incarnation);
     auto batch = std::make_shared<jobs::OrderBatch>(
         jobs::OrderBatch{record_.term, incarnation, std::move(orders),
-                         scheduler_->OrderDeadlineMs(incarnation, now)});
+                         scheduler_->OrderDeadlineMs(incarnation, now),
+                         scheduler_->JobsViewedAtMs(incarnation)});
     http::Request request;
     request.method = "POST";
     request.path = kOrdersPath;
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -52,6 +52,7 @@
   Instant deadline;  // No order is sent to the runner after it.
   size_t next = 0;   // Index of the next order to send.
   size_t in_flight = 0;
+  bool has_refused_view = false;  // Logged once for all of its starts.
 };
 
 RunnerAgent::RunnerAgent(const RunnerAgentSettings& settings,
@@ -516,7 +517,32 @@
   if (is_start && !HasLease()) {
     return jobs::OrderVerdict::kLeaseExpired;
   }
-  return std::nullopt;
+  return is_start ? ViewVerdict(call.batch.jobs_viewed_at_ms) : std::nullopt;
+}
+
+std::optional<jobs::OrderVerdict> RunnerAgent::ViewVerdict(
+    int64_t viewed_at_ms) const {
+  const int64_t now_ms = NowMs();
+  if (viewed_at_ms == 0 || viewed_at_ms > now_ms) {
+    return jobs::OrderVerdict::kBadView;
+  }
+  return now_ms - viewed_at_ms > settings_.view_limit.count()
+             ? std::optional(jobs::OrderVerdict::kOldView)
+             : std::nullopt;
+}
+
+void RunnerAgent::LogRefusedView(const PendingOrderBatch& call,
+                                 jobs::OrderVerdict verdict) const {
+  context_.logger.Log(
+      Event::kOrderRefused,
+      {{"term", static_cast<int64_t>(call.batch.term)},
+       {"orders", static_cast<int64_t>(call.batch.orders.size())},
+       {"viewed_at_ms", call.batch.jobs_viewed_at_ms},
+       {"agent_ms", NowMs()},
+       {"reason", verdict == jobs::OrderVerdict::kOldView
+                      ? std::string("The leader's view of the jobs is too old.")
+                      : std::string("The time of the leader's view of the jobs "
+                                    "is not valid.")}});
 }
 
 void RunnerAgent::SendNextOrders(
@@ -530,6 +556,11 @@
       --call->in_flight;
     };
     if (const auto known = LocalVerdict(*call, orders[i])) {
+      const bool is_of_view = *known == jobs::OrderVerdict::kOldView ||
+                              *known == jobs::OrderVerdict::kBadView;
+      if (is_of_view && !std::exchange(call->has_refused_view, true)) {
+        LogRefusedView(*call, *known);
+      }
       finish(*known);
       continue;
     }
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -33,6 +33,9 @@
   // Time for which orders of one batch are sent to the runner. The leader waits
   // a second for the answer to all of them.
   milliseconds batch_limit{650};
+  // Longest age of what the leader knows of the stored jobs when a run is
+  // started; see jobs::JobSchedulerSettings.
+  milliseconds view_limit{2500};
 
   friend bool operator==(const RunnerAgentSettings&,
                          const RunnerAgentSettings&) = default;
@@ -101,6 +104,11 @@
   std::optional<jobs::OrderVerdict> LocalVerdict(
       const PendingOrderBatch& call,
       const jobs::Order& order) const;
+  // Verdict on starts whose leader knew the jobs as of `viewed_at_ms`; nothing
+  // if they may be carried out.
+  std::optional<jobs::OrderVerdict> ViewVerdict(int64_t viewed_at_ms) const;
+  void LogRefusedView(const PendingOrderBatch& call,
+                      jobs::OrderVerdict verdict) const;
   void SendNextOrders(const std::shared_ptr<PendingOrderBatch>& call);
 
   const RunnerAgentSettings settings_;
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -84,7 +84,7 @@
 }
 static auto Fields(OrderBatch& value) {
   return std::tie(value.term, value.incarnation, value.orders,
-                  value.valid_until_ms);
+                  value.valid_until_ms, value.jobs_viewed_at_ms);
 }
 static auto Fields(OrderResult& value) {
   return std::tie(value.verdict, value.known_at_ms);
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -97,6 +97,7 @@
                            JobSchedulerEventListener event_listener)
     : settings_(settings),
       created_at_(now),
+      jobs_viewed_at_(now),
       event_listener_(std::move(event_listener)) {}
 
 void JobScheduler::Emit(JobSchedulerEvent::Kind kind,
@@ -115,6 +116,19 @@
          settings_.lease_expiry_margin;
 }
 
+void JobScheduler::OnJobsViewed(Instant viewed_at) {
+  jobs_viewed_at_ = std::max(jobs_viewed_at_, viewed_at);
+}
+
+bool JobScheduler::MaySendStarts(Instant now) const {
+  return now - jobs_viewed_at_ < settings_.view_limit;
+}
+
+bool JobScheduler::MayClaim(Instant now) const {
+  return now - jobs_viewed_at_ <
+         settings_.view_limit - settings_.start_delivery;
+}
+
 uint64_t JobScheduler::Change(const TaskKey& task) {
   changed_tasks_.insert(task);
   return ++version_;
@@ -332,11 +346,14 @@
   for (const auto& [incarnation, reason] : lost) {
     RemoveRunner(incarnation, reason, std::nullopt, now);
   }
+  has_more_to_place_ = false;
+  if (!MayClaim(now)) {
+    return;
+  }
   RelocateFillers(now);
   RegroupServing(now);
   waiting_in_round_ = 0;
   claims_of_round_ = 0;
-  has_more_to_place_ = false;
   unplaceable_.clear();
   for (const ReadyStep& ready : ReadySteps(unix_ms)) {
     if (has_more_to_place_) {
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -42,6 +42,12 @@
   // runner: an order that is held up on the way must not take effect when its
   // run has been given up.
   milliseconds order_validity{2000};
+  // Longest age of what the leader knows of the stored jobs when the runner is
+  // told to start a run: less than callers allow from the acknowledgement of a
+  // cancellation to the last start of its job.
+  milliseconds view_limit{2500};
+  // Part of it that is left for a claim to be stored and its order to arrive.
+  milliseconds start_delivery{1000};
   // Number of runs claimed in one round of decisions. What callers and agents
   // send meanwhile waits for its end, also on VMs with a tenth of a core.
   uint32_t max_claims_per_round = 64;
@@ -195,6 +201,8 @@
                      const Order& order,
                      const OrderResult& result,
                      Instant now);
+  // All jobs and cancellations that were stored by `viewed_at` are known.
+  void OnJobsViewed(Instant viewed_at);
   // Everything up to `version` is stored.
   void OnStored(uint64_t version);
 
@@ -227,6 +235,9 @@
   // are sent now are valid.
   int64_t OrderDeadlineMs(const RunnerIncarnation& incarnation,
                           Instant now) const;
+  // Returns the time of OnJobsViewed() on the clock of the runner's agent, or
+  // an earlier one.
+  int64_t JobsViewedAtMs(const RunnerIncarnation& incarnation) const;
   uint64_t RecordedEnds(const RunnerIncarnation& incarnation) const;
   // As of the last TakeOrders().
   const OverdueCounts& overdue() const { return overdue_; }
@@ -262,6 +273,10 @@
   };
 
   Instant LeaseExpiry(Instant lease_end) const;
+  // Whether cancellations are known as they were so recently that a start may
+  // be sent, or a run be claimed.
+  bool MaySendStarts(Instant now) const;
+  bool MayClaim(Instant now) const;
   uint64_t Change(const TaskKey& task);
   TaskProgress* TaskOf(const TaskKey& task);
   const Step* FindStep(const TaskKey& task) const;
@@ -433,6 +448,7 @@
 
   const JobSchedulerSettings settings_;
   const Instant created_at_;
+  Instant jobs_viewed_at_;
   const JobSchedulerEventListener event_listener_;
   RouteTable routes_;  // Its queues are sorted by name.
   std::map<JobId, Entry> jobs_;
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -213,6 +213,16 @@
                    .count();
 }
 
+int64_t JobScheduler::JobsViewedAtMs(
+    const RunnerIncarnation& incarnation) const {
+  const Runner* runner = fleet_.Find(incarnation);
+  return runner == nullptr ? 0
+                           : std::chrono::floor<milliseconds>(
+                                 jobs_viewed_at_.time_since_epoch() +
+                                 runner->agent_clock_lead)
+                                 .count();
+}
+
 void JobScheduler::OnLeaseGranted(const RunnerIncarnation& incarnation,
                                   Instant until) {
   Runner* runner = fleet_.Find(incarnation);
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -437,6 +437,8 @@
   const bool has_arrived = result.verdict != OrderVerdict::kUnanswered &&
                            result.verdict != OrderVerdict::kRefused &&
                            result.verdict != OrderVerdict::kExpired &&
+                           result.verdict != OrderVerdict::kOldView &&
+                           result.verdict != OrderVerdict::kBadView &&
                            result.verdict != OrderVerdict::kUnhealthy;
   Run* run = FindOrNull(runner.runs, stop.task);
   if (run != nullptr && run->number == stop.run) {
@@ -504,6 +506,8 @@
       return;
     case OrderVerdict::kUnanswered:
     case OrderVerdict::kSuperseded:
+    case OrderVerdict::kOldView:
+    case OrderVerdict::kBadView:
       return;  // Resent when it is due.
     case OrderVerdict::kStaleRun:
       Withdraw(runner, start.task, *run,
@@ -550,8 +554,9 @@
                                              const TaskKey& task,
                                              Run& run,
                                              Instant now) {
+  const bool is_start_due = !run.is_accepted && MaySendStarts(now);
   if (now < run.send_due || run.claim_version > stored_version_ ||
-      (run.is_accepted && !run.is_withdrawn)) {
+      !(run.is_withdrawn || is_start_due)) {
     return std::nullopt;
   }
   run.send_due = now + settings_.resend_period;
--- a/src/libs/jobs/run_description.cpp
+++ b/src/libs/jobs/run_description.cpp
@@ -30,6 +30,10 @@
       return "no answer in time";
     case OrderVerdict::kExpired:
       return "it came too late";
+    case OrderVerdict::kOldView:
+      return "the leader's view of the jobs was too old";
+    case OrderVerdict::kBadView:
+      return "the time of the leader's view of the jobs is not valid";
   }
   return "unknown";
 }
--- a/src/libs/jobs/runner.h
+++ b/src/libs/jobs/runner.h
@@ -133,6 +133,9 @@
   // Starts and paces must not be sent to the runner after this time on the
   // agent's clock; 0: no limit. A stop is right at any time.
   int64_t valid_until_ms = 0;
+  // Starts rest on the jobs and cancellations that were stored by this time on
+  // the agent's clock; 0: not known, and no start is carried out.
+  int64_t jobs_viewed_at_ms = 0;
 
   static constexpr size_t kRequiredFields = 3;  // Before `valid_until_ms`.
 
@@ -151,6 +154,12 @@
   kRefused,
   kUnanswered,  // It may be executed now, later, or never.
   kExpired,     // The agent did nothing: the order came too late.
+  // The agent did nothing: the job may have been cancelled too long ago by now,
+  // without the leader's knowledge.
+  kOldView,
+  // The agent did nothing: the time of the leader's view of the jobs is missing
+  // or in the future.
+  kBadView,
 };
 
 struct OrderResult {
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -57,6 +57,10 @@
      "Records that this process has not read are no longer kept."},
     {Event::kMessageUnreadable, kWarning, "message.unreadable",
      "A message or record could not be decoded and was not used."},
+    {Event::kOrderRefused, kWarning, "order.refused",
+     "An agent refused starts, since what their leader knew of the jobs was "
+     "too "
+     "old or has no valid time."},
     {Event::kOutcomesGap, kError, "outcomes.gap",
      "Outcomes of an interval are missing from the record."},
     {Event::kProcessStarted, kInfo, "process.started", "The process serves."},
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -35,6 +35,7 @@
   kLogOutageEnded,
   kLogTooOld,
   kMessageUnreadable,
+  kOrderRefused,
   kOutcomesGap,
   kProcessStarted,
   kProcessStopped,
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -283,7 +283,9 @@
     request.body = jobs::Encode(jobs::OrderBatch{
         1,
         {"agent", "own", 1000},
-        {jobs::StartOrder{{JobId("a"), 0, 0, 0}, 1, {}, {}, {}}}});
+        {jobs::StartOrder{{JobId("a"), 0, 0, 0}, 1, {}, {}, {}}},
+        0,
+        1000});
     std::optional<jobs::OrderAnswer> answer;
     agent.HandleOrders(request, [&](const http::Response& it) {
       answer = jobs::Decode<jobs::OrderAnswer>(it.body);
@@ -327,6 +329,73 @@
   EXPECT_FALSE(answer);  // The runner has been asked.
 }
 
+// A runner that executes each order, and has a clock.
+class PromptRunner : public SilentRunner {
+ public:
+  void RenewLease(const std::string& /*address*/,
+                  const std::string& /*instance*/,
+                  const LeaseRenewalRequest& /*call*/,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> done) override {
+    if (!std::exchange(has_answered_, true)) {
+      done(LeaseRenewalResponse());
+    }
+  }
+  void SendOrder(const std::string& /*address*/,
+                 const std::string& /*instance*/,
+                 const jobs::Order& /*order*/,
+                 uint64_t /*term*/,
+                 int64_t /*lease_until_ms*/,
+                 Instant /*deadline*/,
+                 std::function<void(jobs::OrderVerdict)> done) override {
+    done(jobs::OrderVerdict::kDone);
+  }
+
+ private:
+  bool has_answered_ = false;
+};
+
+// Guards against a task that starts seconds after its job's cancellation was
+// acknowledged: the leader did not know of it, whatever kept it from that.
+TEST_F(RunnerAgentTest, NothingStartsOnAnOldOrUnknownViewOfTheJobs) {
+  PromptRunner runner;
+  RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
+                    context(), runner);
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& /*request*/,
+          const async_http::Respond& respond) {
+        respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 60'000})});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  clock_.Advance(milliseconds(10'000));
+  agent.OnAnnouncement({"own", 1000, 1, "127.0.0.1:3", "s"});
+  const auto verdict_on = [&](const jobs::Order& order, int64_t viewed_at_ms) {
+    request.body = jobs::Encode(
+        jobs::OrderBatch{1, {"agent", "own", 1000}, {order}, 0, viewed_at_ms});
+    std::optional<jobs::OrderAnswer> answer;
+    agent.HandleOrders(request, [&](const http::Response& it) {
+      answer = jobs::Decode<jobs::OrderAnswer>(it.body);
+    });
+    return answer->results.at(0).verdict;
+  };
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  const jobs::StartOrder start{task, 1, {}, {}, {}};
+  while (verdict_on(start, 10'000) != jobs::OrderVerdict::kDone) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  const int64_t limit_ms = RunnerAgentSettings().view_limit.count();
+  EXPECT_EQ(verdict_on(start, 10'000 - limit_ms), jobs::OrderVerdict::kDone);
+  EXPECT_EQ(verdict_on(start, 9'999 - limit_ms), jobs::OrderVerdict::kOldView);
+  EXPECT_EQ(verdict_on(start, 0), jobs::OrderVerdict::kBadView);
+  EXPECT_EQ(verdict_on(start, 10'001), jobs::OrderVerdict::kBadView);
+  EXPECT_EQ(verdict_on(jobs::StopOrder{task, 1}, 0), jobs::OrderVerdict::kDone);
+}
+
 // Guards against stops whose confirmations are lost, again and again, because
 // the batch that they are in is answered after the leader's limit.
 TEST_F(RunnerAgentTest, BatchIsAnsweredInTimeAlthoughTheRunnerIsNot) {
--- a/tests/auto/jobs/crashing_fleet.cpp
+++ b/tests/auto/jobs/crashing_fleet.cpp
@@ -106,6 +106,7 @@
     Progress(runner);
     Report(runner);
   }
+  scheduler_->OnJobsViewed(Now());
   scheduler_->Advance(Now(), now_ms_);
   Store();
   for (const auto& [incarnation, orders] : scheduler_->TakeOrders(Now())) {
--- a/tests/auto/jobs/job_scheduler_fixture.cpp
+++ b/tests/auto/jobs/job_scheduler_fixture.cpp
@@ -79,6 +79,7 @@
 }
 
 JobSchedulerTest::RunnerOrders JobSchedulerTest::Orders(int64_t now_ms) {
+  scheduler_.OnJobsViewed(At(now_ms));
   scheduler_.Advance(At(now_ms), now_ms);
   Store();
   RunnerOrders all;
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -19,6 +19,35 @@
   EXPECT_EQ(scheduler_.TakeOrders(At(0)).size(), 1U);
 }
 
+// Guards against starts of a job whose cancellation was acknowledged long ago:
+// the claim was stored late, and the leader did not read any more.
+TEST_F(JobSchedulerTest, SendsNoStartOnAnOldViewOfTheJobs) {
+  const int64_t limit_ms = JobSchedulerSettings().view_limit.count();
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(2, 1000));
+  scheduler_.OnJobsViewed(At(0));
+  scheduler_.Advance(At(0), 0);
+  Store();
+  Report(kFirst, limit_ms);
+  EXPECT_TRUE(scheduler_.TakeOrders(At(limit_ms)).empty());
+  scheduler_.OnJobsViewed(At(1));
+  const auto batches = scheduler_.TakeOrders(At(limit_ms));
+  ASSERT_EQ(batches.size(), 1U);
+  EXPECT_EQ(batches[0].second.size(), 2U);
+}
+
+// What an agent is told of the leader's view must not be later than it was.
+TEST_F(JobSchedulerTest, TellsTheTimeOfItsViewOnTheClockOfTheAgent) {
+  constexpr int64_t kLeadMs = 5000;
+  constexpr int64_t kDelayMs = 40;
+  RunnerReport report = ReportOf(kFirst);
+  report.sent_at_ms = kLeadMs + 1000;
+  scheduler_.OnReport(report, At(1000 + kDelayMs));
+  scheduler_.OnJobsViewed(At(700));
+  EXPECT_EQ(scheduler_.JobsViewedAtMs(kFirst), kLeadMs - kDelayMs + 700);
+  EXPECT_EQ(scheduler_.JobsViewedAtMs(kSecond), 0);
+}
+
 // Guards against storing a job's whole progress again with each task that
 // changed, as happened in a large deployment.
 TEST_F(JobSchedulerTest, StoresOnlyTasksThatChanged) {
--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -23,6 +23,7 @@
 max_hold_ms = 6000
 grace_s = 6.5
 status_s = 120
+cancel_ms = 4000
 [platform]
 address = "10.200.1.7:8169"
 )";
@@ -34,6 +35,7 @@
   EXPECT_EQ(settings->internal_address, "10.1.0.13:7720");
   EXPECT_EQ(settings->longest_lease, milliseconds(6000));
   EXPECT_EQ(settings->grace, milliseconds(6500));
+  EXPECT_EQ(settings->cancellation_limit, milliseconds(4000));
   EXPECT_EQ(settings->service, "");
   EXPECT_DOUBLE_EQ(settings->cores, 0.5);
 }
