--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -339,10 +339,12 @@
     return;
   }
   if (is_leading()) {
-    if (is_job_known) {
+    // What callers change goes to any frontend, and the leader reads it.
+    if (is_job_known &&
+        replica_.jobs_caught_up_at() + settings_.count_freshness >=
+            started_at) {
       done(true);
     } else {
-      // Another frontend may have stored the job just now.
       replica_.CatchUpOnJobs(std::move(done));
     }
     return;
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -173,8 +173,9 @@
   void OnFrontendRecord(const keyed_log::Record& record);
   void FollowFrontends();
   // Reads the stored jobs and progress up to now, if the replica is older than
-  // `freshness` or does not know the job. A leader reads only in the latter
-  // case.
+  // `freshness` or does not know the job. A leader, which follows the jobs
+  // anyway, reads only these, and only if they are older than
+  // `count_freshness`.
   void Refresh(milliseconds freshness,
                bool is_job_known,
                std::function<void(bool)> done);
