Cluster: Processes reports in rounds

Callers saw tasks run on after their job's cancellation, and start after it, while a small VM led. Each of 66 agents reports again as soon as it is answered, and each ready report was decoded and processed where it arrived, so one turn of the event loop took as long as all of them. A read of the store takes several turns, like an answer to an order.

At most 16 reports are processed where they arrive between two rounds, and 16 in each round; others wait undecoded, one of each agent. A report that a later one of its agent has overtaken is dropped unread and counted. What a report says is taken to be as old as its arrival.

--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -52,7 +52,10 @@
           "By how much the leader begins its rounds later than due.")),
       view_age_(registry.AddGauge(
           "papayadrift_leader_view_age_milliseconds",
-          "Age of what the leader knows of the stored jobs.")) {}
+          "Age of what the leader knows of the stored jobs.")),
+      overtaken_reports_(registry.AddCounter(
+          "papayadrift_overtaken_reports_total",
+          "Reports dropped unread since a later one of their agent waits.")) {}
 
 void ClusterMetrics::OnSubmitted(SubmitResult result, microseconds duration) {
   submit_seconds_.Record(duration);
@@ -111,6 +114,10 @@
       .Add();
 }
 
+void ClusterMetrics::OnReportOvertaken() {
+  overtaken_reports_.Add();
+}
+
 void ClusterMetrics::UpdateLag(microseconds lag, microseconds view_age) {
   lag_.Set(std::chrono::floor<milliseconds>(lag).count());
   view_age_.Set(std::chrono::floor<milliseconds>(view_age).count());
--- a/src/libs/cluster/cluster_metrics.h
+++ b/src/libs/cluster/cluster_metrics.h
@@ -30,6 +30,7 @@
   void OnWork(WorkKind kind, uint64_t count, microseconds time);
   // A read of the stored jobs by the leader.
   void OnJobsRead(bool is_read);
+  void OnReportOvertaken();
   // Sets how late the leader begins its rounds, and the age of what it knows of
   // the stored jobs.
   void UpdateLag(microseconds lag, microseconds view_age);
@@ -48,6 +49,7 @@
   metrics::Gauge& leaderless_;
   metrics::Gauge& lag_;
   metrics::Gauge& view_age_;
+  metrics::Counter& overtaken_reports_;
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "base/hash.h"
+#include "base/lookup.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
@@ -312,6 +313,7 @@
   if (!is_leading_) {
     return;
   }
+  ProcessWaitingReports();
   const Instant now = context_.clock.Now();
   const jobs::PlacementWork before = scheduler_->fleet().work();
   scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
@@ -325,8 +327,9 @@
                               scheduler_->waiting_tasks(),
                               scheduler_->overdue());
   ReportStep(now, before);
-  ScheduleStep(scheduler_->has_more_to_place() ? milliseconds(0)
-                                               : settings_.max_step_interval);
+  const bool has_more =
+      scheduler_->has_more_to_place() || !waiting_reports_.empty();
+  ScheduleStep(has_more ? milliseconds(0) : settings_.max_step_interval);
 }
 
 void Leader::CountWork(WorkKind kind, uint64_t count, Instant started_at) {
@@ -608,20 +611,49 @@
 
 void Leader::HandleReport(const http::Request& request,
                           const async_http::Respond& respond) {
-  const Instant started_at = context_.clock.Now();
-  ProcessReport(request, respond);
-  CountWork(WorkKind::kReports, 1, started_at);
+  WaitingReport report{ValueOr(request.headers, kNodeHeader, ""), request,
+                       context_.clock.Now(), respond};
+  if (!is_leading_) {
+    respond({409, {}, {}});
+    return;
+  }
+  if (waiting_reports_.empty() &&
+      reports_since_round_ < settings_.max_reports_per_round) {
+    ++reports_since_round_;
+    ProcessReport(report);
+    return;
+  }
+  if (const auto overtaken = waiting_reports_.Put(std::move(report))) {
+    metrics_.OnReportOvertaken();
+    overtaken->respond({409, {}, {}});
+  }
+  ScheduleStep(milliseconds(0));
 }
 
-void Leader::ProcessReport(const http::Request& request,
-                           const async_http::Respond& respond) {
-  const auto report = jobs::Decode<jobs::RunnerReport>(request.body);
+void Leader::ProcessWaitingReports() {
+  reports_since_round_ = 0;
+  while (reports_since_round_ < settings_.max_reports_per_round) {
+    const auto report = waiting_reports_.Take();
+    if (!report) {
+      return;
+    }
+    ++reports_since_round_;
+    ProcessReport(*report);
+  }
+}
+
+void Leader::ProcessReport(const WaitingReport& waiting) {
+  const async_http::Respond& respond = waiting.respond;
+  const Instant started_at = context_.clock.Now();
+  const auto report = jobs::Decode<jobs::RunnerReport>(waiting.request.body);
   if (!report) {
     respond({400, {}, {}});
     return;
   }
-  const Instant now = context_.clock.Now();
-  const bool is_accepted = is_leading_ && scheduler_->OnReport(*report, now);
+  // What it says is as old as its arrival.
+  const Instant now = waiting.received_at;
+  const bool is_accepted = scheduler_->OnReport(*report, now);
+  CountWork(WorkKind::kReports, 1, started_at);
   // If the store no longer confirms this leader, another one may have been
   // elected. Agents have to look it up while their leases are valid.
   if (!is_accepted || !is_confirmed()) {
@@ -733,6 +765,9 @@
 }
 
 void Leader::RejectPendingReports() {
+  while (const auto report = waiting_reports_.Take()) {
+    report->respond({409, {}, {}});
+  }
   for (const PendingReport& report : pending_reports_) {
     report.respond({409, {}, {}});
   }
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -15,6 +15,7 @@
 #include "cluster/job_replica.h"
 #include "cluster/leader_load.h"
 #include "cluster/process_context.h"
+#include "cluster/report_queue.h"
 #include "jobs/directory.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/leader_record.h"
@@ -47,6 +48,10 @@
   milliseconds max_step_interval{50};
   // Timeout of a batch of orders sent to an agent.
   milliseconds order_timeout{1000};
+  // Number of reports that are processed between two rounds of decisions, and
+  // in each: reads of the store and answers to orders take their turns with
+  // these, also while more reports arrive than can be processed.
+  size_t max_reports_per_round = 16;
   // Maximum time for which the answer to a report is delayed until the ends in
   // it are stored.
   milliseconds report_timeout{800};
@@ -93,6 +98,7 @@
                     const async_http::Respond& respond);
 
  private:
+  // A report whose answer waits for the ends in it to be stored.
   struct PendingReport {
     jobs::RunnerIncarnation incarnation;
     uint64_t last_end_number = 0;  // Highest number of an ended run.
@@ -105,8 +111,9 @@
     async_http::Respond respond;
   };
 
-  void ProcessReport(const http::Request& request,
-                     const async_http::Respond& respond);
+  void ProcessReport(const WaitingReport& waiting);
+  // Processes reports that wait, up to the limit of a round.
+  void ProcessWaitingReports();
   void SendCandidacy(int attempts_left);
   void OnElected();
   void PublishAddress();
@@ -187,6 +194,8 @@
   boost::asio::steady_timer step_timer_;
   Instant step_due_;
   bool is_step_due_ = false;
+  ReportQueue waiting_reports_;
+  size_t reports_since_round_ = 0;
   std::vector<PendingReport> pending_reports_;
 };
 
--- /dev/null
+++ b/src/libs/cluster/report_queue.h
@@ -0,0 +1,43 @@
+#ifndef PAPAYADRIFT_CLUSTER_REPORT_QUEUE_H_
+#define PAPAYADRIFT_CLUSTER_REPORT_QUEUE_H_
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "async_http/server.h"
+#include "base/instant.h"
+
+namespace papayadrift::cluster {
+
+// A report of an agent that has not been decoded.
+struct WaitingReport {
+  std::string node;  // Of the agent; empty if it did not say.
+  http::Request request;
+  Instant received_at;
+  async_http::Respond respond;
+};
+
+// Reports that wait for their turn, in the order of their arrival. An agent
+// repeats a report that was not answered in time, so only its last one counts:
+// a leader that is behind need not read what has been overtaken.
+class ReportQueue {
+ public:
+  // Adds a report in the place of the agent's earlier one, if there is one,
+  // which is returned.
+  std::optional<WaitingReport> Put(WaitingReport report);
+  std::optional<WaitingReport> Take();
+
+  bool empty() const { return reports_.empty(); }
+  size_t size() const { return reports_.size(); }
+
+ private:
+  std::list<WaitingReport> reports_;
+  std::map<std::string, std::list<WaitingReport>::iterator> by_node_;
+};
+
+}  // namespace papayadrift::cluster
+
+#endif  // PAPAYADRIFT_CLUSTER_REPORT_QUEUE_H_
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -353,6 +353,7 @@
   http::Request request;
   request.method = "POST";
   request.path = kReportPath;
+  request.headers = {{kNodeHeader, settings_.node}};
   request.body = jobs::Encode(report);
   context_.client.Send(
       leader_.address, request, context_.clock.Now() + settings_.report_timeout,
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <iterator>
+#include <map>
+#include <string>
 
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
@@ -173,6 +175,39 @@
   leader->Stop({});
 }
 
+// Guards against cancellations that are read late, since more reports arrive in
+// each turn of the event loop than a small VM can process.
+TEST_F(LeaderTest, ReportsTakeTurnsWithOtherWork) {
+  const size_t limit = LeaderSettings().max_reports_per_round;
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  std::map<std::string, int> statuses;
+  const auto report_from = [&](const std::string& node) {
+    jobs::RunnerReport report;
+    report.incarnation = {node, "instance", 1};
+    http::Request request;
+    request.headers[kNodeHeader] = node;
+    request.body = jobs::Encode(report);
+    leader->HandleReport(request, [&statuses, node](const http::Response& it) {
+      statuses[node] = it.status;
+    });
+  };
+  const std::string last = std::to_string(limit * 3);
+  for (size_t i = 0; i <= limit * 3; ++i) {
+    report_from(std::to_string(i));
+  }
+  EXPECT_EQ(statuses.size(), limit);
+  ASSERT_GT(loop_.run_one(), 0U);  // A round of decisions.
+  EXPECT_EQ(statuses.size(), limit * 2);
+  EXPECT_FALSE(statuses.contains(last));
+  report_from(last);
+  EXPECT_EQ(statuses[last], 409);  // The earlier of the two, which is not read.
+  leader->Stop({});
+  EXPECT_EQ(statuses.size(), limit * 3 + 1);  // Nobody waits for an answer.
+}
+
 TEST_F(LeaderTest, StoppedLeaderStoresItsResignation) {
   const auto leader = MakeLeader("node-1");
   leader->Campaign();
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -134,7 +134,8 @@
   async_http::Server leader(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        is_reported = request.path == kReportPath;
+        is_reported = request.path == kReportPath &&
+                      request.headers.at(kNodeHeader) == "agent";
         respond({409, {}, {}});
       });
   ASSERT_TRUE(leader.Open());
