Cluster: Tells the leader of a cancellation that was stored

Callers saw tasks run on for longer than cancel_ms and stop_timeout_ms after the acknowledgement: the leader learned of a cancellation only from its own reads of the store, each of which takes several turns of its event loop.

The frontend that has stored a cancellation now also sends its job's id to the leader, or hands it over if it leads itself; one turn suffices for that. The store stays the truth: the notification may be lost, and one of a job that the leader doesn't know is answered with 404 and has no effect.

LeaderIsToldOfAStoredCancellation and JobIsStoppedBeforeItsCancellationIsRead are new; the paths did not exist.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -500,6 +500,7 @@
           write->done = [this, id, done](SubmitResult result) {
             if (result == SubmitResult::kAccepted) {
               directory_.OnCancelled(id);
+              NotifyOfCancellation(id);
             }
             done(result == SubmitResult::kAccepted ? CancelResult::kCancelled
                                                    : CancelResult::kFailed);
@@ -508,6 +509,28 @@
         });
 }
 
+void JobFrontend::NotifyOfCancellation(const JobId& id) {
+  if (leader_) {
+    leader_->OnCancelled(id);
+    return;
+  }
+  http::Request request;
+  request.method = "POST";
+  request.path = kCancellationPath;
+  request.body = id.text();
+  context_.client.Send(leader_address(), request,
+                       context_.clock.Now() + kQueryTimeout,
+                       [](const http::ClientResult&) {
+                         // Without it, the leader reads the cancellation.
+                       });
+}
+
+void JobFrontend::HandleCancellation(const http::Request& request,
+                                     const async_http::Respond& respond) {
+  const bool is_known = leader_ && leader_->OnCancelled(JobId(request.body));
+  respond({is_known ? 200 : 404, {}, {}});
+}
+
 void JobFrontend::CountQueued(const std::string& queue,
                               std::function<void(std::optional<size_t>)> done) {
   Refresh(settings_.count_freshness, true,
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -121,6 +121,10 @@
                    std::function<void(std::optional<size_t>)> done);
   void HandleReport(const http::Request& request,
                     const async_http::Respond& respond);
+  // Handles the notification that a cancellation was stored, of which the
+  // leader need not read to stop the job.
+  void HandleCancellation(const http::Request& request,
+                          const async_http::Respond& respond);
   // Answers another frontend that is about to campaign whether this process
   // leads.
   void HandleLeaderQuery(const async_http::Respond& respond) const;
@@ -167,6 +171,9 @@
                   const std::string& queue,
                   const JobId& id,
                   std::function<void(const RelayAnswer*)> done);
+  // Tells the leader, this process or another one, that the job's cancellation
+  // is stored.
+  void NotifyOfCancellation(const JobId& id);
   void Announce();
   // Removes this process from the list of frontends in the store.
   void AnnounceDeparture();
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -609,6 +609,16 @@
          context_.clock.Now() - confirmed_at_ <= settings_.confirmation_timeout;
 }
 
+bool Leader::OnCancelled(const JobId& id) {
+  if (!is_leading_ || !replica_.content().jobs.contains(id)) {
+    return false;
+  }
+  directory_.OnCancelled(id);
+  scheduler_->Cancel(id, context_.clock.Now());
+  ScheduleStep(milliseconds(0));
+  return true;
+}
+
 void Leader::HandleReport(const http::Request& request,
                           const async_http::Respond& respond) {
   WaitingReport report{ValueOr(request.headers, kNodeHeader, ""), request,
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -93,6 +93,9 @@
     return scheduler_ ? &*scheduler_ : nullptr;
   }
 
+  // Stops a job whose cancellation is stored, before it is read from the store.
+  // Returns whether the job is known.
+  bool OnCancelled(const JobId& id);
   // Answers an agent's report once the ends in it are stored.
   void HandleReport(const http::Request& request,
                     const async_http::Respond& respond);
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -45,6 +45,9 @@
 // POST to an agent: a leader announces its term. GET from a frontend: whether
 // it leads.
 inline constexpr char kLeaderPath[] = "/internal/v1/leader";
+// POST to the leader from a frontend that has stored a cancellation; the body
+// is the id of the job.
+inline constexpr char kCancellationPath[] = "/internal/v1/cancellations";
 // GET from a frontend: whether it could lead at once.
 inline constexpr char kStandbyPath[] = "/internal/v1/standby";
 // POST to a frontend: it should campaign for leadership.
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -369,6 +369,42 @@
   frontend.Stop();
 }
 
+// Guards against a task that runs on until a busy leader has read that its job
+// is cancelled.
+TEST_F(JobFrontendTest, LeaderIsToldOfAStoredCancellation) {
+  const std::string address = FreeAddress();
+  std::optional<std::string> cancelled;
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        if (request.path == kCancellationPath) {
+          cancelled = request.body;
+        }
+        respond({200, {}, {}});
+      });
+  ASSERT_TRUE(leader.Open());
+  log_.Write(
+      {kProgressTopic,
+       {{kLeaderKey, jobs::Encode(jobs::LeaderRecord{3, "node-9", address})}},
+       std::nullopt,
+       std::nullopt},
+      {}, [](const keyed_log::AppendResult&) {});
+  frontend_.Start();
+  Submit();
+  log_.Settle();
+  std::optional<CancelResult> result;
+  frontend_.Cancel("q", kId, clock_.Now() + kSubmitTimeout,
+                   [&](CancelResult it) { result = it; });
+  EXPECT_FALSE(result);
+  log_.Settle();
+  EXPECT_EQ(result, CancelResult::kCancelled);
+  while (!cancelled) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(*cancelled, kId.text());
+  frontend_.Stop();
+}
+
 // As above, for a caller that asks for the state of the job.
 TEST_F(JobFrontendTest, StateOfAnUnknownJobIsLookedUpInTheStore) {
   const jobs::LeaderRecord leader{3, "node-9", "127.0.0.1:9"};
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -295,6 +295,23 @@
   leader->Stop({});
 }
 
+// Guards against a leader that stops a job only when it has read from the store
+// what a frontend has told it.
+TEST_F(LeaderTest, JobIsStoppedBeforeItsCancellationIsRead) {
+  jobs::Job job;
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  const auto leader = MakeLeader("node-1");
+  EXPECT_FALSE(leader->OnCancelled(JobId("a")));
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_EQ(leader->scheduler()->open_jobs(), 1U);
+  EXPECT_FALSE(leader->OnCancelled(JobId("none")));
+  EXPECT_TRUE(leader->OnCancelled(JobId("a")));
+  EXPECT_EQ(leader->scheduler()->open_jobs(), 0U);
+  leader->Stop({});
+}
+
 // Guards against a cancelled job that runs: after the store had dropped its
 // history, the leader read cancellations before jobs.
 TEST_F(LeaderTest, CancellationThatIsReadBeforeItsJobHolds) {
