Keyed log: Allows for the turns of a slow process

Callers were refused since "The metadata store is unavailable", 21 to 31 times in 6 s, by frontends that were short of processor time while the store was sound, and reads of the jobs by a slow leader failed and began anew on new connections.

Cause: the limit of a call to the store followed the latency of answered calls, up to one second, and ran while the answer waited in the process. A call takes about four turns of the event loop; three calls that time out in a row count as an outage.

Each call now measures how long an event waits for its turn, and the limit allows for four turns of that length, one second at most.

AllowsForTheTurnsOfASlowProcess is new; what a prompt process allows stays.

--- a/src/libs/keyed_log/answer_limit.cpp
+++ b/src/libs/keyed_log/answer_limit.cpp
@@ -13,9 +13,21 @@
 // Multiple of the smoothed latency: few answers take longer.
 constexpr int kLatencies = 8;
 constexpr int kSmoothing = 8;  // Answers that the smoothed latency averages.
+// Turns that a call takes: to connect, to write, and to read in two parts.
+constexpr int kTurns = 4;
+constexpr milliseconds kLongestForTurns(1000);
 
 }  // namespace
 
+milliseconds AnswerLimit::Current() const {
+  return limit_ + std::min(std::chrono::floor<milliseconds>(turn_ * kTurns),
+                           kLongestForTurns);
+}
+
+void AnswerLimit::OnTurn(microseconds wait) {
+  turn_ = std::max(wait, turn_ - turn_ / kSmoothing);
+}
+
 void AnswerLimit::OnAnswer(microseconds latency) {
   smoothed_ += (latency - smoothed_) / kSmoothing;
   limit_ = std::clamp(std::chrono::ceil<milliseconds>(
--- a/src/libs/keyed_log/topic_follower.h
+++ b/src/libs/keyed_log/topic_follower.h
@@ -15,8 +15,9 @@
 
 struct FollowerSettings {
   std::string topic;
-  // Time that the store has for one answer, beyond a wait that was asked for.
-  milliseconds answer_limit{1000};
+  // Time that the store has for one answer, beyond a wait that was asked for;
+  // its client may allow less.
+  milliseconds answer_limit{2000};
 
   friend bool operator==(const FollowerSettings&,
                          const FollowerSettings&) = default;
--- a/tests/auto/keyed_log/answer_limit_test.cpp
+++ b/tests/auto/keyed_log/answer_limit_test.cpp
@@ -18,6 +18,25 @@
   EXPECT_LE(limit.Current(), calm);
 }
 
+// Guards against a process short of processor time that takes answers which
+// wait in its own event loop for an outage of the store.
+TEST(AnswerLimitTest, AllowsForTheTurnsOfASlowProcess) {
+  AnswerLimit limit;
+  const milliseconds prompt = limit.Current();
+  limit.OnTurn(microseconds(200));
+  EXPECT_EQ(limit.Current(), prompt);
+  limit.OnTurn(milliseconds(100));
+  EXPECT_EQ(limit.Current(), prompt + milliseconds(400));
+  limit.OnTurn(milliseconds(1));
+  EXPECT_GT(limit.Current(), prompt + milliseconds(300));
+  for (int i = 0; i < 100; ++i) {
+    limit.OnTurn(microseconds(200));
+  }
+  EXPECT_EQ(limit.Current(), prompt);
+  limit.OnTurn(milliseconds(10'000));
+  EXPECT_EQ(limit.Current(), prompt + milliseconds(1000));
+}
+
 TEST(AnswerLimitTest, DoublesWhileNothingComes) {
   AnswerLimit limit;
   const milliseconds first = limit.Current();
