Cluster: Hands the lead to a front that computes faster

Callers saw broken promises for as long as the leader's VM was slow, although sound standbys of the same size stood by: who leads depended on the configured share of processors alone, and a small leader handed over to a larger VM however slow that was.

Handover, taken out of JobFrontend, asks all standbys at once, each second. A standby measures how fast it computes when it is asked.

--- a/src/libs/cluster/frontend_list.cpp
+++ b/src/libs/cluster/frontend_list.cpp
@@ -79,13 +79,18 @@
   return ranked;
 }
 
-std::optional<FrontendRecord> FrontendList::ChooseSuccessor() const {
+std::vector<FrontendRecord> FrontendList::Standbys() const {
   std::vector<FrontendRecord> standbys = Ranked();
+  standbys.resize(
+      std::min(standbys.size(), IsOwnStandby() ? standbys_ - 1 : standbys_));
+  return standbys;
+}
+
+std::optional<FrontendRecord> FrontendList::ChooseSuccessor() const {
+  std::vector<FrontendRecord> standbys = Standbys();
   if (standbys.empty()) {
     return std::nullopt;
   }
-  standbys.resize(
-      std::min(standbys.size(), IsOwnStandby() ? standbys_ - 1 : standbys_));
   const uint32_t max_millicores = standbys.front().millicores;
   std::erase_if(standbys, [max_millicores](const FrontendRecord& it) {
     return IsTooSmall(it, max_millicores);
--- a/src/libs/cluster/frontend_list.h
+++ b/src/libs/cluster/frontend_list.h
@@ -46,6 +46,8 @@
   // The other frontends by rank.
   std::vector<FrontendRecord> Ranked() const;
 
+  // The other frontends that are standbys, by rank.
+  std::vector<FrontendRecord> Standbys() const;
   // Chooses the standby that should lead after this process, which is about to
   // stop. During a rolling restart of all frontends, the one that started last
   // is the last to be stopped again.
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -62,6 +62,7 @@
                           OnFrontendRecord(record);
                         }),
       relay_(context, frontends_, settings.leader.address),
+      handover_(settings.handover, context, frontends_),
       leader_check_timer_(context.loop) {}
 
 JobFrontend::~JobFrontend() = default;
@@ -145,7 +146,7 @@
   if (leader_) {
     if (is_leading()) {
       store_answered_at_ = context_.clock.Now();
-      HandOverIfTooSmall();
+      ConsiderHandover();
     }
     ScheduleLeaderCheck(settings_.leader_check_period);
     return;
@@ -272,32 +273,20 @@
   });
 }
 
-void JobFrontend::HandOverIfTooSmall() {
-  const std::vector<FrontendRecord> larger = frontends_.LargerLeaders();
-  if (larger.empty() || context_.clock.Now() < handover_due_at_) {
-    return;
-  }
-  handover_due_at_ = context_.clock.Now() + settings_.handover_period;
-  const FrontendRecord& candidate =
-      larger[handover_attempts_++ % larger.size()];
-  http::Request request;
-  request.method = "GET";
-  request.path = kStandbyPath;
-  context_.client.Send(candidate.address, request,
-                       context_.clock.Now() + settings_.leader_query_timeout,
-                       [this, candidate](const http::ClientResult& result) {
-                         const auto* response =
-                             std::get_if<http::Response>(&result);
-                         if (response != nullptr && response->status == 200 &&
-                             is_leading() && !is_stopping_) {
-                           is_taking_over_ = false;
-                           leader_->Stop(candidate);
-                         }
-                       });
+void JobFrontend::ConsiderHandover() {
+  handover_.Consider(leader_->behind_since(),
+                     [this, term = leader_->term()](
+                         const std::optional<FrontendRecord>& candidate) {
+                       if (candidate && is_leading() &&
+                           leader_->term() == term && !is_stopping_) {
+                         is_taking_over_ = false;
+                         leader_->Stop(candidate);
+                       }
+                     });
 }
 
 void JobFrontend::StartCampaign() {
-  handover_due_at_ = context_.clock.Now() + settings_.handover_period;
+  handover_.OnTermBegun();
   leader_ = std::make_shared<Leader>(
       settings_.leader, context_, *metrics_, directory_, replica_, [this] {
         leader_seen_at_ = context_.clock.Now();
@@ -312,13 +301,15 @@
   respond({is_leading() ? 200 : 409, {}, {}});
 }
 
-void JobFrontend::HandleStandbyQuery(const async_http::Respond& respond) const {
+void JobFrontend::HandleStandbyQuery(const async_http::Respond& respond) {
   const bool is_up_to_date =
       replica_.caught_up_at() + settings_.leader_timeout >=
       context_.clock.Now();
   const bool may_lead =
       !is_stopping_ && !leader_ && initial_state_read_at_ && is_up_to_date;
-  respond({may_lead ? 200 : 409, {}, {}});
+  respond({may_lead ? 200 : 409,
+           {},
+           may_lead ? handover_.Answer() : std::string()});
 }
 
 void JobFrontend::HandleSuccession(const async_http::Respond& respond) {
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "cluster/frontend_list.h"
+#include "cluster/handover.h"
 #include "cluster/job_replica.h"
 #include "cluster/leader.h"
 #include "cluster/process_context.h"
@@ -42,9 +43,7 @@
   // After a leader has named its successor, the other frontends wait this long
   // before they campaign.
   milliseconds successor_timeout{400};
-  // Period at which a leader on a small VM asks a frontend on a larger one
-  // whether it could lead.
-  milliseconds handover_period{1000};
+  HandoverSettings handover;
   // Timeout of the query whether the leader still leads, sent before a campaign
   // if the store has no recent record of it.
   milliseconds leader_query_timeout{200};
@@ -128,8 +127,9 @@
   // Answers another frontend that is about to campaign whether this process
   // leads.
   void HandleLeaderQuery(const async_http::Respond& respond) const;
-  // Answers a leader on a smaller VM whether this process could lead at once.
-  void HandleStandbyQuery(const async_http::Respond& respond) const;
+  // Answers a leader whether this process could lead at once, and how fast it
+  // computes.
+  void HandleStandbyQuery(const async_http::Respond& respond);
   // Handles the notification that the leader has resigned and named this
   // process its successor.
   void HandleSuccession(const async_http::Respond& respond);
@@ -159,8 +159,9 @@
   void CampaignUnlessLeaderAnswers();
   void QueryLeader(std::function<void(bool is_leader)> done);
   void StartCampaign();
-  // Resigns in favour of a frontend on a larger VM, if one could lead at once.
-  void HandOverIfTooSmall();
+  // Resigns in favour of a frontend that should rather lead, if one could lead
+  // at once.
+  void ConsiderHandover();
   void Write(const std::shared_ptr<PendingWrite>& write);
   // Determines the result of a submission. If an earlier attempt may have
   // stored the job, a later refusal does not mean that it is not stored.
@@ -212,8 +213,7 @@
   std::deque<JobId> unresolved_jobs_;
   Relay relay_;
   std::shared_ptr<Leader> leader_;
-  Instant handover_due_at_;  // Of the next attempt to hand over.
-  size_t handover_attempts_ = 0;
+  Handover handover_;
   boost::asio::steady_timer leader_check_timer_;
   bool is_stopping_ = false;
   // Start of the last call that the store answered.
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -89,6 +89,10 @@
   // may lead, and the state of this one may be stale.
   bool is_confirmed() const;
   uint64_t term() const { return record_.term; }
+  // Unset while this leader keeps up with its work.
+  const std::optional<Instant>& behind_since() const {
+    return load_.behind_since();
+  }
   const jobs::JobScheduler* scheduler() const {
     return scheduler_ ? &*scheduler_ : nullptr;
   }
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -43,6 +43,8 @@
      "This process no longer leads, or did not come to."},
     {Event::kLeaderFound, kInfo, "leader.found",
      "An agent has learned of a leader."},
+    {Event::kLeaderHandsOver, kInfo, "leader.hands_over",
+     "The leader resigns in favour of another process."},
     {Event::kLeaderServes, kInfo, "leader.serves",
      "The leader has read what is stored and gives orders."},
     {Event::kLeaseLapsed, kWarning, "lease.lapsed",
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -28,6 +28,7 @@
   kLeaderElected,
   kLeaderEnded,
   kLeaderFound,
+  kLeaderHandsOver,
   kLeaderServes,
   kLeaseLapsed,
   kLinesDropped,
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -240,7 +240,8 @@
       [&](const http::Request& request, const async_http::Respond& respond) {
         query_count += request.path == kStandbyPath ? 1 : 0;
         is_named |= request.path == kSuccessionPath;
-        respond({is_standby ? 200 : 409, {}, {}});
+        constexpr uint64_t kFastest = 1'000'000'000'000;
+        respond({is_standby ? 200 : 409, {}, std::to_string(kFastest)});
       });
   ASSERT_TRUE(larger.Open());
   log_.Write({kLeaderTopic,
