--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -264,15 +264,15 @@
 }
 
 void Leader::FollowJobs() {
-  replica_.WaitForJobs(kJobsPollWait, [weak = weak_from_this()](bool is_read) {
+  replica_.WaitForJobs(kJobsPollWait, [weak = weak_from_this(),
+                                       started_at =
+                                           context_.clock.Now()](bool is_read) {
     const auto self = weak.lock();
     if (!self || !self->is_leading_) {
       return;
     }
     self->metrics_.OnJobsRead(is_read);
-    if (!is_read) {
-      self->load_.OnFailedRead();
-    }
+    self->load_.OnJobsRead(is_read, self->context_.clock.Now() - started_at);
     if (is_read) {
       self->FollowJobs();
     } else {
@@ -370,6 +370,7 @@
                                     work.at(static_cast<size_t>(kind)).time)
                                     .count());
   };
+  const ReadSums reads = load_.TakeReads();
   const auto to_ms = [](microseconds time) {
     return static_cast<int64_t>(std::chrono::floor<milliseconds>(time).count());
   };
@@ -378,7 +379,9 @@
       {{"term", static_cast<int64_t>(record_.term)},
        {"view_age_ms", to_ms(load_.view_age())},
        {"lag_ms", to_ms(load_.smoothed_lag())},
-       {"failed_reads", static_cast<int64_t>(load_.TakeFailedReads())},
+       {"reads", static_cast<int64_t>(reads.count)},
+       {"failed_reads", static_cast<int64_t>(reads.failed)},
+       {"longest_read_ms", to_ms(reads.longest)},
        {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
        {"waiting_tasks", static_cast<int64_t>(scheduler_->waiting_tasks())},
        {"reports", count_of(WorkKind::kReports)},
--- a/src/libs/cluster/leader_load.cpp
+++ b/src/libs/cluster/leader_load.cpp
@@ -1,5 +1,6 @@
 #include "cluster/leader_load.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace papayadrift::cluster {
@@ -31,6 +32,12 @@
   sum.time += time;
 }
 
+void LeaderLoad::OnJobsRead(bool is_read, microseconds time) {
+  ++reads_.count;
+  reads_.failed += is_read ? 0 : 1;
+  reads_.longest = std::max(reads_.longest, time);
+}
+
 LeaderLoad::Change LeaderLoad::OnRound(Instant now,
                                        microseconds lag,
                                        Instant viewed_at) {
@@ -63,8 +70,8 @@
   return std::exchange(work_, WorkSums{});
 }
 
-uint64_t LeaderLoad::TakeFailedReads() {
-  return std::exchange(failed_reads_, 0);
+ReadSums LeaderLoad::TakeReads() {
+  return std::exchange(reads_, ReadSums());
 }
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader_load.h
+++ b/src/libs/cluster/leader_load.h
@@ -30,6 +30,15 @@
   friend bool operator==(const WorkSum&, const WorkSum&) = default;
 };
 
+// Reads of the stored jobs.
+struct ReadSums {
+  uint64_t count = 0;
+  uint64_t failed = 0;
+  microseconds longest{0};
+
+  friend bool operator==(const ReadSums&, const ReadSums&) = default;
+};
+
 using WorkSums = std::array<WorkSum, kWorkKinds>;
 
 struct LeaderLoadSettings {
@@ -55,7 +64,8 @@
       : settings_(settings) {}
 
   void OnWork(WorkKind kind, uint64_t count, microseconds time);
-  void OnFailedRead() { ++failed_reads_; }
+  // A read of the stored jobs has ended.
+  void OnJobsRead(bool is_read, microseconds time);
   // A round of decisions begins `lag` later than it was due, with all jobs that
   // were stored by `viewed_at`.
   Change OnRound(Instant now, microseconds lag, Instant viewed_at);
@@ -67,12 +77,12 @@
   microseconds view_age() const { return view_age_; }
   // Since the last call.
   WorkSums TakeWork();
-  uint64_t TakeFailedReads();
+  ReadSums TakeReads();
 
  private:
   const LeaderLoadSettings settings_;
   WorkSums work_{};
-  uint64_t failed_reads_ = 0;
+  ReadSums reads_;
   microseconds smoothed_lag_{0};
   microseconds view_age_{0};
   std::optional<Instant> behind_since_;
--- a/tests/auto/cluster/leader_load_test.cpp
+++ b/tests/auto/cluster/leader_load_test.cpp
@@ -69,5 +69,12 @@
   EXPECT_EQ(load_.TakeWork(), WorkSums());
 }
 
+TEST_F(LeaderLoadTest, ReadsAreCountedWithTheLongest) {
+  load_.OnJobsRead(true, milliseconds(30));
+  load_.OnJobsRead(false, milliseconds(2));
+  EXPECT_EQ(load_.TakeReads(), (ReadSums{2, 1, milliseconds(30)}));
+  EXPECT_EQ(load_.TakeReads(), ReadSums());
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
