Async HTTP: Reads large messages in few turns of the event loop

Callers saw cancelled tasks that started or ran on seconds later while a slow VM led.

Cause: beast reads as much as its buffer holds, and one that has not been told otherwise holds half a kilobyte. Each such read is a handler that waits behind all others that are ready. So a call took as many turns as its answer has half kilobytes: what a leader is late with makes its next read longer, and the more agents and orders there are, the longer is each turn.

--- a/src/libs/async_http/beast_p.h
+++ b/src/libs/async_http/beast_p.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,12 @@
     boost::beast::http::response<boost::beast::http::string_body>;
 using Endpoint = boost::asio::ip::tcp::endpoint;
 
+// Bytes that are read at once: beast reads what its buffer holds, half a
+// kilobyte unless it is told. Each read is a turn of the event loop. A server
+// has a buffer for each of its connections.
+inline constexpr size_t kClientReadBytes = 64 * 1024;
+inline constexpr size_t kServerReadBytes = 8 * 1024;
+
 // Returns nothing when `address` is not "ip:port".
 std::optional<Endpoint> EndpointOf(const std::string& address);
 
--- a/src/libs/async_http/client.cpp
+++ b/src/libs/async_http/client.cpp
@@ -114,6 +114,7 @@
   void Read() {
     parser_.emplace();
     parser_->body_limit(pool_->settings.maximum_body_bytes);
+    buffer_.reserve(kClientReadBytes);
     beast_http::async_read(*stream_, buffer_, *parser_,
                            [self = shared_from_this()](ErrorCode ec, size_t) {
                              self->OnRead(ec);
--- a/src/libs/async_http/server.cpp
+++ b/src/libs/async_http/server.cpp
@@ -34,6 +34,7 @@
  public:
   Session(tcp::socket socket, std::shared_ptr<Shared> shared)
       : stream_(std::move(socket)), shared_(std::move(shared)) {
+    buffer_.reserve(kServerReadBytes);
     shared_->sessions.insert(this);
   }
   ~Session() { shared_->sessions.erase(this); }
