Jobs: Repeats orders later while their answers are late

Callers saw jobs come ever later while a slow VM led.

The interval is now twice the smoothed latency of answers, 400 ms at least as before and 1.6 s at most. Calls without an answer count only while the leader is behind; an agent that is silent alone changes nothing.

ResendsOrdersLaterWhileAnswersAreLate is new.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -575,7 +575,8 @@
     request.body = jobs::Encode(*batch);
     context_.client.Send(
         runner->report.agent_address, request, now + settings_.order_timeout,
-        [weak = weak_from_this(), batch](const http::ClientResult& result) {
+        [weak = weak_from_this(), batch,
+         sent_at = now](const http::ClientResult& result) {
           const auto self = weak.lock();
           if (!self || self->has_ended_) {
             return;
@@ -585,6 +586,9 @@
           if (const auto* response = std::get_if<http::Response>(&result)) {
             answer = jobs::Decode<jobs::OrderAnswer>(response->body);
           }
+          if (answer || self->load_.is_behind()) {
+            self->scheduler_->OnOrderLatency(answered_at - sent_at);
+          }
           const jobs::Runner* addressee =
               self->scheduler_->fleet().Find(batch->incarnation);
           if (answer && addressee != nullptr &&
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -36,8 +36,10 @@
   // Added to the lease for calls in progress and timers that fire late.
   milliseconds lease_expiry_margin{500};
   // Interval between two sends of an unanswered order: several round trips to a
-  // busy agent.
+  // busy agent. It follows the latency of answers up to the longest one, so
+  // that a leader that handles them late doesn't add to its work.
   milliseconds resend_period{400};
+  milliseconds longest_resend_period{1600};
   // Time after which an order to start or pace a run is not passed on to the
   // runner: an order that is held up on the way must not take effect when its
   // run has been given up.
@@ -201,6 +203,8 @@
                      const Order& order,
                      const OrderResult& result,
                      Instant now);
+  // Orders have been answered `latency` after they were sent.
+  void OnOrderLatency(microseconds latency);
   // All jobs and cancellations that were stored by `viewed_at` are known.
   void OnJobsViewed(Instant viewed_at);
   // Everything up to `version` is stored.
@@ -273,6 +277,7 @@
   };
 
   Instant LeaseExpiry(Instant lease_end) const;
+  milliseconds ResendPeriod() const;
   // Whether cancellations are known as they were so recently that a start may
   // be sent, or a run be claimed.
   bool MaySendStarts(Instant now) const;
@@ -449,6 +454,7 @@
   const JobSchedulerSettings settings_;
   const Instant created_at_;
   Instant jobs_viewed_at_;
+  microseconds order_latency_{0};  // Smoothed.
   const JobSchedulerEventListener event_listener_;
   RouteTable routes_;  // Its queues are sorted by name.
   std::map<JobId, Entry> jobs_;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -16,6 +16,18 @@
 
 namespace papayadrift::jobs {
 
+void JobScheduler::OnOrderLatency(microseconds latency) {
+  constexpr int kSmoothing = 8;  // Answers that are averaged.
+  order_latency_ += (latency - order_latency_) / kSmoothing;
+}
+
+milliseconds JobScheduler::ResendPeriod() const {
+  constexpr int kLatencies = 2;
+  return std::clamp(
+      std::chrono::ceil<milliseconds>(order_latency_ * kLatencies),
+      settings_.resend_period, settings_.longest_resend_period);
+}
+
 bool JobScheduler::OnReport(const RunnerReport& report, Instant now) {
   const RunnerIncarnation& incarnation = report.incarnation;
   if (fleet_.IsSuperseded(incarnation)) {
@@ -559,7 +571,7 @@
       !(run.is_withdrawn || is_start_due)) {
     return std::nullopt;
   }
-  run.send_due = now + settings_.resend_period;
+  run.send_due = now + ResendPeriod();
   if (run.is_withdrawn) {
     if (!run.is_stop_overdue &&
         now - run.withdrawn_at >= settings_.stop_overdue_limit) {
@@ -571,7 +583,7 @@
     if (run.is_stop_overdue && run.accepted_stops == 0) {
       // What it is given now could not be taken back either.
       runner.suspended_until =
-          std::max(runner.suspended_until, now + settings_.resend_period);
+          std::max(runner.suspended_until, now + ResendPeriod());
     }
     return StopOrder{task, run.number};
   }
@@ -632,7 +644,7 @@
     for (auto* stopped : {&runner.orphans, &runner.released}) {
       for (auto& [task, orphan] : *stopped) {
         if (now >= orphan.send_due) {
-          orphan.send_due = now + settings_.resend_period;
+          orphan.send_due = now + ResendPeriod();
           orders.emplace_back(StopOrder{task, orphan.number});
         }
       }
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -19,6 +19,29 @@
   EXPECT_EQ(scheduler_.TakeOrders(At(0)).size(), 1U);
 }
 
+// Guards against a leader that sends each order again and again, since it
+// handles the answers late, and so is ever later.
+TEST_F(JobSchedulerTest, ResendsOrdersLaterWhileAnswersAreLate) {
+  const JobSchedulerSettings settings;
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  const auto sends_by = [&](int64_t end_ms, int64_t now_ms) {
+    size_t sends = 0;
+    for (; now_ms < end_ms; now_ms += 50) {
+      Report(kFirst, now_ms);
+      sends += CountStarts(Orders(now_ms));
+    }
+    return sends;
+  };
+  const int64_t period_ms = settings.resend_period.count();
+  scheduler_.OnOrderLatency(milliseconds(5));
+  EXPECT_EQ(sends_by(period_ms * 2, 0), 2U);
+  for (int i = 0; i < 50; ++i) {
+    scheduler_.OnOrderLatency(milliseconds(700));
+  }
+  EXPECT_EQ(sends_by(period_ms * 5, period_ms * 2), 1U);
+}
+
 // Guards against starts of a job whose cancellation was acknowledged long ago:
 // the claim was stored late, and the leader did not read any more.
 TEST_F(JobSchedulerTest, SendsNoStartOnAnOldViewOfTheJobs) {
