Tests: Adds failing tests from the review of the slow leader

Each fails on: the view of a new leader, reports of a restarted runner, the state at a frontend that is no standby, a leader that can't read, clocks that drift, a freeze before an outage, a request that is sent after its deadline.

--- a/tests/auto/async_http/client_test.cpp
+++ b/tests/auto/async_http/client_test.cpp
@@ -83,5 +83,28 @@
   EXPECT_LE(turns, kMaxTurns);
 }
 
+// Guards against an order that reaches its runner long after it was checked: the
+// process stood still while the connection was made.
+TEST(ClientTest, SendsNothingAfterItsDeadline) {
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0});
+  ManualClock clock;
+  Client client(loop, ClientSettings(), clock);
+  std::optional<http::ClientResult> result;
+  http::Request request;
+  request.method = "POST";
+  request.path = "/";
+  client.Send("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+              request, clock.Now() + milliseconds(250),
+              [&](const http::ClientResult& it) { result = it; });
+  clock.Advance(milliseconds(4000));
+  loop.run();
+  ASSERT_TRUE(result);
+  tcp::socket socket = acceptor.accept();
+  boost::system::error_code ec;
+  std::array<char, 1024> buf{};
+  EXPECT_EQ(socket.read_some(boost::asio::buffer(buf), ec), 0U);
+}
+
 }  // namespace
 }  // namespace papayadrift::async_http
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -306,6 +306,83 @@
   frontend_.Stop();
 }
 
+// Guards against a job that is shown as waiting for ever where it was accepted:
+// a frontend that is no standby reads nothing of it.
+TEST_F(JobFrontendTest, NonStandbyAsksForTheStateOfAJobItAccepted) {
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        const auto state = static_cast<uint32_t>(jobs::JobState::kRunning);
+        respond({200,
+                 {},
+                 request.path == kRelayPath
+                     ? Encode(RelayAnswer{true, state, true})
+                     : std::string()});
+      });
+  ASSERT_TRUE(leader.Open());
+  const auto store = [this](const std::string& key, const std::string& value) {
+    log_.Write({kLeaderTopic, {{key, value}}, std::nullopt, std::nullopt}, {},
+               [](const keyed_log::AppendResult&) {});
+  };
+  for (size_t i = 0; i < JobFrontendSettings().standbys; ++i) {
+    const std::string node = "strong-" + std::to_string(i);
+    store(std::string(kFrontendPrefix) + node,
+          Encode(FrontendRecord{node, address, 1, 64000}));
+  }
+  store(kLeaderKey, jobs::Encode(jobs::LeaderRecord{1, "strong-0", address}));
+  frontend_.Start();
+  log_.Settle();
+  Submit();
+  log_.Settle();
+  ASSERT_EQ(result_, SubmitResult::kAccepted);
+  clock_.Advance(milliseconds(60'000));
+  std::optional<StateResult> state;
+  frontend_.State("q", kId, [&](const StateResult& it) { state = it; });
+  while (!state) {
+    ASSERT_GT(loop_.run_one(), 0U);
+    log_.Settle();
+  }
+  EXPECT_EQ(*state, StateResult(jobs::JobState::kRunning));
+  frontend_.Stop();
+}
+
+// Guards against runners that get nothing until the end of a leader's term: the
+// store takes its heartbeats and answers none of its reads, and no standby
+// computes twice as fast.
+TEST_F(JobFrontendTest, LeaderThatCannotReadTheJobsHandsOverToAnEqual) {
+  const std::string address = FreeAddress();
+  bool is_named = false;
+  async_http::Server standby(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        is_named |= request.path == kSuccessionPath;
+        respond({200, {}, std::to_string(SpeedProbe(clock_).Measure())});
+      });
+  ASSERT_TRUE(standby.Open());
+  log_.Write({kLeaderTopic,
+              {{std::string(kFrontendPrefix) + "equal",
+                Encode(FrontendRecord{"equal", address, 1, 1000})}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  JobFrontend frontend(PromptSettings(), context());
+  frontend.Start();
+  log_.Settle();
+  const auto leader_status = [&] {
+    int status = 0;
+    frontend.HandleLeaderQuery(
+        [&](const http::Response& it) { status = it.status; });
+    return status;
+  };
+  RunUntil([&] { return leader_status() == 200; });
+  // Its read waits for a new record, and the store does not end the wait.
+  const Instant until = clock_.Now() + milliseconds(60'000);
+  RunUntil([&] { return is_named || clock_.Now() >= until; });
+  EXPECT_TRUE(is_named);
+  frontend.Stop();
+}
+
 // Guards against a job that runs on although its caller was told that it did
 // not exist: another frontend had stored it after the copy was read.
 TEST_F(JobFrontendTest, UnknownJobIsLookedUpInTheStore) {
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -384,6 +384,97 @@
   leader->Stop({});
 }
 
+// Guards against a new leader whose starts rest on an older view than their
+// orders say: it had read the jobs when it began to campaign, and the answer to
+// its candidacy was lost twice.
+TEST_F(LeaderTest, ViewOfANewLeaderIsAsOldAsItsRead) {
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  job.steps[0].count = 1;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  jobs::RouteTable routes;
+  routes.version = 1;
+  routes.queues.resize(1);
+  routes.queues[0].name = "q";
+  routes.queues[0].service = "s";
+  log_.Settle();
+  const Instant viewed_at = clock_.Now();
+  const auto leader = MakeLeader("node-1");
+  leader->SetRoutes(routes);
+  log_.set_loses_answers(true);
+  leader->Campaign();
+  for (int i = 0; i < 4; ++i) {
+    log_.AnswerNext();  // In turn those of the candidacy and of the jobs.
+  }
+  log_.set_loses_answers(false);
+  ASSERT_EQ(replica_.jobs_caught_up_at(), viewed_at);
+  ASSERT_EQ(replica_.content().jobs.size(), 1U);
+  ASSERT_FALSE(leader->is_leading());
+  clock_.Advance(milliseconds(3000));
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  ASSERT_EQ(replica_.jobs_caught_up_at(), viewed_at);
+  jobs::RunnerReport report;
+  report.incarnation = {"agent", "instance", 1};
+  report.service = "s";
+  for (int i = 1; i <= 3; ++i) {
+    report.sent_at_ms = report.listed_at_ms = i;
+    http::Request request;
+    request.body = jobs::Encode(report);
+    leader->HandleReport(request, [](const http::Response&) {});
+    ASSERT_GT(loop_.run_one(), 0U);  // The leader's own timer.
+    log_.Settle();
+  }
+  ASSERT_EQ(replica_.jobs_caught_up_at(), viewed_at);
+  const jobs::Runner* runner =
+      leader->scheduler()->fleet().Find(report.incarnation);
+  ASSERT_NE(runner, nullptr);
+  EXPECT_TRUE(runner->runs.empty());
+  leader->Stop({});
+}
+
+// Guards against ends, and crashes, that are lost since the report of the next
+// process of a runner took the place of the one that told of them.
+TEST_F(LeaderTest, ReportOfARestartedRunnerOvertakesNoEnds) {
+  const AgentOfEndedRunner agent;
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  job.steps[0].count = 1;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  Store(kProgressTopic, {KeyOf(task), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_EQ(leader->scheduler()->open_jobs(), 1U);
+  const auto send = [&](const jobs::RunnerReport& report) {
+    http::Request request;
+    request.headers[kNodeHeader] = report.incarnation.node;
+    request.body = jobs::Encode(report);
+    leader->HandleReport(request, [](const http::Response&) {});
+  };
+  jobs::RunnerReport report;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  for (size_t i = 0; i < LeaderSettings().max_reports_per_round; ++i) {
+    report.incarnation = {std::to_string(i), "instance", 1};
+    send(report);
+  }
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
+  send(report);
+  report.incarnation = {"agent", "next", 2};
+  report.sent_at_ms = report.listed_at_ms = 2;
+  report.ended.clear();
+  send(report);
+  ASSERT_GT(loop_.run_one(), 0U);  // The round.
+  log_.Settle();
+  EXPECT_EQ(leader->scheduler()->open_jobs(), 0U);
+  leader->Stop({});
+}
+
 // Guards against a leader that begins without the claims of the last one: a
 // caller's query made the replica reload while the candidacy was in flight.
 TEST_F(LeaderTest, LeaderBeginsFromAWholeState) {
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -71,6 +71,25 @@
   EXPECT_EQ(scheduler_.JobsViewedAtMs(kSecond), 0);
 }
 
+// Guards against starts on a view that is older than its order says, and against
+// a runner that gets none any more since each names a time in the future: the
+// clock of its agent is slower than the leader's.
+TEST_F(JobSchedulerTest, TellsTheTimeOfItsViewAlthoughClocksDrift) {
+  constexpr int64_t kReportPeriodMs = 500;
+  constexpr int64_t kHourMs = 3'600'000;
+  constexpr int64_t kToleranceMs = 250;
+  // Slower by 200 millionths.
+  const auto agent_ms_at = [](int64_t ms) { return ms - ms / 5000; };
+  RunnerReport report = ReportOf(kFirst);
+  for (int64_t ms = kReportPeriodMs; ms <= kHourMs; ms += kReportPeriodMs) {
+    report.sent_at_ms = report.listed_at_ms = agent_ms_at(ms);
+    scheduler_.OnReport(report, At(ms));
+  }
+  scheduler_.OnJobsViewed(At(kHourMs));
+  EXPECT_LE(scheduler_.JobsViewedAtMs(kFirst),
+            agent_ms_at(kHourMs) + kToleranceMs);
+}
+
 // Guards against storing a job's whole progress again with each task that
 // changed, as happened in a large deployment.
 TEST_F(JobSchedulerTest, StoresOnlyTasksThatChanged) {
--- a/tests/auto/keyed_log/answer_limit_test.cpp
+++ b/tests/auto/keyed_log/answer_limit_test.cpp
@@ -37,6 +37,18 @@
   EXPECT_EQ(limit.Current(), prompt + milliseconds(1000));
 }
 
+// Guards against an outage that is found late since the process was frozen
+// before it, and calls seldom.
+TEST(AnswerLimitTest, AFreezeIsForgottenAfterSomeCalls) {
+  AnswerLimit limit;
+  const milliseconds prompt = limit.Current();
+  limit.OnTurn(milliseconds(10'000));
+  for (int i = 0; i < 10; ++i) {
+    limit.OnTurn(microseconds(200));
+  }
+  EXPECT_LT(limit.Current(), prompt + milliseconds(500));
+}
+
 TEST(AnswerLimitTest, DoublesWhileNothingComes) {
   AnswerLimit limit;
   const milliseconds first = limit.Current();
