--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -4,12 +4,15 @@
 
 #include <iterator>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "async_http/server.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 #include "process_fixture.h"
+#include "support/free_port.h"
 
 namespace papayadrift::cluster {
 namespace {
@@ -384,6 +387,56 @@
   leader->Stop({});
 }
 
+// Guards against orders that name the time at which they are sent as that of
+// the view that they rest on.
+TEST_F(LeaderTest, OrdersTellWhenTheJobsWereRead) {
+  std::optional<jobs::OrderBatch> batch;
+  const std::string address = FreeAddress();
+  async_http::Server agent(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        batch = jobs::Decode<jobs::OrderBatch>(request.body);
+        respond({409, {}, {}});
+      });
+  ASSERT_TRUE(agent.Open());
+  clock_.Advance(milliseconds(10'000));
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  job.steps[0].count = 1;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  jobs::RouteTable routes;
+  routes.version = 1;
+  routes.queues.resize(1);
+  routes.queues[0].name = "q";
+  routes.queues[0].service = "s";
+  const auto leader = MakeLeader("node-1");
+  leader->SetRoutes(routes);
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  const int64_t viewed_at_ms = 10'000;
+  constexpr milliseconds kAge(700);
+  clock_.Advance(kAge);
+  constexpr int64_t kLeadMs = 5000;
+  for (int i = 0; i < 100 && !batch; ++i) {
+    jobs::RunnerReport report;
+    report.incarnation = {"agent", "instance", 1};
+    report.agent_address = address;
+    report.service = "s";
+    report.sent_at_ms = report.listed_at_ms =
+        viewed_at_ms + kAge.count() + kLeadMs;
+    http::Request request;
+    request.body = jobs::Encode(report);
+    leader->HandleReport(request, [](const http::Response&) {});
+    ASSERT_GT(loop_.run_one(), 0U);
+    log_.Settle();
+  }
+  ASSERT_TRUE(batch);
+  EXPECT_EQ(batch->jobs_viewed_at_ms, viewed_at_ms + kLeadMs);
+  leader->Stop({});
+}
+
 // Guards against a new leader whose starts rest on an older view than their
 // orders say: it had read the jobs when it began to campaign, and the answer to
 // its candidacy was lost twice.
