--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -487,6 +487,39 @@
   leader->Stop({});
 }
 
+// Guards against an agent that is sent away with the end of its runner again and
+// again, since its report had waited for its turn as long as answers may take.
+TEST_F(LeaderTest, EndThatHasWaitedForItsTurnIsAcknowledgedOnceStored) {
+  const AgentOfEndedRunner agent;
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  Store(kProgressTopic,
+        {KeyOf({JobId("a"), 0, 0, 0}), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  for (size_t i = 0; i < LeaderSettings().max_reports_per_round; ++i) {
+    jobs::RunnerReport report;
+    report.incarnation = {std::to_string(i), "instance", 1};
+    http::Request request;
+    request.body = jobs::Encode(report);
+    leader->HandleReport(request, [](const http::Response&) {});
+  }
+  int status = 0;
+  leader->HandleReport(agent.EndedRunnerRequest(),
+                       [&](const http::Response& it) { status = it.status; });
+  clock_.Advance(LeaderSettings().report_timeout);
+  ASSERT_GT(loop_.run_one(), 0U);  // The round.
+  EXPECT_EQ(status, 0);
+  log_.Settle();
+  EXPECT_EQ(status, 200);
+  leader->Stop({});
+}
+
 // Guards against ends, and crashes, that are lost since the report of the next
 // process of a runner took the place of the one that told of them.
 TEST_F(LeaderTest, ReportOfARestartedRunnerOvertakesNoEnds) {
