--- a/tests/auto/keyed_log/fake_keyed_log.cpp
+++ b/tests/auto/keyed_log/fake_keyed_log.cpp
@@ -80,6 +80,9 @@
     Records result;
     result.end = held.records.size();
     for (uint64_t i = from; i < held.records.size(); ++i) {
+      if (result.records.size() == read_size_) {
+        break;
+      }
       result.records.push_back({i, held.records[i]});
     }
     done(result);
--- a/tests/auto/keyed_log/fake_keyed_log.h
+++ b/tests/auto/keyed_log/fake_keyed_log.h
@@ -40,6 +40,8 @@
   void set_is_down(bool is_down) { is_down_ = is_down; }
   void set_loses_answers(bool loses) { loses_answers_ = loses; }
   void set_page_size(size_t size) { page_size_ = size; }
+  // Number of records that one read returns at most.
+  void set_read_size(size_t size) { read_size_ = size; }
   // Appends that were begun.
   size_t append_count() const { return append_count_; }
   // Reads of a topic that were begun, from either end.
@@ -66,6 +68,7 @@
   bool is_down_ = false;
   bool loses_answers_ = false;
   size_t page_size_ = 500;
+  size_t read_size_ = SIZE_MAX;
   size_t append_count_ = 0;
   std::map<std::string, size_t> read_counts_;
 };
--- a/tests/auto/keyed_log/topic_follower_test.cpp
+++ b/tests/auto/keyed_log/topic_follower_test.cpp
@@ -51,6 +51,32 @@
   EXPECT_EQ(follower_->next(), 3U);
 }
 
+// Guards against starts on a view that is told to be as new as the answer to a
+// read, or to one that returned only a part.
+TEST_F(TopicFollowerTest, IsAsNewAsTheBeginningOfAWholeRead) {
+  Put("a", "1");
+  ASSERT_TRUE(CatchUp());
+  const auto read = [&] {
+    clock_.Advance(milliseconds(1000));
+    const Instant begun_at = clock_.Now();
+    follower_->Wait(milliseconds(0), [](bool) {});
+    clock_.Advance(milliseconds(700));
+    log_.Settle();
+    return begun_at;
+  };
+  const Instant whole_at = read();
+  EXPECT_EQ(follower_->caught_up_at(), whole_at);
+  Put("b", "2");
+  Put("c", "3");
+  log_.set_read_size(1);
+  read();
+  EXPECT_EQ(seen_.size(), 2U);
+  EXPECT_EQ(follower_->caught_up_at(), whole_at);
+  const Instant last_at = read();
+  EXPECT_EQ(follower_->caught_up_at(), last_at);
+  EXPECT_EQ(seen_.size(), 3U);
+}
+
 TEST_F(TopicFollowerTest, ReadsAllPages) {
   log_.set_page_size(2);
   for (const char* key : {"a", "b", "c", "d", "e"}) {
