Cluster: Begins a term with the view that was read

Found in review: a new leader took the beginning of its term for the time of its view. It reads the jobs when it begins to campaign; a candidacy whose answer is lost twice ends 3 s later or more, and its orders then named a time up to that much too late, so that agents started what had been cancelled for longer than they allow.

The scheduler has no view until it is told one, and the leader tells it the time of the replica's read. The fleets of LargeFleetTest relied on the default; they tell theirs before each round, as the leader does.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -191,6 +191,7 @@
                      [this](const jobs::JobSchedulerEvent& event) {
                        LogSchedulerEvent(event);
                      });
+  scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
   scheduler_->SetRoutes(routes_);
   scheduler_->ImportLearned(content.learned);
   learned_appended_at_ = now;
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -97,7 +97,6 @@
                            JobSchedulerEventListener event_listener)
     : settings_(settings),
       created_at_(now),
-      jobs_viewed_at_(now),
       event_listener_(std::move(event_listener)) {}
 
 void JobScheduler::Emit(JobSchedulerEvent::Kind kind,
--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -62,6 +62,7 @@
 
   // Returns the number of starts after one round of decisions.
   size_t Step() {
+    scheduler_.OnJobsViewed(now_);
     scheduler_.Advance(now_, 1);
     scheduler_.OnStored(scheduler_.TakeChanges().version);
     size_t starts = 0;
@@ -173,6 +174,7 @@
     size_t starts = 0;
     size_t orders = 0;
     do {
+      scheduler_.OnJobsViewed(now_);
       scheduler_.Advance(now_, 1);
       scheduler_.OnStored(scheduler_.TakeChanges().version);
       orders = 0;
