Async HTTP: Sends no request after its deadline

Found in review: an order that an agent had found in time was written to a new connection once that was there, however late: after a stall of the process the connection's handler can run before its timer, which doesn't count suspended time either. Now the deadline is checked when the connection is there.

--- a/src/libs/async_http/client.cpp
+++ b/src/libs/async_http/client.cpp
@@ -91,6 +91,10 @@
                  : http::ClientFailure::kNotConnected);
       return;
     }
+    if (clock_.Now() >= deadline_) {
+      Finish(http::ClientFailure::kNotConnected);
+      return;
+    }
     SetSocketOptions(stream_->socket());
     // A call that times out closes the connection, and must not take effect
     // later: a reset drops what has not been delivered.
