Keyed log: Forgets a freeze after some calls

Found in review: the length of a turn was kept as measured, and only what it adds to the limit was bounded. After one freeze of 10 s the limit stayed a second longer for 28 calls, which is how late an outage would be seen. The length itself is bounded now.

--- a/src/libs/keyed_log/answer_limit.cpp
+++ b/src/libs/keyed_log/answer_limit.cpp
@@ -20,12 +20,12 @@
 }  // namespace
 
 milliseconds AnswerLimit::Current() const {
-  return limit_ + std::min(std::chrono::floor<milliseconds>(turn_ * kTurns),
-                           kLongestForTurns);
+  return limit_ + std::chrono::floor<milliseconds>(turn_ * kTurns);
 }
 
 void AnswerLimit::OnTurn(microseconds wait) {
-  turn_ = std::max(wait, turn_ - turn_ / kSmoothing);
+  turn_ = std::min<microseconds>(std::max(wait, turn_ - turn_ / kSmoothing),
+                                 kLongestForTurns / kTurns);
 }
 
 void AnswerLimit::OnAnswer(microseconds latency) {
