Cluster: Waits for the store from when an end is processed

Found in review: the report that a runner has ended is refused if it can't be stored within 800 ms, so that the agent asks another leader. One that had waited that long for its turn was refused in the round that processed it, each time anew. The time for the store now begins with the processing.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -678,8 +678,8 @@
     respond({409, {}, {}});
     return;
   }
-  PendingReport pending{report->incarnation, 0,   {},
-                        report->sent_at_ms,  now, respond};
+  PendingReport pending{
+      report->incarnation, 0, {}, report->sent_at_ms, now, started_at, respond};
   if (report->state == jobs::RunnerState::kGone) {
     pending.gone_version = scheduler_->version();
   }
@@ -727,7 +727,9 @@
   const Instant now = context_.clock.Now();
   std::vector<PendingReport> waiting;
   for (PendingReport& report : pending_reports_) {
-    const bool is_due = now - report.received_at >= settings_.report_timeout;
+    const bool is_due = now - (report.gone_version ? report.processed_at
+                                                   : report.received_at) >=
+                        settings_.report_timeout;
     if (is_due && report.gone_version && !IsRecorded(report)) {
       // Another leader may be able to store it.
       report.respond({409, {}, {}});
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -115,6 +115,7 @@
     std::optional<uint64_t> gone_version;
     int64_t sent_at_ms = 0;
     Instant received_at;
+    Instant processed_at;
     async_http::Respond respond;
   };
 
