Cluster: Keeps unread ends when a runner starts anew

Found in review: waiting reports were told apart by the agent's node. The report of a runner's next process, or of its end, which have no lists of ends, took the place of the unread one before: done tasks ran again, and a crash was not counted.

A report now says which process of the agent and of the runner it is of, and whether it tells of the runner's end; only the same replace each other.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -629,7 +629,7 @@
 
 void Leader::HandleReport(const http::Request& request,
                           const async_http::Respond& respond) {
-  WaitingReport report{ValueOr(request.headers, kNodeHeader, ""), request,
+  WaitingReport report{ValueOr(request.headers, kReporterHeader, ""), request,
                        context_.clock.Now(), respond};
   if (!is_leading_) {
     respond({409, {}, {}});
--- a/src/libs/cluster/report_queue.cpp
+++ b/src/libs/cluster/report_queue.cpp
@@ -5,14 +5,21 @@
 
 namespace papayadrift::cluster {
 
+std::string ReporterOf(const jobs::RunnerReport& report) {
+  const std::string process = ToText(report.incarnation) + "/" +
+                              std::to_string(report.agent_start_unix_ms);
+  return report.state == jobs::RunnerState::kGone ? process + "/gone" : process;
+}
+
 std::optional<WaitingReport> ReportQueue::Put(WaitingReport report) {
-  const auto known = by_node_.find(report.node);
-  if (known != by_node_.end()) {
+  const auto known = by_reporter_.find(report.reporter);
+  if (known != by_reporter_.end()) {
     return std::exchange(*known->second, std::move(report));
   }
   reports_.push_back(std::move(report));
-  if (const std::string& node = reports_.back().node; !node.empty()) {
-    by_node_.emplace(node, std::prev(reports_.end()));
+  if (const std::string& reporter = reports_.back().reporter;
+      !reporter.empty()) {
+    by_reporter_.emplace(reporter, std::prev(reports_.end()));
   }
   return std::nullopt;
 }
@@ -23,7 +30,7 @@
   }
   WaitingReport first = std::move(reports_.front());
   reports_.pop_front();
-  by_node_.erase(first.node);
+  by_reporter_.erase(first.reporter);
   return first;
 }
 
--- a/src/libs/cluster/report_queue.h
+++ b/src/libs/cluster/report_queue.h
@@ -9,12 +9,18 @@
 
 #include "async_http/server.h"
 #include "base/instant.h"
+#include "jobs/runner.h"
 
 namespace papayadrift::cluster {
 
+// Returns whose report it is: of two reports of the same processes of an agent
+// and a runner, the later one says all that the earlier one does, unless it
+// says that the runner has ended.
+std::string ReporterOf(const jobs::RunnerReport& report);
+
 // A report of an agent that has not been decoded.
 struct WaitingReport {
-  std::string node;  // Of the agent; empty if it did not say.
+  std::string reporter;  // As by ReporterOf(); empty if the agent did not say.
   http::Request request;
   Instant received_at;
   async_http::Respond respond;
@@ -25,7 +31,7 @@
 // a leader that is behind need not read what has been overtaken.
 class ReportQueue {
  public:
-  // Adds a report in the place of the agent's earlier one, if there is one,
+  // Adds a report in the place of the reporter's earlier one, if there is one,
   // which is returned.
   std::optional<WaitingReport> Put(WaitingReport report);
   std::optional<WaitingReport> Take();
@@ -35,7 +41,7 @@
 
  private:
   std::list<WaitingReport> reports_;
-  std::map<std::string, std::list<WaitingReport>::iterator> by_node_;
+  std::map<std::string, std::list<WaitingReport>::iterator> by_reporter_;
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "cluster/report_queue.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 
@@ -353,7 +354,7 @@
   http::Request request;
   request.method = "POST";
   request.path = kReportPath;
-  request.headers = {{kNodeHeader, settings_.node}};
+  request.headers = {{kReporterHeader, ReporterOf(report)}};
   request.body = jobs::Encode(report);
   context_.client.Send(
       leader_.address, request, context_.clock.Now() + settings_.report_timeout,
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -38,8 +38,8 @@
 
 // Paths of requests between the processes of a cluster.
 inline constexpr char kReportPath[] = "/internal/v1/reports";
-// Header of a report: the agent's node.
-inline constexpr char kNodeHeader[] = "x-node";
+// Header of a report: see ReporterOf().
+inline constexpr char kReporterHeader[] = "x-reporter";
 inline constexpr char kOrdersPath[] = "/internal/v1/orders";
 inline constexpr char kRelayPath[] = "/internal/v1/relay";
 // POST to an agent: a leader announces its term. GET from a frontend: whether
--- a/tests/auto/async_http/client_test.cpp
+++ b/tests/auto/async_http/client_test.cpp
@@ -83,8 +83,8 @@
   EXPECT_LE(turns, kMaxTurns);
 }
 
-// Guards against an order that reaches its runner long after it was checked: the
-// process stood still while the connection was made.
+// Guards against an order that reaches its runner long after it was checked:
+// the process stood still while the connection was made.
 TEST(ClientTest, SendsNothingAfterItsDeadline) {
   boost::asio::io_context loop;
   tcp::acceptor acceptor(loop, {boost::asio::ip::address_v4::loopback(), 0});
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -191,7 +191,7 @@
     jobs::RunnerReport report;
     report.incarnation = {node, "instance", 1};
     http::Request request;
-    request.headers[kNodeHeader] = node;
+    request.headers[kReporterHeader] = ReporterOf(report);
     request.body = jobs::Encode(report);
     leader->HandleReport(request, [&statuses, node](const http::Response& it) {
       statuses[node] = it.status;
@@ -487,8 +487,9 @@
   leader->Stop({});
 }
 
-// Guards against an agent that is sent away with the end of its runner again and
-// again, since its report had waited for its turn as long as answers may take.
+// Guards against an agent that is sent away with the end of its runner again
+// and again, since its report had waited for its turn as long as answers may
+// take.
 TEST_F(LeaderTest, EndThatHasWaitedForItsTurnIsAcknowledgedOnceStored) {
   const AgentOfEndedRunner agent;
   jobs::Job job;
@@ -538,7 +539,7 @@
   ASSERT_EQ(leader->scheduler()->open_jobs(), 1U);
   const auto send = [&](const jobs::RunnerReport& report) {
     http::Request request;
-    request.headers[kNodeHeader] = report.incarnation.node;
+    request.headers[kReporterHeader] = ReporterOf(report);
     request.body = jobs::Encode(report);
     leader->HandleReport(request, [](const http::Response&) {});
   };
--- a/tests/auto/cluster/report_queue_test.cpp
+++ b/tests/auto/cluster/report_queue_test.cpp
@@ -5,9 +5,9 @@
 namespace papayadrift::cluster {
 namespace {
 
-WaitingReport ReportOf(const std::string& node, const std::string& body) {
+WaitingReport ReportOf(const std::string& reporter, const std::string& body) {
   WaitingReport report;
-  report.node = node;
+  report.reporter = reporter;
   report.request.body = body;
   return report;
 }
@@ -38,7 +38,7 @@
   EXPECT_EQ(queue.Take()->request.body, "4");
 }
 
-TEST(ReportQueueTest, ReportsWithoutANodeAreAllKept) {
+TEST(ReportQueueTest, ReportsWithoutAReporterAreAllKept) {
   ReportQueue queue;
   queue.Put(ReportOf("", "1"));
   EXPECT_FALSE(queue.Put(ReportOf("", "2")));
@@ -46,5 +46,23 @@
   EXPECT_EQ(queue.Take()->request.body, "2");
 }
 
+// Guards against ends that are lost with an unread report, since that of the
+// runner's end, or of its next process, has no lists of them.
+TEST(ReportQueueTest, OnlyReportsOfTheSameProcessesReplaceEachOther) {
+  jobs::RunnerReport report;
+  report.incarnation = {"node", "instance", 1};
+  const std::string first = ReporterOf(report);
+  report.sent_at_ms = 5;
+  EXPECT_EQ(ReporterOf(report), first);
+  report.state = jobs::RunnerState::kGone;
+  EXPECT_NE(ReporterOf(report), first);
+  report.state = jobs::RunnerState::kReady;
+  report.agent_start_unix_ms = 1;
+  EXPECT_NE(ReporterOf(report), first);
+  report.agent_start_unix_ms = 0;
+  report.incarnation.start_unix_ms = 2;
+  EXPECT_NE(ReporterOf(report), first);
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "async_http/server.h"
+#include "cluster/report_queue.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 #include "process_fixture.h"
@@ -134,8 +135,10 @@
   async_http::Server leader(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        is_reported = request.path == kReportPath &&
-                      request.headers.at(kNodeHeader) == "agent";
+        is_reported =
+            request.path == kReportPath &&
+            request.headers.at(kReporterHeader) ==
+                ReporterOf(*jobs::Decode<jobs::RunnerReport>(request.body));
         respond({409, {}, {}});
       });
   ASSERT_TRUE(leader.Open());
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -71,9 +71,9 @@
   EXPECT_EQ(scheduler_.JobsViewedAtMs(kSecond), 0);
 }
 
-// Guards against starts on a view that is older than its order says, and against
-// a runner that gets none any more since each names a time in the future: the
-// clock of its agent is slower than the leader's.
+// Guards against starts on a view that is older than its order says, and
+// against a runner that gets none any more since each names a time in the
+// future: the clock of its agent is slower than the leader's.
 TEST_F(JobSchedulerTest, TellsTheTimeOfItsViewAlthoughClocksDrift) {
   constexpr int64_t kReportPeriodMs = 500;
   constexpr int64_t kHourMs = 3'600'000;
