Jobs: Forgets the lead of an agent's clock after a minute

Found in review: the time of the leader's view is told on the agent's clock, by the greatest lead of that clock which its reports have shown in the whole term. If the agent's clock is slower, the time moves into the future: after an hour at 200 ppm it is 720 ms too late, and with it the last time of a start; later the agent would refuse all starts. The time by which orders are void has the same error.

The greatest lead in the present and the last window of 30 s counts now.

--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -42,8 +42,12 @@
   bool has_report = false;
   Instant joined_at;  // Of the first report.
   // How far the agent's clock is ahead of this process's: at least, as reports
-  // take time.
+  // take time. The greatest lead of the reports in this window of time and in
+  // the one before: clocks drift apart.
   milliseconds agent_clock_lead{0};
+  milliseconds lead_in_window{0};
+  milliseconds lead_before_window{0};
+  Instant lead_window_end;
   // Starts of the agents that reported before the present one.
   std::set<int64_t> former_agents;
   // When its last lists were asked for, at the latest; unset: there are none.
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -10,6 +10,14 @@
 #include "jobs/runner_crash.h"
 
 namespace papayadrift::jobs {
+namespace {
+
+// Time after which a lead of an agent's clock no longer counts, or up to twice
+// that: clocks that differ by 2% drift apart by 1.2 s in it, sound ones by some
+// milliseconds.
+constexpr milliseconds kLeadWindow(30'000);
+
+}  // namespace
 
 void JobScheduler::RemoveEarlierIncarnations(
     const RunnerIncarnation& incarnation,
@@ -174,10 +182,20 @@
     TakeOverReleasedRuns(report.incarnation, runner);
   }
   if (is_new || is_restarted) {
-    runner.agent_clock_lead = lead;
+    runner.lead_before_window = lead;
+    runner.lead_in_window = lead;
+    runner.lead_window_end = now + kLeadWindow;
+  } else if (now >= runner.lead_window_end) {
+    runner.lead_before_window = runner.lead_in_window;
+    runner.lead_in_window = lead;
+    runner.lead_window_end = now + kLeadWindow;
+  }
+  runner.lead_in_window = std::max(runner.lead_in_window, lead);
+  runner.agent_clock_lead =
+      std::max(runner.lead_before_window, runner.lead_in_window);
+  if (is_new || is_restarted) {
     RedateStarts(runner, report.sent_at_ms);
   }
-  runner.agent_clock_lead = std::max(runner.agent_clock_lead, lead);
   if (report.listed_at_ms > 0) {
     const Instant listed_at =
         now - milliseconds(report.sent_at_ms - report.listed_at_ms);
