Platform: Refuses a cancel_ms in which nothing can start

Found in review: with bounds.cancel_ms of 1500 or less no view of the jobs is recent enough for a claim, and the cluster would start nothing without a word.

--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
 
 namespace papayadrift::platform {
 namespace {
@@ -51,6 +52,15 @@
   }));
 }
 
+TEST(SettingsFileTest, RefusesABoundInWhichNothingCanStart) {
+  std::string text = kText;
+  text.replace(text.find("cancel_ms = 4000"), 16, "cancel_ms = 1500");
+  std::vector<SettingsProblem> problems;
+  EXPECT_FALSE(ReadSettings(text, problems));
+  ASSERT_EQ(problems.size(), 1U);
+  EXPECT_EQ(problems[0].key, "bounds.cancel_ms");
+}
+
 TEST(SettingsFileTest, ReportsTheLineOfASyntaxError) {
   std::vector<SettingsProblem> problems;
   EXPECT_FALSE(ReadSettings("a = 1\nb =\n", problems));
