--- a/src/libs/cluster/handover.h
+++ b/src/libs/cluster/handover.h
@@ -7,9 +7,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cluster/frontend_list.h"
+#include "cluster/leader_load.h"
 #include "cluster/process_context.h"
 #include "cluster/speed_probe.h"
 
@@ -46,16 +48,24 @@
   // This process begins to lead or to campaign.
   void OnTermBegun();
   // Asks the standbys if it is time to, and calls `done` once they have
-  // answered or not; returns whether it was. `behind_since` is unset while the
-  // leader keeps up.
-  bool Consider(const std::optional<Instant>& behind_since, Done done);
+  // answered or not; returns whether it was. `behind` is unset while the leader
+  // keeps up.
+  bool Consider(const std::optional<Behind>& behind, Done done);
   // Returns the body of the answer to such a question: the measured speed.
   std::string Answer() { return std::to_string(probe_.Measure()); }
 
  private:
+  // Why another frontend should lead.
+  enum class Reason { kVmTooSmall, kTooSlow, kCannotRead };
   // One round of questions.
   struct Round;
 
+  static std::string_view Describe(Reason reason);
+  std::optional<Reason> ReasonFor(const std::optional<Behind>& behind,
+                                  Instant now) const;
+  // Returns how fast a standby has to be.
+  uint64_t LeastSpeed(const Round& round) const;
+
   void Ask(const std::shared_ptr<Round>& round, const FrontendRecord& standby);
   void Finish(const Round& round);
 
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -274,7 +274,7 @@
 }
 
 void JobFrontend::ConsiderHandover() {
-  handover_.Consider(leader_->behind_since(),
+  handover_.Consider(leader_->behind(),
                      [this, term = leader_->term()](
                          const std::optional<FrontendRecord>& candidate) {
                        if (candidate && is_leading() &&
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -90,9 +90,7 @@
   bool is_confirmed() const;
   uint64_t term() const { return record_.term; }
   // Unset while this leader keeps up with its work.
-  const std::optional<Instant>& behind_since() const {
-    return load_.behind_since();
-  }
+  std::optional<Behind> behind() const { return load_.behind(); }
   const jobs::JobScheduler* scheduler() const {
     return scheduler_ ? &*scheduler_ : nullptr;
   }
--- a/src/libs/cluster/leader_load.cpp
+++ b/src/libs/cluster/leader_load.cpp
@@ -66,6 +66,13 @@
   return Change::kNone;
 }
 
+std::optional<Behind> LeaderLoad::behind() const {
+  if (!behind_since_) {
+    return std::nullopt;
+  }
+  return Behind{*behind_since_, view_age_ >= settings_.max_view_age};
+}
+
 WorkSums LeaderLoad::TakeWork() {
   return std::exchange(work_, WorkSums{});
 }
--- a/src/libs/cluster/leader_load.h
+++ b/src/libs/cluster/leader_load.h
@@ -54,6 +54,15 @@
                          const LeaderLoadSettings&) = default;
 };
 
+// A leader that can't keep up.
+struct Behind {
+  Instant since;
+  // It doesn't know the present jobs, so it starts nothing or soon won't.
+  bool has_old_view = false;
+
+  friend bool operator==(const Behind&, const Behind&) = default;
+};
+
 // Whether a leader keeps up with its work, and what it spends its time on.
 // Decides nothing and does no I/O.
 class LeaderLoad {
@@ -72,7 +81,7 @@
 
   bool is_behind() const { return behind_since_.has_value(); }
   // Unset while the leader keeps up.
-  const std::optional<Instant>& behind_since() const { return behind_since_; }
+  std::optional<Behind> behind() const;
   microseconds smoothed_lag() const { return smoothed_lag_; }
   microseconds view_age() const { return view_age_; }
   // Since the last call.
--- a/tests/auto/cluster/handover_test.cpp
+++ b/tests/auto/cluster/handover_test.cpp
@@ -52,11 +52,11 @@
   // the frontend that is to lead; nothing if none is asked.
   std::optional<std::string> CandidateAfter(
       milliseconds term,
-      const std::optional<Instant>& behind_since) {
+      const std::optional<Behind>& behind) {
     clock_.Advance(term);
     std::optional<std::string> address;
     const bool is_asked = handover_.Consider(
-        behind_since, [&](const std::optional<FrontendRecord>& candidate) {
+        behind, [&](const std::optional<FrontendRecord>& candidate) {
           address = candidate ? candidate->address : kNobody;
         });
     while (is_asked && !address) {
@@ -91,24 +91,31 @@
   Put(1, 500);
   standbys_[0].speed = OwnSpeed() * 3;
   standbys_[1].speed = OwnSpeed() * 4;
-  const Instant behind_since = clock_.Now();
-  EXPECT_FALSE(CandidateAfter(settings_.behind_limit, behind_since));
-  EXPECT_EQ(CandidateAfter(settings_.min_term, behind_since),
-            standbys_[1].address);
-  EXPECT_FALSE(CandidateAfter(settings_.period / 2, behind_since));
+  const Behind behind{clock_.Now()};
+  EXPECT_FALSE(CandidateAfter(settings_.behind_limit, behind));
+  EXPECT_EQ(CandidateAfter(settings_.min_term, behind), standbys_[1].address);
+  EXPECT_FALSE(CandidateAfter(settings_.period / 2, behind));
   standbys_[1].status = 409;
-  EXPECT_EQ(CandidateAfter(settings_.period, behind_since),
-            standbys_[0].address);
+  EXPECT_EQ(CandidateAfter(settings_.period, behind), standbys_[0].address);
 }
 
 // Guards against a lead that goes back and forth among VMs that are all slow.
 TEST_F(HandoverTest, LeaderThatIsBehindStaysAmongEquals) {
   Put(0, 500);
   standbys_[0].speed = OwnSpeed() * 3 / 2;
-  const Instant behind_since = clock_.Now();
-  EXPECT_EQ(CandidateAfter(settings_.min_term, behind_since), kNobody);
+  const Behind behind{clock_.Now()};
+  EXPECT_EQ(CandidateAfter(settings_.min_term, behind), kNobody);
   EXPECT_FALSE(
-      CandidateAfter(settings_.period, clock_.Now() + milliseconds(1)));
+      CandidateAfter(settings_.period, Behind{clock_.Now() + milliseconds(1)}));
+}
+
+// Guards against runners that wait without an end: a leader whose reads of the
+// jobs have no answer starts nothing, however fast it is.
+TEST_F(HandoverTest, LeaderThatCannotReadTheJobsChoosesAnEqual) {
+  Put(0, 500);
+  standbys_[0].speed = OwnSpeed() / 2;
+  const Behind behind{clock_.Now(), true};
+  EXPECT_EQ(CandidateAfter(settings_.min_term, behind), standbys_[0].address);
 }
 
 // Guards against a sound leader that resigns in favour of a VM that has more
--- a/tests/auto/cluster/leader_load_test.cpp
+++ b/tests/auto/cluster/leader_load_test.cpp
@@ -34,12 +34,13 @@
     ASSERT_LT(rounds, 20);
   }
   EXPECT_TRUE(load_.is_behind());
-  EXPECT_EQ(load_.behind_since(), now_);
+  EXPECT_EQ(load_.behind(), Behind{now_});
 }
 
 TEST_F(LeaderLoadTest, OldViewIsBehindAtOnce) {
   EXPECT_EQ(Round(milliseconds(0), settings_.max_view_age),
             Change::kFellBehind);
+  EXPECT_EQ(load_.behind(), (Behind{now_, true}));
 }
 
 // Guards against a leader that is said to be behind and not to be by turns.
