Job frontend: Answers no state of unbounded age

If the present state can't be read, another frontend is asked first, and what this one knows is the answer only if none comes. A query that was relayed is not relayed again. A cancellation of a job that is known to exist asks nobody for its state, so that its acknowledgement takes no longer than before.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -440,6 +440,13 @@
 void JobFrontend::State(const std::string& queue,
                         const JobId& id,
                         std::function<void(StateResult)> done) {
+  FindState(queue, id, true, std::move(done));
+}
+
+void JobFrontend::FindState(const std::string& queue,
+                            const JobId& id,
+                            bool may_relay,
+                            std::function<void(StateResult)> done) {
   const auto known = directory_.StateOf(queue, id);
   if (known && (*known == jobs::JobState::kCompleted ||
                 *known == jobs::JobState::kFailed ||
@@ -448,24 +455,26 @@
     return;
   }
   Refresh(settings_.state_freshness, known.has_value(),
-          [this, queue, id, done = std::move(done)](bool is_fresh) {
+          [this, queue, id, may_relay, done = std::move(done)](bool is_fresh) {
             const auto state = directory_.StateOf(queue, id);
-            if (state) {
-              done(*state);
-            } else if (is_fresh) {
-              done(JobUnknown{});
-            } else {
-              RelayQuery(RelayKind::kState, queue, id,
-                         [done](const RelayAnswer* answer) {
-                           if (answer == nullptr) {
-                             done(std::monostate{});
-                           } else if (answer->has_job) {
-                             done(static_cast<jobs::JobState>(answer->value));
-                           } else {
-                             done(JobUnknown{});
-                           }
-                         });
+            const StateResult own = state      ? StateResult(*state)
+                                    : is_fresh ? StateResult(JobUnknown{})
+                                               : StateResult(std::monostate{});
+            if (is_fresh || !may_relay) {
+              done(own);
+              return;
             }
+            // What this process knows may be of any age.
+            RelayQuery(RelayKind::kState, queue, id,
+                       [own, done](const RelayAnswer* answer) {
+                         if (answer == nullptr) {
+                           done(own);
+                         } else if (answer->has_job) {
+                           done(static_cast<jobs::JobState>(answer->value));
+                         } else {
+                           done(JobUnknown{});
+                         }
+                       });
           });
 }
 
@@ -473,33 +482,42 @@
                          const JobId& id,
                          Instant deadline,
                          std::function<void(CancelResult)> done) {
+  if (directory_.StateOf(queue, id)) {
+    WriteCancellation(queue, id, deadline, std::move(done));
+    return;
+  }
   State(queue, id,
         [this, queue, id, deadline,
          done = std::move(done)](const StateResult& state) {
           if (std::holds_alternative<std::monostate>(state)) {
             done(CancelResult::kFailed);
-            return;
-          }
-          if (std::holds_alternative<JobUnknown>(state)) {
+          } else if (std::holds_alternative<JobUnknown>(state)) {
             done(CancelResult::kNoSuchJob);
-            return;
+          } else {
+            WriteCancellation(queue, id, deadline, done);
           }
-          auto write = std::make_shared<PendingWrite>();
-          write->record = {KeyOf(kCancelPrefix, id), "x"};
-          write->call = {RelayKind::kCancel, queue, id, {}, 0};
-          write->deadline = deadline;
-          write->done = [this, id, done](SubmitResult result) {
-            if (result == SubmitResult::kAccepted) {
-              directory_.OnCancelled(id);
-              NotifyOfCancellation(id);
-            }
-            done(result == SubmitResult::kAccepted ? CancelResult::kCancelled
-                                                   : CancelResult::kFailed);
-          };
-          Write(write);
         });
 }
 
+void JobFrontend::WriteCancellation(const std::string& queue,
+                                    const JobId& id,
+                                    Instant deadline,
+                                    std::function<void(CancelResult)> done) {
+  auto write = std::make_shared<PendingWrite>();
+  write->record = {KeyOf(kCancelPrefix, id), "x"};
+  write->call = {RelayKind::kCancel, queue, id, {}, 0};
+  write->deadline = deadline;
+  write->done = [this, id, done = std::move(done)](SubmitResult result) {
+    if (result == SubmitResult::kAccepted) {
+      directory_.OnCancelled(id);
+      NotifyOfCancellation(id);
+    }
+    done(result == SubmitResult::kAccepted ? CancelResult::kCancelled
+                                           : CancelResult::kFailed);
+  };
+  Write(write);
+}
+
 void JobFrontend::NotifyOfCancellation(const JobId& id) {
   if (leader_) {
     leader_->OnCancelled(id);
@@ -621,12 +639,13 @@
       return;
     }
     case RelayKind::kState:
-      State(call->queue, call->id, [answer](const StateResult& result) {
-        const auto* state = std::get_if<jobs::JobState>(&result);
-        answer({!std::holds_alternative<std::monostate>(result),
-                state == nullptr ? 0 : static_cast<uint32_t>(*state),
-                state != nullptr});
-      });
+      FindState(call->queue, call->id, false,
+                [answer](const StateResult& result) {
+                  const auto* state = std::get_if<jobs::JobState>(&result);
+                  answer({!std::holds_alternative<std::monostate>(result),
+                          state == nullptr ? 0 : static_cast<uint32_t>(*state),
+                          state != nullptr});
+                });
       return;
     case RelayKind::kCancel:
       Cancel(call->queue, call->id, deadline, [answer](CancelResult result) {
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -167,6 +167,17 @@
   // stored the job, a later refusal does not mean that it is not stored.
   SubmitResult ResolveOutcome(const JobId& id, SubmitResult result);
   void RelayWrite(const std::shared_ptr<PendingWrite>& write);
+  // Finds out the state of a job as State() does; only if `may_relay`, another
+  // frontend is asked when this process can't read the present state.
+  void FindState(const std::string& queue,
+                 const JobId& id,
+                 bool may_relay,
+                 std::function<void(StateResult)> done);
+  // Stores the cancellation of a job that exists.
+  void WriteCancellation(const std::string& queue,
+                         const JobId& id,
+                         Instant deadline,
+                         std::function<void(CancelResult)> done);
   // Sends a query that this process can't answer to another frontend.
   void RelayQuery(RelayKind kind,
                   const std::string& queue,
