Jobs: Counts the tasks of a job only when it has changed

Each round of decisions looked at all tasks of all open jobs to find the steps that are ready, with a string key and a lookup for each expected duration, and copied a key for each task that waits without room. Reports bring hundreds of rounds a second.

The counts that decide which steps are ready (JobTally) are kept until the progress of the job changes; jobs without a step that may start are passed over; the mean duration of each step is looked up once, when the job is added. The decisions are the same.

--- a/src/libs/jobs/duration_estimator.cpp
+++ b/src/libs/jobs/duration_estimator.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <ranges>
 
 #include "base/lookup.h"
 
@@ -16,6 +17,10 @@
 
 }  // namespace
 
+int64_t DurationEstimator::Mean::Expect(int64_t estimated_ms) const {
+  return runs < kMinRuns ? estimated_ms : static_cast<int64_t>(ms);
+}
+
 std::string DurationEstimator::MeanKey(const std::string& queue,
                                        const Step& step) {
   return step.image.empty() ? "queue/" + queue : "image/" + step.image;
@@ -33,15 +38,21 @@
 int64_t DurationEstimator::Expect(const std::string& queue,
                                   const Step& step) const {
   const Mean* mean = FindOrNull(means_, MeanKey(queue, step));
-  return mean == nullptr || mean->runs < kMinRuns
-             ? step.estimated_ms
-             : static_cast<int64_t>(mean->ms);
+  return mean == nullptr ? step.estimated_ms : mean->Expect(step.estimated_ms);
+}
+
+const DurationEstimator::Mean& DurationEstimator::MeanOf(
+    const std::string& queue,
+    const Step& step) {
+  return means_[MeanKey(queue, step)];
 }
 
 std::vector<LearnedDuration> DurationEstimator::Durations() const {
   std::vector<LearnedDuration> durations;
   std::ranges::transform(
-      means_, std::back_inserter(durations), [](const auto& it) {
+      means_ |
+          std::views::filter([](const auto& it) { return it.second.runs > 0; }),
+      std::back_inserter(durations), [](const auto& it) {
         return LearnedDuration{it.first, it.second.ms, it.second.runs};
       });
   return durations;
--- a/src/libs/jobs/duration_estimator.h
+++ b/src/libs/jobs/duration_estimator.h
@@ -15,20 +15,26 @@
 // to ten, so a few observed runs of the same kind replace them.
 class DurationEstimator {
  public:
+  // How long tasks of one kind take.
+  struct Mean {
+    double ms = 0;
+    int64_t runs = 0;  // Observed ones that it covers.
+
+    int64_t Expect(int64_t estimated_ms) const;
+  };
+
   // Records a completed run that was never slowed down.
   void Observe(const std::string& queue, const Step& step, int64_t ms);
   int64_t Expect(const std::string& queue, const Step& step) const;
+  // Returns the mean of the kind of the step. It stays where it is, and changes
+  // as runs are observed.
+  const Mean& MeanOf(const std::string& queue, const Step& step);
 
   // Returns all means, including those imported from an earlier leader.
   std::vector<LearnedDuration> Durations() const;
   void ImportDurations(const std::vector<LearnedDuration>& durations);
 
  private:
-  struct Mean {
-    double ms = 0;
-    int64_t runs = 0;
-  };
-
   // Tasks of one image behave alike; tasks without an image are grouped by
   // queue.
   static std::string MeanKey(const std::string& queue, const Step& step);
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -49,6 +49,7 @@
   uint32_t step = 0;
   const Queue* queue = nullptr;
   int64_t remaining_ms = 0;
+  StepTally tally;  // As of the beginning of the round.
 };
 
 std::string_view ToText(JobSchedulerEvent::Kind kind) {
@@ -130,6 +131,9 @@
 
 uint64_t JobScheduler::Change(const TaskKey& task) {
   changed_tasks_.insert(task);
+  if (Entry* entry = FindOrNull(jobs_, task.job)) {
+    entry->tally.reset();
+  }
   return ++version_;
 }
 
@@ -137,8 +141,9 @@
   routes_ = std::move(routes);
   std::ranges::stable_sort(routes_.queues, {}, &Queue::name);
   // Steps may go to other runners from now on.
-  for (const JobId& id : open_) {
-    for (WaitingStep& it : jobs_.at(id).waiting | std::views::values) {
+  for (Entry* entry : open_ | std::views::values) {
+    entry->tally.reset();
+    for (WaitingStep& it : entry->waiting | std::views::values) {
       it.failed.reset();
       it.failed_after_wait.reset();
     }
@@ -150,9 +155,13 @@
   if (!is_new) {
     return;
   }
-  it->second.progress = InitialProgress(job);
-  it->second.job = std::move(job);
-  open_.insert(id);
+  Entry& entry = it->second;
+  entry.progress = InitialProgress(job);
+  std::ranges::transform(
+      job.steps, std::back_inserter(entry.means),
+      [&](const Step& step) { return &durations_.MeanOf(job.queue, step); });
+  entry.job = std::move(job);
+  open_.emplace(id, &entry);
 }
 
 void JobScheduler::Restore(const JobId& id, const StoredProgress& stored) {
@@ -161,6 +170,7 @@
     return;
   }
   entry->progress.outcome = stored.outcome;
+  entry->tally.reset();
   if (stored.outcome != JobOutcome::kOpen) {
     open_.erase(id);
     entry->ended_at = created_at_;
@@ -284,50 +294,53 @@
   return runner == nullptr ? 0 : runner->recorded_ends;
 }
 
-bool JobScheduler::IsStepReady(const Entry& entry,
-                               uint32_t occurrence,
-                               uint32_t step,
-                               int64_t unix_ms) const {
-  if (entry.job.first_due_ms > 0 && DueMs(entry.job, occurrence) > unix_ms) {
-    return false;
+const JobTally& JobScheduler::TallyOfEntry(Entry& entry) {
+  if (!entry.tally) {
+    entry.tally = TallyOf(entry.job, entry.progress);
+    for (const Step& step : entry.job.steps) {
+      tallied_tasks_ += uint64_t{step.count} * entry.job.occurrences;
+    }
+  }
+  return *entry.tally;
+}
+
+void JobScheduler::AddReadySteps(const JobId& id,
+                                 Entry& entry,
+                                 const Queue& queue,
+                                 int64_t unix_ms,
+                                 std::vector<ReadyStep>& ready) const {
+  const Job& job = entry.job;
+  std::vector<int64_t> expected_ms;
+  for (size_t s = 0; s < job.steps.size(); ++s) {
+    expected_ms.push_back(entry.means[s]->Expect(job.steps[s].estimated_ms));
+  }
+  const std::vector<int64_t> chains = CriticalPathsMs(job, expected_ms);
+  const int64_t longest_ms = std::ranges::max(chains);
+  for (uint32_t k = 0; k < job.occurrences; ++k) {
+    const OccurrenceTally& tally = entry.tally->occurrences[k];
+    const bool is_due = job.first_due_ms <= 0 || DueMs(job, k) <= unix_ms;
+    if (!is_due || std::ranges::none_of(tally, &StepTally::may_start)) {
+      continue;
+    }
+    const int64_t work = RemainingWork(job, tally, expected_ms);
+    for (uint32_t s = 0; s < job.steps.size(); ++s) {
+      if (tally[s].may_start) {
+        ready.push_back(
+            {RankOf(job, queue, k, longest_ms, chains[s], work, unix_ms), &id,
+             &entry, k, s, &queue, chains[s], tally[s]});
+      }
+    }
   }
-  const auto& steps = entry.progress.occurrences[occurrence].steps;
-  const auto is_waiting = [](const TaskProgress& task) {
-    return task.phase == TaskPhase::kWaiting;
-  };
-  const auto is_done = [](const TaskProgress& task) {
-    return task.phase == TaskPhase::kDone;
-  };
-  const bool may_start = entry.job.steps[step].is_gang
-                             ? std::ranges::all_of(steps[step], is_waiting)
-                             : std::ranges::any_of(steps[step], is_waiting);
-  return may_start &&
-         std::ranges::all_of(
-             entry.job.steps[step].depends_on, [&](uint32_t earlier) {
-               return std::ranges::all_of(steps[earlier], is_done);
-             });
 }
 
 std::vector<JobScheduler::ReadyStep> JobScheduler::ReadySteps(int64_t unix_ms) {
   std::vector<ReadyStep> ready;
-  for (const JobId& id : open_) {
-    Entry& entry = jobs_.at(id);
-    const Queue* queue = FindQueue(entry.job.queue);
-    if (queue == nullptr) {
+  for (const auto& [id, entry] : open_) {
+    if (!TallyOfEntry(*entry).may_start) {
       continue;
     }
-    const std::vector<int64_t> chains = CriticalPathsMs(entry.job, durations_);
-    const int64_t longest_ms = chains.empty() ? 0 : std::ranges::max(chains);
-    for (uint32_t k = 0; k < entry.job.occurrences; ++k) {
-      const int64_t work =
-          RemainingWork(entry.job, entry.progress.occurrences[k], durations_);
-      for (uint32_t s = 0; s < entry.job.steps.size(); ++s) {
-        if (IsStepReady(entry, k, s, unix_ms)) {
-          ready.push_back({RankOf(entry.job, *queue, k, longest_ms, chains[s],
-                                  work, unix_ms),
-                           &id, &entry, k, s, queue, chains[s]});
-        }
-      }
+    if (const Queue* queue = FindQueue(entry->job.queue)) {
+      AddReadySteps(id, *entry, *queue, unix_ms, ready);
     }
   }
   std::ranges::sort(ready, {}, &ReadyStep::rank);
@@ -427,6 +440,7 @@
   bool has_waited =
       step.is_filler && now - waiting.since >= settings_.longest_wait;
   bool has_room = has_waited || !IsKnownUnplaceable(ready);
+  uint32_t still_waiting = ready.tally.waiting;  // From the next task on.
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].phase != TaskPhase::kWaiting) {
       continue;
@@ -435,12 +449,17 @@
       has_more_to_place_ = true;
       return;
     }
-    const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
+    if (!has_room && !ready.tally.has_crashed) {
+      waiting_in_round_ += still_waiting;
+      return;
+    }
+    --still_waiting;
     const bool is_isolated = tasks[i].crashes > 0;
     if (!is_isolated && !has_room) {
       ++waiting_in_round_;
       continue;
     }
+    const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     PlacementRequest request{task, &step, ready.queue->service, std::nullopt};
     request.has_waited = has_waited;
     if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -18,6 +18,7 @@
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
+#include "jobs/job_tally.h"
 #include "jobs/learned_model.h"
 #include "jobs/policy_settings.h"
 #include "jobs/route_table.h"
@@ -248,6 +249,9 @@
   const Fleet& fleet() const { return fleet_; }
   size_t open_jobs() const { return open_.size(); }
   size_t waiting_tasks() const { return waiting_tasks_; }
+  // Tasks looked at so far to find the steps that are ready: what rounds cost
+  // beside placement.
+  uint64_t tallied_tasks() const { return tallied_tasks_; }
 
  private:
   // Tasks of a step that wait for capacity.
@@ -265,6 +269,10 @@
     Instant ended_at;  // Unset while the job is open.
     // By occurrence and step.
     std::map<std::pair<uint32_t, uint32_t>, WaitingStep> waiting;
+    // How long the tasks of each step take.
+    std::vector<const DurationEstimator::Mean*> means;
+    // Of the progress; unset since it has changed.
+    std::optional<JobTally> tally;
   };
   struct ReadyStep;
   // A request that fitted on no runner in this pass over the ready steps.
@@ -286,11 +294,13 @@
   TaskProgress* TaskOf(const TaskKey& task);
   const Step* FindStep(const TaskKey& task) const;
   const Queue* FindQueue(const std::string& name) const;
-  bool IsStepReady(const Entry& entry,
-                   uint32_t occurrence,
-                   uint32_t step,
-                   int64_t unix_ms) const;
+  const JobTally& TallyOfEntry(Entry& entry);
   std::vector<ReadyStep> ReadySteps(int64_t unix_ms);
+  void AddReadySteps(const JobId& id,
+                     Entry& entry,
+                     const Queue& queue,
+                     int64_t unix_ms,
+                     std::vector<ReadyStep>& ready) const;
   // Returns whether a step with the same or smaller needs did not fit in this
   // pass.
   bool IsKnownUnplaceable(const ReadyStep& ready) const;
@@ -458,7 +468,7 @@
   const JobSchedulerEventListener event_listener_;
   RouteTable routes_;  // Its queues are sorted by name.
   std::map<JobId, Entry> jobs_;
-  std::set<JobId> open_;
+  std::map<JobId, Entry*> open_;
   Fleet fleet_;
   // See Runner::released; of runners that are not known now, by node and
   // instance.
@@ -480,6 +490,7 @@
   std::vector<UnplaceableNeed> unplaceable_;
   size_t waiting_tasks_ = 0;  // As of the last round that placed everything.
   size_t waiting_in_round_ = 0;
+  uint64_t tallied_tasks_ = 0;
   OverdueCounts overdue_;
   uint32_t claims_of_round_ = 0;
   bool has_more_to_place_ = false;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -731,7 +731,7 @@
       continue;
     }
     const auto expected_ms =
-        static_cast<double>(durations_.Expect(entry->job.queue, step));
+        static_cast<double>(entry->means[task.step]->Expect(step.estimated_ms));
     const uint32_t percent = run.percent - run.first_percent;
     if (run.percent > run.first_percent && percent >= kMinMeasuredPercent &&
         run.paced_at == Instant() && expected_ms > 0) {
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -13,11 +13,11 @@
 }  // namespace
 
 std::vector<int64_t> CriticalPathsMs(const Job& job,
-                                     const DurationEstimator& durations) {
+                                     const std::vector<int64_t>& expected_ms) {
   std::vector<int64_t> chains(job.steps.size(), 0);
   // Steps depend on earlier ones only.
   for (size_t i = job.steps.size(); i-- > 0;) {
-    chains[i] += durations.Expect(job.queue, job.steps[i]);
+    chains[i] += expected_ms[i];
     for (const uint32_t earlier : job.steps[i].depends_on) {
       chains[earlier] = std::max(chains[earlier], chains[i]);
     }
@@ -26,18 +26,13 @@
 }
 
 int64_t RemainingWork(const Job& job,
-                      const OccurrenceProgress& progress,
-                      const DurationEstimator& durations) {
+                      const OccurrenceTally& tally,
+                      const std::vector<int64_t>& expected_ms) {
   constexpr int64_t kMillicoresPerCore = 1000;
   int64_t work = 0;
   for (size_t i = 0; i < job.steps.size(); ++i) {
-    const Step& step = job.steps[i];
-    const int64_t open =
-        std::ranges::count_if(progress.steps[i], [](const TaskProgress& task) {
-          return task.phase != TaskPhase::kDone;
-        });
-    work += open * step.need.millicores * durations.Expect(job.queue, step) /
-            kMillicoresPerCore;
+    work += int64_t{tally[i].open} * job.steps[i].need.millicores *
+            expected_ms[i] / kMillicoresPerCore;
   }
   return work;
 }
--- a/src/libs/jobs/work_order.h
+++ b/src/libs/jobs/work_order.h
@@ -5,8 +5,8 @@
 #include <cstdint>
 #include <vector>
 
-#include "jobs/duration_estimator.h"
 #include "jobs/job.h"
+#include "jobs/job_tally.h"
 #include "jobs/route_table.h"
 
 // The order in which work gets capacity. In bursts of large jobs, small urgent
@@ -29,9 +29,9 @@
 };
 
 // Returns for each step the expected milliseconds of the critical path that
-// starts with it.
+// starts with it. `expected_ms` is that of one task, by step.
 std::vector<int64_t> CriticalPathsMs(const Job& job,
-                                     const DurationEstimator& durations);
+                                     const std::vector<int64_t>& expected_ms);
 
 // `remaining_ms` is the critical path that starts with the step in question.
 WorkRank RankOf(const Job& job,
@@ -45,8 +45,8 @@
 // Returns the expected processor time of the tasks that are not done, in
 // core-milliseconds.
 int64_t RemainingWork(const Job& job,
-                      const OccurrenceProgress& progress,
-                      const DurationEstimator& durations);
+                      const OccurrenceTally& tally,
+                      const std::vector<int64_t>& expected_ms);
 
 // Unix time from which an occurrence may start.
 int64_t DueMs(const Job& job, uint32_t occurrence);
--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -40,6 +40,7 @@
   }
 
   PlacementWork work() const { return scheduler_.fleet().work(); }
+  uint64_t tallied_tasks() const { return scheduler_.tallied_tasks(); }
 
   void Report(uint32_t index) {
     RunnerReport report;
@@ -139,6 +140,26 @@
   EXPECT_EQ(fleet.work().runners - before, 1U);
 }
 
+// Guards against a leader that looks at all tasks of all open jobs in each
+// round of decisions, of which reports bring hundreds a second.
+TEST(LargeFleetTest, ARoundLooksAtTasksOnlyOfJobsThatChanged) {
+  constexpr uint32_t kJobs = 300;
+  constexpr uint32_t kTasks = 20;
+  LargeFleet fleet(66);
+  for (uint32_t i = 0; i < kJobs; ++i) {
+    fleet.Submit("job-" + std::to_string(i), kTasks);
+  }
+  while (fleet.Step() > 0) {
+  }
+  EXPECT_EQ(fleet.Step(), 0U);
+  const uint64_t before = fleet.tallied_tasks();
+  EXPECT_EQ(fleet.Step(), 0U);
+  EXPECT_EQ(fleet.tallied_tasks() - before, 0U);
+  fleet.Submit("new", 1);
+  EXPECT_EQ(fleet.Step(), 0U);
+  EXPECT_EQ(fleet.tallied_tasks() - before, 1U);
+}
+
 // Emulates a small fleet with random reports, ends, failures, pauses, draining,
 // capacities, cancellings and waiting work.
 class RandomFleet {
@@ -188,7 +209,7 @@
     return starts;
   }
 
-  // Lets the scheduler forget what it could not place.
+  // Lets the scheduler forget what it could not place, and what it has counted.
   void ForgetAttempts() { scheduler_.SetRoutes(routes_); }
 
  private:
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "jobs/duration_estimator.h"
+
 namespace papayadrift::jobs {
 namespace {
 
@@ -16,11 +18,8 @@
 TEST(WorkOrderTest, ChainTakesTheLongestPath) {
   Job job;
   job.steps.resize(3);
-  job.steps[0].estimated_ms = 100;
-  job.steps[1].estimated_ms = 40;
-  job.steps[2].estimated_ms = 10;
   job.steps[2].depends_on = {0, 1};
-  EXPECT_EQ(CriticalPathsMs(job, DurationEstimator()),
+  EXPECT_EQ(CriticalPathsMs(job, {100, 40, 10}),
             (std::vector<int64_t>{110, 50, 10}));
 }
 
@@ -56,24 +55,24 @@
   Job small = JobOf(500, 1000);
   small.steps[0].count = 4;
   small.steps[0].need = {7000, 100, 0};
-  const DurationEstimator durations;
+  const std::vector<int64_t> expected_ms = {1000};
+  const auto work_of = [&](const Job& job, const JobProgress& progress) {
+    return RemainingWork(job, TallyOf(job, progress).occurrences[0],
+                         expected_ms);
+  };
   const auto rank = [&](const Job& job, int64_t work) {
     return RankOf(job, queue, 0, 1000, 1000, work, 600);
   };
   JobProgress progress = InitialProgress(large);
-  const int64_t large_work =
-      RemainingWork(large, progress.occurrences[0], durations);
+  const int64_t large_work = work_of(large, progress);
   EXPECT_EQ(large_work, 40 * 7000);
-  const int64_t small_work =
-      RemainingWork(small, InitialProgress(small).occurrences[0], durations);
+  const int64_t small_work = work_of(small, InitialProgress(small));
   EXPECT_LT(rank(small, small_work), rank(large, large_work));
   // A large job that is nearly done goes before a small one.
   for (size_t i = 0; i < 37; ++i) {
     progress.occurrences[0].steps[0][i].phase = TaskPhase::kDone;
   }
-  EXPECT_LT(
-      rank(large, RemainingWork(large, progress.occurrences[0], durations)),
-      rank(small, small_work));
+  EXPECT_LT(rank(large, work_of(large, progress)), rank(small, small_work));
 }
 
 TEST(DurationEstimatorTest, ObservedRunsReplaceTheEstimate) {
