Jobs: Looks for due orders only at runs that wait for one

Each round of decisions looked at all runs of all runners: for orders that are due, for starts that have failed and for what is overdue; and at a map of paces by the name of each runner.

Only a run that is withdrawn or not accepted can need any of this. RunTable keeps these apart; paces that are not sent are kept with their runner. The decisions are the same.

--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -56,6 +56,7 @@
   // Until then its runs may be running even without reports from its agent.
   Instant lease_expires_at;
   RunTable runs;
+  std::vector<Order> pace_orders;  // Not sent yet.
   std::map<TaskKey, OrphanRun> orphans;
   // Runs that were given up while their starts could still arrive. The runner
   // gets neither a lease nor new runs before it has accepted their stops, or
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -252,6 +252,8 @@
   // Tasks looked at so far to find the steps that are ready: what rounds cost
   // beside placement.
   uint64_t tallied_tasks() const { return tallied_tasks_; }
+  // Runs looked at so far to find the orders that are due.
+  uint64_t checked_runs() const { return checked_runs_; }
 
  private:
   // Tasks of a step that wait for capacity.
@@ -444,8 +446,9 @@
                      const PaceOrder& pace,
                      const OrderResult& result,
                      Instant now);
-  // Adds what is overdue on the runner to the counts.
-  void CountOverdue(const Runner& runner, Instant now);
+  // Adds a run that is withdrawn or not accepted to the counts if it is
+  // overdue.
+  void CountOverdue(const Run& run, Instant now);
   // Withdraws a run that its runner has not started by now, or won't.
   void WithdrawFailedStart(const Runner& runner,
                            const TaskKey& task,
@@ -481,8 +484,6 @@
   Instant relocated_at_;
   Instant regrouped_at_;
   RunnerIncarnation regrouped_runner_;  // The last one that was considered.
-  std::map<RunnerIncarnation, std::vector<Order>>
-      pace_orders_;  // Not sent yet.
   uint64_t version_ = 0;
   uint64_t stored_version_ = 0;
   std::set<JobId> changed_outcomes_;
@@ -491,6 +492,7 @@
   size_t waiting_tasks_ = 0;  // As of the last round that placed everything.
   size_t waiting_in_round_ = 0;
   uint64_t tallied_tasks_ = 0;
+  uint64_t checked_runs_ = 0;
   OverdueCounts overdue_;
   uint32_t claims_of_round_ = 0;
   bool has_more_to_place_ = false;
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -45,7 +45,6 @@
   const RunTable runs = std::move(runner->runs);
   std::map<TaskKey, OrphanRun> released = std::move(runner->released);
   fleet_.Remove(incarnation);
-  pace_orders_.erase(incarnation);
   for (const auto& [task, run] : runs) {
     Emit(JobSchedulerEvent::Kind::kRunLost, ToText(task), run.number,
          ToText(incarnation), crash ? DescribeStart(run, *crash) : reason);
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -374,6 +374,7 @@
     return;
   }
   run.is_withdrawn = true;
+  runner.runs.MarkUnsettled(task);
   run.withdrawn_at = now;
   fleet_.MarkChanged(runner);
   run.send_due = now;
@@ -596,16 +597,10 @@
       task, run.number, jobs_.at(task.job).job.payload, run.checkpoint, {}};
 }
 
-void JobScheduler::CountOverdue(const Runner& runner, Instant now) {
-  const bool is_reporting = now - runner.reported_at <= kMaxReportAge;
-  overdue_.leases += is_reporting && runner.lease_expires_at <= now ? 1 : 0;
-  for (const Run& run : runner.runs | std::views::values) {
-    const Instant since = run.is_withdrawn ? run.withdrawn_at : run.claimed_at;
-    if (now - since < settings_.stop_overdue_limit) {
-      continue;
-    }
-    overdue_.stops += run.is_withdrawn ? 1 : 0;
-    overdue_.starts += !run.is_withdrawn && !run.is_accepted ? 1 : 0;
+void JobScheduler::CountOverdue(const Run& run, Instant now) {
+  const Instant since = run.is_withdrawn ? run.withdrawn_at : run.claimed_at;
+  if (now - since >= settings_.stop_overdue_limit) {
+    ++(run.is_withdrawn ? overdue_.stops : overdue_.starts);
   }
 }
 
@@ -617,13 +612,17 @@
     if (!runner.has_report) {
       continue;
     }
-    CountOverdue(runner, now);
     // Starts and paces depend on the state of the runner; a stop is right at
     // any time.
     const bool is_report_recent = now - runner.reported_at <= kMaxReportAge;
+    overdue_.leases +=
+        is_report_recent && runner.lease_expires_at <= now ? 1 : 0;
     std::vector<Order> orders;
     std::vector<TaskKey> unsent;
-    for (auto& [task, run] : runner.runs) {
+    for (const auto& it : runner.runs.Unsettled()) {
+      auto& [task, run] = *it;
+      ++checked_runs_;
+      CountOverdue(run, now);
       if (!is_report_recent && !run.is_withdrawn) {
         continue;
       }
@@ -649,10 +648,10 @@
         }
       }
     }
-    if (const auto paced = pace_orders_.extract(incarnation);
-        !paced.empty() && is_report_recent) {
-      std::ranges::move(paced.mapped(), std::back_inserter(orders));
+    if (is_report_recent) {
+      std::ranges::move(runner.pace_orders, std::back_inserter(orders));
     }
+    runner.pace_orders.clear();
     if (!orders.empty()) {
       batches.emplace_back(incarnation, std::move(orders));
     }
@@ -668,7 +667,7 @@
                             now);
     }
   }
-  std::vector<Order>& orders = pace_orders_[runner.report.incarnation];
+  std::vector<Order>& orders = runner.pace_orders;
   orders.clear();
   for (const auto& [task, percent] : PlanPaces(
            runner, interference_, settings_.policy.pacing, now, unix_ms_)) {
--- a/src/libs/jobs/run_table.cpp
+++ b/src/libs/jobs/run_table.cpp
@@ -1,19 +1,34 @@
 #include "jobs/run_table.h"
 
+#include <algorithm>
+#include <iterator>
 #include <ranges>
 
 namespace papayadrift::jobs {
 
 Run& RunTable::operator[](const TaskKey& task) {
   totals_.reset();
+  unsettled_.insert(task);
   return runs_[task];
 }
 
 void RunTable::erase(const TaskKey& task) {
   totals_.reset();
+  unsettled_.erase(task);
   runs_.erase(task);
 }
 
+std::vector<RunTable::Runs::iterator> RunTable::Unsettled() {
+  std::erase_if(unsettled_, [&](const TaskKey& task) {
+    const Run& run = runs_.at(task);
+    return run.is_accepted && !run.is_withdrawn;
+  });
+  std::vector<Runs::iterator> unsettled;
+  std::ranges::transform(unsettled_, std::back_inserter(unsettled),
+                         [&](const TaskKey& task) { return runs_.find(task); });
+  return unsettled;
+}
+
 const RunTotals& RunTable::totals() const {
   if (totals_) {
     return *totals_;
--- a/src/libs/jobs/run_table.h
+++ b/src/libs/jobs/run_table.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "base/resources.h"
 #include "jobs/job.h"
@@ -53,6 +55,12 @@
   Run& operator[](const TaskKey& task);
   void erase(const TaskKey& task);
 
+  // To be called when a run is withdrawn or no longer accepted.
+  void MarkUnsettled(const TaskKey& task) { unsettled_.insert(task); }
+  // Returns the runs that are withdrawn or not accepted, by task: only for
+  // these may an order to start or stop be due.
+  std::vector<Runs::iterator> Unsettled();
+
   const RunTotals& totals() const;
   // Returns the number of tasks that belong to the same step as `task`.
   uint32_t CountOfStep(const TaskKey& task) const;
@@ -63,6 +71,7 @@
   Runs runs_;
   mutable std::optional<RunTotals> totals_;
   mutable uint64_t examined_ = 0;
+  std::set<TaskKey> unsettled_;  // And others that have become settled.
 };
 
 }  // namespace papayadrift::jobs
--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -41,6 +41,7 @@
 
   PlacementWork work() const { return scheduler_.fleet().work(); }
   uint64_t tallied_tasks() const { return scheduler_.tallied_tasks(); }
+  uint64_t checked_runs() const { return scheduler_.checked_runs(); }
 
   void Report(uint32_t index) {
     RunnerReport report;
@@ -76,6 +77,23 @@
     return starts;
   }
 
+  // The same, and the runners execute the orders.
+  size_t StepAndExecute() {
+    scheduler_.Advance(now_, 1);
+    scheduler_.OnStored(scheduler_.TakeChanges().version);
+    size_t starts = 0;
+    for (const auto& [incarnation, orders] : scheduler_.TakeOrders(now_)) {
+      for (const Order& order : orders) {
+        starts += std::holds_alternative<StartOrder>(order) ? 1 : 0;
+        scheduler_.OnOrderResult(incarnation, order, {OrderVerdict::kDone, 1},
+                                 now_);
+      }
+    }
+    return starts;
+  }
+
+  void Cancel(const std::string& id) { scheduler_.Cancel(JobId(id), now_); }
+
   // Returns the number of runs that were looked at for each start of `tasks`,
   // on a fleet whose runners have eight runs each.
   double ExaminedRunsPerStart(uint32_t tasks) {
@@ -160,6 +178,26 @@
   EXPECT_EQ(fleet.tallied_tasks() - before, 1U);
 }
 
+// Guards against a leader that looks at all runs in each round of decisions,
+// for orders that may be due.
+TEST(LargeFleetTest, ARoundLooksOnlyAtRunsThatWaitForAnOrder) {
+  constexpr uint32_t kRunners = 240;
+  LargeFleet fleet(kRunners);
+  fleet.Submit("a", kRunners * 7);
+  while (fleet.StepAndExecute() > 0) {
+  }
+  EXPECT_EQ(fleet.StepAndExecute(), 0U);
+  const uint64_t before = fleet.checked_runs();
+  EXPECT_EQ(fleet.StepAndExecute(), 0U);
+  EXPECT_EQ(fleet.checked_runs() - before, 0U);
+  fleet.Submit("b", 1);
+  EXPECT_EQ(fleet.StepAndExecute(), 1U);
+  EXPECT_EQ(fleet.checked_runs() - before, 1U);
+  fleet.Cancel("b");
+  EXPECT_EQ(fleet.StepAndExecute(), 0U);
+  EXPECT_EQ(fleet.checked_runs() - before, 2U);
+}
+
 // Emulates a small fleet with random reports, ends, failures, pauses, draining,
 // capacities, cancellings and waiting work.
 class RandomFleet {
