Cluster: Lets reports wait for the next append

A leader decided anew after each report with news, hundreds of times a second. What such a round claims can be stored only with the next append, which may begin 10 ms after the last one and not before that is answered; and each answer of the store brings a round anyway.

The round for a report now comes when an append may begin. Cancellations, new jobs, and reports that wait undecoded bring a round at once, as before. A stop or a repeated order may go out up to 10 ms later than before, or with the answer of an append in flight, 50 ms later at most.

LeaderTest.ReportsDuringAnAppendWaitForItsEnd counts 20 rounds for 20 reports without the change, and 5 at most are allowed.

--- a/benchmarks/cluster/leader_replay.cpp
+++ b/benchmarks/cluster/leader_replay.cpp
@@ -13,8 +13,8 @@
 
 using logging::Event;
 
-// The leader appends at this period at most. Each answer of the store brings a
-// round of decisions, and so does each report with news.
+// While there is news, the leader appends at this period. A round of decisions
+// comes before each append and after the store's answer.
 constexpr milliseconds kTick(10);
 constexpr milliseconds kRunnerStep(50);
 constexpr milliseconds kReportPeriod(500);
@@ -77,10 +77,9 @@
   while (clock_.Now() < started_at_ + end) {
     SubmitJobs();
     StepRunners();
-    meter_.Measure(CostKind::kStored,
-                   [&] { scheduler_.OnStored(version_to_store_); });
     Decide();
     Store();
+    Decide();
     clock_.Advance(kTick);
     ++ticks_;
   }
@@ -117,9 +116,6 @@
     if (has_news || tick % (kReportPeriod / kTick) == 0) {
       Report(i);
     }
-    if (has_news) {
-      Decide();
-    }
   }
 }
 
@@ -182,6 +178,7 @@
 }
 
 void LeaderReplay::Store() {
+  uint64_t version = 0;
   const auto records = meter_.Measure(CostKind::kChanges, [&] {
     std::vector<std::pair<std::string, std::string>> encoded;
     const jobs::JobScheduler::Changes changes = scheduler_.TakeChanges();
@@ -193,10 +190,11 @@
       encoded.emplace_back(KeyOf(kOutcomePrefix, id),
                            jobs::Encode(jobs::StoredOutcome{outcome}));
     }
-    version_to_store_ = changes.version;
+    version = changes.version;
     return encoded;
   });
   counts_.records += records.size();
+  meter_.Measure(CostKind::kStored, [&] { scheduler_.OnStored(version); });
 }
 
 void LeaderReplay::Send(const jobs::RunnerIncarnation& incarnation,
--- a/benchmarks/cluster/leader_replay.h
+++ b/benchmarks/cluster/leader_replay.h
@@ -58,6 +58,7 @@
   void Decide();
   void Report(size_t runner);
   void Answer(size_t runner);
+  // Appends what has changed; the store answers within the same tick.
   void Store();
   void Send(const jobs::RunnerIncarnation& incarnation,
             std::vector<jobs::Order> orders);
@@ -80,7 +81,6 @@
   experiment::Measures measures_;
   std::vector<std::unique_ptr<experiment::EmulatedRunner>> runners_;
   std::map<std::string, size_t> runner_of_node_;
-  uint64_t version_to_store_ = 0;
   jobs::PlacementWork work_before_round_;
   int64_t ticks_ = 0;
   CostMeter meter_;
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -417,6 +417,16 @@
        {"examined_runs", static_cast<int64_t>(work.runs - before.runs)}});
 }
 
+milliseconds Leader::TimeToAppend() const {
+  if (is_writing_) {
+    // The store's answer brings a round at once.
+    return settings_.max_step_interval;
+  }
+  const microseconds passed = context_.clock.Now() - last_append_at_;
+  return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(
+                                       settings_.min_append_interval - passed));
+}
+
 void Leader::Flush() {
   const Instant now = context_.clock.Now();
   if (is_writing_) {
@@ -428,9 +438,8 @@
       !is_heartbeat_due) {
     return;
   }
-  if (now - last_append_at_ < settings_.min_append_interval) {
-    ScheduleStep(std::chrono::ceil<milliseconds>(settings_.min_append_interval -
-                                                 (now - last_append_at_)));
+  if (const milliseconds delay = TimeToAppend(); delay > milliseconds(0)) {
+    ScheduleStep(delay);
     return;
   }
   auto append = std::make_shared<keyed_log::Append>();
@@ -689,12 +698,12 @@
   if (IsRecorded(pending)) {
     Answer(pending);
     if (scheduler_->has_changes()) {
-      ScheduleStep(milliseconds(0));
+      ScheduleStep(TimeToAppend());
     }
     return;
   }
   pending_reports_.push_back(std::move(pending));
-  ScheduleStep(milliseconds(0));
+  ScheduleStep(TimeToAppend());
 }
 
 bool Leader::IsRecorded(const PendingReport& report) const {
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -142,6 +142,10 @@
   // Logs a round of decisions that took long; `before` is the work of placement
   // until its start.
   void ReportStep(Instant started_at, const jobs::PlacementWork& before);
+  // Returns how long it takes until an append may begin. Claims made earlier
+  // wait for it anyway, so that rounds of decisions before it gain nothing but
+  // cost processor time.
+  milliseconds TimeToAppend() const;
   void Flush();
   void Write(const std::shared_ptr<keyed_log::Append>& append,
              uint64_t version);
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -178,6 +178,48 @@
   leader->Stop({});
 }
 
+// Guards against a leader that decides anew for each of hundreds of reports a
+// second, although what it decides waits for the next append.
+TEST_F(LeaderTest, ReportsDuringAnAppendWaitForItsEnd) {
+  constexpr uint64_t kReports = 20;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(jobs::Job())});
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  const auto rounds = [&] {
+    return metrics_
+        .AddHistogram("papayadrift_leader_step_seconds",
+                      "Time that the leader takes for one round of decisions.")
+        .count();
+  };
+  jobs::RunnerReport report;
+  report.state = jobs::RunnerState::kGone;
+  const auto report_end_of = [&](uint64_t node) {
+    report.incarnation = {std::to_string(node), "instance", 1};
+    http::Request request;
+    request.body = jobs::Encode(report);
+    leader->HandleReport(request, [](const http::Response&) {});
+    loop_.poll();
+  };
+  clock_.Advance(LeaderSettings().heartbeat_period);
+  // Begins an append.
+  const uint64_t first = rounds();
+  ASSERT_TRUE(leader->OnCancelled(JobId("a")));
+  while (rounds() == first) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  const uint64_t before = rounds();
+  for (uint64_t i = 0; i < kReports; ++i) {
+    report_end_of(i);
+  }
+  // The leader's own timer may bring a few.
+  EXPECT_LE(rounds() - before, kReports / 4);
+  log_.Settle();
+  EXPECT_GT(rounds() - before, 0U);
+  leader->Stop({});
+}
+
 // Guards against cancellations that are read late, since more reports arrive in
 // each turn of the event loop than a small VM can process.
 TEST_F(LeaderTest, ReportsTakeTurnsWithOtherWork) {
