--- a/src/libs/async_http/server.cpp
+++ b/src/libs/async_http/server.cpp
@@ -18,6 +18,10 @@
 
 // Pause after a failed accept, as when descriptors have run out.
 constexpr milliseconds kAcceptPause(50);
+// Connections accepted in one turn of the event loop. With one each, hundreds
+// that come at once wait for hundreds of turns, which take long in a slow
+// process, and are given up before.
+constexpr int kMaxAcceptsPerTurn = 64;
 
 class Session;
 
@@ -157,6 +161,10 @@
     if (ec) {
       return false;
     }
+    std::ignore = acceptor_.non_blocking(true, ec);
+    if (ec) {
+      return false;
+    }
     Accept();
     return true;
   }
@@ -198,11 +206,22 @@
       });
       return;
     }
+    Serve(std::move(socket));
+    for (int i = 1; i < kMaxAcceptsPerTurn; ++i) {
+      tcp::socket next = acceptor_.accept(ec);
+      if (ec) {
+        break;
+      }
+      Serve(std::move(next));
+    }
+    Accept();
+  }
+
+  void Serve(tcp::socket socket) {
     if (shared_->sessions.size() < shared_->settings.maximum_connections) {
       SetSocketOptions(socket);
       std::make_shared<Session>(std::move(socket), shared_)->Read();
     }
-    Accept();
   }
 
   tcp::acceptor acceptor_;
