Runner agent: Waits longer for a leader that answers late

An agent gave up a report after 1.2 s, dropped the connection, read the leader from the store and reported again. Now the timeout doubles with each report that times out, up to 4.8 s, and follows the latency of answers. An agent that learns of a new leader no longer waits for the former one.

Both new tests fail before the change.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -63,6 +63,7 @@
       context_(context),
       start_unix_ms_(context.clock.WallNow().time_since_epoch().count()),
       runner_(runner),
+      report_limit_(settings.report_timeout),
       renewal_timer_(context.loop),
       report_timer_(context.loop) {}
 
@@ -356,16 +357,31 @@
   request.path = kReportPath;
   request.headers = {{kReporterHeader, ReporterOf(report)}};
   request.body = jobs::Encode(report);
-  context_.client.Send(
-      leader_.address, request, context_.clock.Now() + settings_.report_timeout,
-      [this, generation = generation_,
-       leader_term = leader_.term](const http::ClientResult& result) {
-        OnReported(generation, leader_term, result);
-      });
+  const Instant sent_at = context_.clock.Now();
+  context_.client.Send(leader_.address, request, sent_at + report_limit_,
+                       [this, generation = generation_, sent_at,
+                        number = ++reports_](const http::ClientResult& result) {
+                         if (number == reports_) {
+                           UpdateReportLimit(sent_at, result);
+                           OnReported(generation, result);
+                         }
+                       });
+}
+
+void RunnerAgent::UpdateReportLimit(Instant sent_at,
+                                    const http::ClientResult& result) {
+  const auto* failure = std::get_if<http::ClientFailure>(&result);
+  milliseconds limit(0);
+  if (failure == nullptr) {
+    limit = 2 * std::chrono::ceil<milliseconds>(context_.clock.Now() - sent_at);
+  } else if (*failure == http::ClientFailure::kTimedOut) {
+    limit = 2 * report_limit_;
+  }
+  report_limit_ = std::clamp(limit, settings_.report_timeout,
+                             settings_.longest_report_timeout);
 }
 
 void RunnerAgent::OnReported(uint64_t generation,
-                             uint64_t leader_term,
                              const http::ClientResult& result) {
   is_reporting_ = false;
   const auto* response = std::get_if<http::Response>(&result);
@@ -377,17 +393,13 @@
     if (!std::exchange(is_report_failing_, true)) {
       context_.logger.Log(
           Event::kReportUnanswered,
-          {{"term", static_cast<int64_t>(leader_term)},
+          {{"term", static_cast<int64_t>(leader_.term)},
            {"status", response == nullptr
                           ? int64_t{0}
                           : static_cast<int64_t>(response->status)},
            {"has_lease", HasLease()}});
     }
-    if (leader_.term > leader_term) {
-      Report();
-    } else {
-      ScheduleLeaderLookup();
-    }
+    ScheduleLeaderLookup();
     return;
   }
   is_report_failing_ = false;
@@ -416,6 +428,10 @@
     return false;
   }
   leader_ = leader;
+  // The former leader's answer is not waited for.
+  ++reports_;
+  is_reporting_ = false;
+  report_limit_ = settings_.report_timeout;
   context_.logger.Log(Event::kLeaderFound,
                       {{"term", static_cast<int64_t>(leader_.term)},
                        {"address", leader_.address},
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -22,8 +22,11 @@
   std::string service;  // Announcements of other services are ignored.
   // Period of reports while nothing changes.
   milliseconds report_period{500};
-  // Timeout of a report to the leader.
+  // Timeout of a report to a leader that answers soon.
   milliseconds report_timeout{1200};
+  // Timeout of a report to one that answers late: it gets nothing done while
+  // each report is given up and repeated.
+  milliseconds longest_report_timeout{4800};
   // The runner may delay the response to a lease renewal by this long.
   milliseconds renewal_wait{400};
   // Timeout of a call to the runner, in addition to that.
@@ -91,9 +94,9 @@
   void Report();
   void ReportNow();
   void ScheduleReport(milliseconds delay);
-  void OnReported(uint64_t generation,
-                  uint64_t leader_term,
-                  const http::ClientResult& result);
+  void OnReported(uint64_t generation, const http::ClientResult& result);
+  // Adapts the timeout of reports to how the leader has answered one.
+  void UpdateReportLimit(Instant sent_at, const http::ClientResult& result);
   // Takes over `leader` if its term is later than that of the known one.
   bool UpdateLeader(const jobs::LeaderRecord& leader, const char* source);
   // Reads the leader from the store after a delay, unless a leader notifies
@@ -140,6 +143,8 @@
   jobs::LeaderRecord leader_;
   bool is_renewing_ = false;
   bool is_reporting_ = false;
+  uint64_t reports_ = 0;  // To recognize answers to reports given up.
+  milliseconds report_limit_;
   bool is_report_needed_ = false;
   bool is_report_failing_ = false;  // Whether the last report failed.
   bool is_looking_up_leader_ = false;
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <set>
+#include <vector>
 
 #include "async_http/server.h"
 #include "cluster/report_queue.h"
@@ -153,6 +156,114 @@
   }
 }
 
+// Records whether the runner was granted a lease.
+class LeasedRunner : public SilentRunner {
+ public:
+  void RenewLease(const std::string& /*address*/,
+                  const std::string& /*instance*/,
+                  const LeaseRenewalRequest& call,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> done) override {
+    has_lease = has_lease || call.lease_until_ms.has_value();
+    LeaseRenewalResponse response;
+    response.clock_ms = 1;
+    done(response);
+  }
+
+  bool has_lease = false;
+};
+
+// Guards against agents that give up each report to a slow leader: their
+// leases lapse, and the leader spends its time on reports that nobody waits
+// for.
+TEST_F(RunnerAgentTest, WaitsLongerForALeaderThatAnswersLate) {
+  LeasedRunner runner;
+  RunnerAgent agent({.node = "agent",
+                     .address = "127.0.0.1:1",
+                     .service = "s",
+                     .report_timeout = milliseconds(10),
+                     .longest_report_timeout = milliseconds(10'000)},
+                    context(), runner);
+  const std::string address = FreeAddress();
+  constexpr milliseconds kLeaderDelay(25);
+  int reports = 0;
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& /*request*/,
+          const async_http::Respond& respond) {
+        ++reports;
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(loop_, kLeaderDelay);
+        timer->async_wait([timer, respond](boost::system::error_code) {
+          respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 60'000})});
+        });
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  clock_.Advance(milliseconds(1000));
+  Announcement announcement;
+  announcement.instance = "instance";
+  announcement.service = "s";
+  agent.OnAnnouncement(announcement);
+  constexpr int kMaxReports = 12;
+  constexpr milliseconds kStepLimit(50);
+  while (!runner.has_lease && reports < kMaxReports) {
+    loop_.run_one_for(kStepLimit);
+    log_.Settle();
+  }
+  EXPECT_TRUE(runner.has_lease);
+}
+
+// Guards against agents that wait for the answer of a leader that is gone,
+// although the next one has notified them.
+TEST_F(RunnerAgentTest, DoesNotWaitForAFormerLeader) {
+  RunnerAgent agent({.node = "agent",
+                     .address = "127.0.0.1:1",
+                     .service = "s",
+                     .report_timeout = milliseconds(600'000),
+                     .longest_report_timeout = milliseconds(600'000)},
+                    context(), runner_);
+  Announcement announcement;
+  announcement.instance = "instance";
+  announcement.service = "s";
+  agent.OnAnnouncement(announcement);
+  std::vector<async_http::Respond> unanswered;
+  const std::string former_address = FreeAddress();
+  async_http::Server former(loop_, {former_address},
+                            [&](const http::Request& /*request*/,
+                                const async_http::Respond& respond) {
+                              unanswered.push_back(respond);
+                            });
+  ASSERT_TRUE(former.Open());
+  const std::string address = FreeAddress();
+  bool is_reported = false;
+  async_http::Server leader(loop_, {address},
+                            [&](const http::Request& /*request*/,
+                                const async_http::Respond& respond) {
+                              is_reported = true;
+                              respond({409, {}, {}});
+                            });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", former_address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  while (unanswered.empty()) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  request.body = jobs::Encode(jobs::LeaderRecord{2, "node-2", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  bool is_over = false;
+  constexpr milliseconds kLimit(5000);
+  boost::asio::steady_timer limit(loop_, kLimit);
+  limit.async_wait([&](boost::system::error_code) { is_over = true; });
+  while (!is_reported && !is_over) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_TRUE(is_reported);
+}
+
 // The leader needs it to find the task that caused a crash: an agent on a VM
 // that was suspended notices failing calls seconds later.
 TEST_F(RunnerAgentTest, ReportsWhenItsRunnerMayHaveCrashed) {
