Cluster: Waits longer for the answer of a slow leader

A frontend that is not a standby asks the leader each second whether it leads, and gave it 200 ms. A leader that is short of processor time keeps its term in the store, but answers after several turns of its event loop, so after 3 s small frontends began to campaign against it.

Gives that query 1 s. A leader that is lost is missed no later: the answer is waited for instead of the next poll.

NonStandbyLeavesASlowLeaderItsTerm failed before: the frontend read the stored progress, as one does that campaigns.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -195,7 +195,7 @@
 }
 
 void JobFrontend::CheckLeaderRemotely() {
-  QueryLeader([this](bool is_leader) {
+  QueryLeader(settings_.leader_poll_timeout, [this](bool is_leader) {
     if (is_leader) {
       leader_seen_at_ = context_.clock.Now();
     }
@@ -246,13 +246,13 @@
   }
 }
 
-void JobFrontend::QueryLeader(std::function<void(bool is_leader)> done) {
+void JobFrontend::QueryLeader(milliseconds timeout,
+                              std::function<void(bool is_leader)> done) {
   http::Request request;
   request.method = "GET";
   request.path = kLeaderPath;
   context_.client.Send(
-      leader_address(), request,
-      context_.clock.Now() + settings_.leader_query_timeout,
+      leader_address(), request, context_.clock.Now() + timeout,
       [done = std::move(done)](const http::ClientResult& result) {
         const auto* response = std::get_if<http::Response>(&result);
         done(response != nullptr && response->status == 200);
@@ -260,17 +260,20 @@
 }
 
 void JobFrontend::CampaignUnlessLeaderAnswers() {
-  QueryLeader([this, term = replica_.leader().term](bool is_leader) {
-    if (is_leader) {
-      leader_seen_at_ = context_.clock.Now() - settings_.leader_timeout +
-                        settings_.leader_check_period;
-      is_taking_over_ = false;
-    } else if (term == replica_.leader().term && !leader_ && !is_stopping_) {
-      StartCampaign();
-      return;
-    }
-    ScheduleLeaderCheck(settings_.leader_check_period);
-  });
+  QueryLeader(settings_.leader_query_timeout,
+              [this, term = replica_.leader().term](bool is_leader) {
+                if (is_leader) {
+                  leader_seen_at_ = context_.clock.Now() -
+                                    settings_.leader_timeout +
+                                    settings_.leader_check_period;
+                  is_taking_over_ = false;
+                } else if (term == replica_.leader().term && !leader_ &&
+                           !is_stopping_) {
+                  StartCampaign();
+                  return;
+                }
+                ScheduleLeaderCheck(settings_.leader_check_period);
+              });
 }
 
 void JobFrontend::ConsiderHandover() {
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -47,6 +47,10 @@
   // Timeout of the query whether the leader still leads, sent before a campaign
   // if the store has no recent record of it.
   milliseconds leader_query_timeout{200};
+  // The same for a frontend that is not a standby and only asks. An answer
+  // takes several turns of the leader's event loop, each of which is long on a
+  // VM that is short of processor time.
+  milliseconds leader_poll_timeout{1000};
   // Data that was read at most this long ago may answer a caller without
   // another read, unless the answer is that there is no such job.
   milliseconds state_freshness{100};
@@ -157,7 +161,8 @@
   void CampaignIfDue();
   // Campaigns unless the leader answers that it still leads.
   void CampaignUnlessLeaderAnswers();
-  void QueryLeader(std::function<void(bool is_leader)> done);
+  void QueryLeader(milliseconds timeout,
+                   std::function<void(bool is_leader)> done);
   void StartCampaign();
   // Resigns in favour of a frontend that should rather lead, if one could lead
   // at once.
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include "async_http/server.h"
 #include "cluster/topics.h"
@@ -228,6 +231,46 @@
   frontend.Stop();
 }
 
+// Guards against a small frontend that takes the term from a leader which is
+// short of processor time: its answers take several turns of its event loop.
+TEST_F(JobFrontendTest, NonStandbyLeavesASlowLeaderItsTerm) {
+  const std::string address = FreeAddress();
+  std::vector<std::shared_ptr<boost::asio::steady_timer>> turns;
+  int answer_count = 0;
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request&, const async_http::Respond& respond) {
+        turns.push_back(std::make_shared<boost::asio::steady_timer>(
+            loop_, milliseconds(100)));
+        turns.back()->async_wait([&, respond](boost::system::error_code) {
+          ++answer_count;
+          respond({200, {}, {}});
+        });
+      });
+  ASSERT_TRUE(leader.Open());
+  const auto store = [this](const std::string& key, const std::string& value) {
+    log_.Write({kLeaderTopic, {{key, value}}, std::nullopt, std::nullopt}, {},
+               [](const keyed_log::AppendResult&) {});
+  };
+  for (size_t i = 0; i < JobFrontendSettings().standbys; ++i) {
+    const std::string node = "strong-" + std::to_string(i);
+    store(std::string(kFrontendPrefix) + node,
+          Encode(FrontendRecord{node, address, 1, 64000}));
+  }
+  store(kLeaderKey, jobs::Encode(jobs::LeaderRecord{1, "strong-0", address}));
+  JobFrontendSettings settings = PromptSettings();
+  settings.leader_query_timeout = milliseconds(20);
+  JobFrontend frontend(settings, context());
+  frontend.Start();
+  log_.Settle();
+  for (int i = 1; i <= 4; ++i) {
+    RunUntil([&] { return answer_count >= i; });
+    clock_.Advance(settings.standby_takeover_timeout / 2);
+  }
+  EXPECT_EQ(log_.read_count(kProgressTopic), 0U);
+  frontend.Stop();
+}
+
 // Guards against a frontend with a fourteenth of a core that goes on leading
 // after those with half a core are back.
 TEST_F(JobFrontendTest, LeaderOnASmallVmHandsOverToALargerOne) {
