Cluster: Has a small frontend watch for records of a slow leader

A frontend that is not a standby began to campaign at most 260 ms after its first read of the progress, unless a second read brought records of a leader. One that is short of processor time stores them every 300 to 600 ms.

Waits 0.7 s for records, as a process does that has just started, and begins 0.7 s sooner to read, so that a lost leader is missed no later.

NonStandbyWaitsForRecordsOfASlowLeader failed before: the frontend campaigned within 500 ms.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -172,10 +172,8 @@
     // Records from before do not prove that the leader is still running.
     if (!initial_state_read_at_) {
       initial_state_read_at_ = context_.clock.Now();
-      leader_seen_at_ = *initial_state_read_at_ - settings_.leader_timeout;
-      if (!is_taking_over_) {
-        leader_seen_at_ += settings_.startup_leader_timeout;
-      }
+      leader_seen_at_ = *initial_state_read_at_ - settings_.leader_timeout +
+                        settings_.startup_leader_timeout;
     } else if (replica_.leader_seen_at() > *initial_state_read_at_) {
       leader_seen_at_ = std::max(leader_seen_at_, replica_.leader_seen_at());
       is_taking_over_ = false;
@@ -199,7 +197,8 @@
     if (is_leader) {
       leader_seen_at_ = context_.clock.Now();
     }
-    ScheduleLeaderCheck(settings_.frontend_poll_period);
+    ScheduleLeaderCheck(is_leader ? settings_.frontend_poll_period
+                                  : settings_.leader_check_period);
   });
 }
 
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -38,7 +38,8 @@
   // This process campaigns this much later than others: the fewer cores its VM
   // has, the longer.
   milliseconds campaign_delay{0};
-  // A process that has just started waits this long for a record of a leader.
+  // A process that begins to follow the stored progress waits this long for a
+  // record of a leader. A slow one may store something every 500 ms only.
   milliseconds startup_leader_timeout{700};
   // After a leader has named its successor, the other frontends wait this long
   // before they campaign.
@@ -64,9 +65,10 @@
   milliseconds announcement_period{10000};
   milliseconds frontend_timeout{35000};
   // A frontend that is not a standby replicates and campaigns like one if no
-  // leader has been seen for this long: twice the time in which a standby
-  // leads, and half of that for which leases last without a leader.
-  milliseconds standby_takeover_timeout{3000};
+  // leader has answered for this long. With the time that it then waits for
+  // records, it is twice the time in which a standby leads, and half of that
+  // for which leases last without a leader.
+  milliseconds standby_takeover_timeout{2300};
 
   friend bool operator==(const JobFrontendSettings&,
                          const JobFrontendSettings&) = default;
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -231,6 +231,38 @@
   frontend.Stop();
 }
 
+// A leader that is short of processor time stores something every few hundred
+// milliseconds, and is too slow to answer a query.
+TEST_F(JobFrontendTest, NonStandbyWaitsForRecordsOfASlowLeader) {
+  const std::string address = FreeAddress();
+  const auto store = [this](const std::string& topic, const std::string& key,
+                            const std::string& value) {
+    log_.Write({topic, {{key, value}}, std::nullopt, std::nullopt}, {},
+               [](const keyed_log::AppendResult&) {});
+  };
+  for (size_t i = 0; i < JobFrontendSettings().standbys; ++i) {
+    const std::string node = "strong-" + std::to_string(i);
+    store(kLeaderTopic, std::string(kFrontendPrefix) + node,
+          Encode(FrontendRecord{node, address, 1, 64000}));
+  }
+  const jobs::LeaderRecord last{1, "strong-0", address};
+  store(kLeaderTopic, kLeaderKey, jobs::Encode(last));
+  store(kProgressTopic, kLeaderKey, jobs::Encode(last));
+  JobFrontend frontend(PromptSettings(), context());
+  frontend.Start();
+  log_.Settle();
+  clock_.Advance(Settings().standby_takeover_timeout);
+  RunUntil([&] { return log_.read_count(kProgressTopic) > 0; });
+  for (int i = 0; i < 3; ++i) {
+    const size_t before = log_.append_count();
+    const Instant stored_at = clock_.Now();
+    RunUntil([&] { return clock_.Now() - stored_at >= milliseconds(500); });
+    EXPECT_EQ(log_.append_count(), before);
+    store(kProgressTopic, kLeaderKey, jobs::Encode(last));
+  }
+  frontend.Stop();
+}
+
 // Guards against a small frontend that takes the term from a leader which is
 // short of processor time: its answers take several turns of its event loop.
 TEST_F(JobFrontendTest, NonStandbyLeavesASlowLeaderItsTerm) {
