Relay: Lets a late answer to a query count

A frontend that is no standby relays a question about a job. It gave the leader 350 ms, then asked the others one after the other: VMs that were dark stay on its list for 35 s, and the rest answers that it doesn't know. After 1 s the caller was refused, although a slow leader was about to answer.

Asks the next one after 350 ms too, but beside the leader, and takes the first answer within 2 s. Submissions and cancellations still go to one frontend at a time.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds kRefusedRetryDelay(80);
 // Timeout of a query to another frontend and of the announcements in the store.
 constexpr milliseconds kQueryTimeout(1000);
+// The same for a caller's query that others answer: less than callers wait.
+constexpr milliseconds kRelayedQueryTimeout(2000);
 constexpr milliseconds kAnnouncementRetryDelay(500);
 // Part of the caller's deadline that is reserved for sending the response.
 constexpr milliseconds kResponseMargin(100);
@@ -599,7 +601,7 @@
                              const JobId& id,
                              std::function<void(const RelayAnswer*)> done) {
   relay_.Send({kind, queue, id, {}, 0}, leader_address(),
-              context_.clock.Now() + kQueryTimeout,
+              context_.clock.Now() + kRelayedQueryTimeout,
               [done = std::move(done)](const Relay::Outcome& outcome) {
                 done(outcome.answer ? &*outcome.answer : nullptr);
               });
--- a/src/libs/cluster/relay.cpp
+++ b/src/libs/cluster/relay.cpp
@@ -1,6 +1,7 @@
 #include "cluster/relay.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <ranges>
 #include <tuple>
 #include <utility>
@@ -12,10 +13,11 @@
 namespace papayadrift::cluster {
 namespace {
 
-// Timeout of a call to one frontend: some appends to a slow store. Queries get
-// less, as most are answered without the store.
+// Timeout of a call to one frontend: some appends to a slow store.
 constexpr milliseconds kPeerTimeout(800);
-constexpr milliseconds kQueryTimeout(350);
+// After this time without an answer to a query another frontend is asked too.
+// The answer of a slow one still counts: it may be the only one that knows.
+constexpr milliseconds kQueryPace(350);
 
 }  // namespace
 
@@ -51,8 +53,21 @@
   Instant deadline;
   Done done;
   Outcome outcome;
+  // Queries only.
+  std::optional<boost::asio::steady_timer> pace_timer;
+  size_t unanswered = 0;
+  bool is_done = false;
 };
 
+void Relay::Finish(Attempt& attempt) {
+  if (attempt.is_done) {
+    return;
+  }
+  attempt.is_done = true;
+  attempt.pace_timer.reset();
+  attempt.done(attempt.outcome);
+}
+
 Relay::Relay(const ProcessContext& context,
              const FrontendList& frontends,
              std::string own_address)
@@ -83,41 +98,65 @@
 void Relay::TryNext(const std::shared_ptr<Attempt>& attempt) {
   const Instant now = context_.clock.Now();
   if (attempt->addresses.empty() || now >= attempt->deadline) {
-    attempt->done(attempt->outcome);
+    if (attempt->unanswered == 0) {
+      Finish(*attempt);
+    }
     return;
   }
   const std::string address = std::move(attempt->addresses.back());
   attempt->addresses.pop_back();
   const bool is_query = attempt->call.kind == RelayKind::kState ||
                         attempt->call.kind == RelayKind::kCount;
-  const Instant limit = std::min(
-      attempt->deadline, now + (is_query ? kQueryTimeout : kPeerTimeout));
+  const Instant limit = is_query
+                            ? attempt->deadline
+                            : std::min(attempt->deadline, now + kPeerTimeout);
   attempt->call.remaining_ms =
       std::chrono::floor<milliseconds>(limit - now).count();
   http::Request request;
   request.method = "POST";
   request.path = kRelayPath;
   request.body = Encode(attempt->call);
-  context_.client.Send(
-      address, request, limit,
-      [this, attempt](const http::ClientResult& result) {
-        const auto* failure = std::get_if<http::ClientFailure>(&result);
-        if (failure == nullptr) {
-          const auto& response = std::get<http::Response>(result);
-          const auto answer = DecodeRelayAnswer(response.body);
-          if (answer && answer->is_handled) {
-            attempt->outcome.answer = answer;
-            attempt->done(attempt->outcome);
-            return;
-          }
-          // A frontend whose answer can't be decoded may have handled the call.
-          attempt->outcome.may_be_done |= !answer && response.status == 200;
-        } else if (*failure != http::ClientFailure::kNotConnected &&
-                   *failure != http::ClientFailure::kRefused) {
-          attempt->outcome.may_be_done = true;
+  ++attempt->unanswered;
+  if (is_query) {
+    Pace(attempt);
+  }
+  context_.client.Send(address, request, limit,
+                       [this, attempt](const http::ClientResult& result) {
+                         --attempt->unanswered;
+                         if (!attempt->is_done) {
+                           OnResult(attempt, result);
+                         }
+                       });
+}
+
+void Relay::Pace(const std::shared_ptr<Attempt>& attempt) {
+  attempt->pace_timer.emplace(context_.loop, kQueryPace);
+  attempt->pace_timer->async_wait(
+      [this, attempt](boost::system::error_code ec) {
+        if (!ec && !attempt->is_done) {
+          TryNext(attempt);
         }
-        TryNext(attempt);
       });
 }
 
+void Relay::OnResult(const std::shared_ptr<Attempt>& attempt,
+                     const http::ClientResult& result) {
+  const auto* failure = std::get_if<http::ClientFailure>(&result);
+  if (failure == nullptr) {
+    const auto& response = std::get<http::Response>(result);
+    const auto answer = DecodeRelayAnswer(response.body);
+    if (answer && answer->is_handled) {
+      attempt->outcome.answer = answer;
+      Finish(*attempt);
+      return;
+    }
+    // A frontend whose answer can't be decoded may have handled the call.
+    attempt->outcome.may_be_done |= !answer && response.status == 200;
+  } else if (*failure != http::ClientFailure::kNotConnected &&
+             *failure != http::ClientFailure::kRefused) {
+    attempt->outcome.may_be_done = true;
+  }
+  TryNext(attempt);
+}
+
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/relay.h
+++ b/src/libs/cluster/relay.h
@@ -12,6 +12,7 @@
 #include "base/identifiers.h"
 #include "cluster/frontend_list.h"
 #include "cluster/process_context.h"
+#include "http/message.h"
 
 // Calls that a frontend can't handle itself because the store refuses its
 // requests are relayed to another frontend that the store still serves.
@@ -62,7 +63,8 @@
 
   bool has_peers() const { return !frontends_.has_no_peers(); }
   // Tries one frontend after the other until one can handle the call:
-  // `preferred` first, then the others by rank.
+  // `preferred` first, then the others by rank. A query is also sent on while
+  // the answers of the earlier ones are late.
   void Send(const RelayCall& call,
             const std::string& preferred,
             Instant deadline,
@@ -72,6 +74,11 @@
   struct Attempt;
 
   void TryNext(const std::shared_ptr<Attempt>& attempt);
+  // Lets the next frontend be asked beside those that have not answered yet.
+  void Pace(const std::shared_ptr<Attempt>& attempt);
+  void OnResult(const std::shared_ptr<Attempt>& attempt,
+                const http::ClientResult& result);
+  static void Finish(Attempt& attempt);
 
   const ProcessContext context_;
   const FrontendList& frontends_;
