--- a/tests/auto/cluster/handover_test.cpp
+++ b/tests/auto/cluster/handover_test.cpp
@@ -24,6 +24,8 @@
   int status = 200;
   uint64_t speed = 0;
   int query_count = 0;
+  bool is_silent = false;
+  std::vector<async_http::Respond> unanswered;
 };
 
 class HandoverTest : public ProcessFixture {
@@ -35,6 +37,10 @@
           loop_, async_http::ServerSettings{standby.address},
           [&standby](const http::Request&, const async_http::Respond& respond) {
             ++standby.query_count;
+            if (standby.is_silent) {
+              standby.unanswered.push_back(respond);
+              return;
+            }
             respond({standby.status, {}, std::to_string(standby.speed)});
           }));
       EXPECT_TRUE(servers_.back()->Open());
@@ -118,6 +124,16 @@
   EXPECT_EQ(CandidateAfter(settings_.min_term, behind), standbys_[0].address);
 }
 
+// Guards against a round of questions that never ends.
+TEST_F(HandoverTest, SilentStandbyHoldsNothingUp) {
+  Put(0, 500);
+  Put(1, 500);
+  standbys_[0].is_silent = true;
+  standbys_[1].speed = OwnSpeed() * 3;
+  EXPECT_EQ(CandidateAfter(settings_.min_term, clock_.Now()),
+            standbys_[1].address);
+}
+
 // Guards against a sound leader that resigns in favour of a VM that has more
 // cores by its settings and less processor time.
 TEST_F(HandoverTest, LeaderOnASmallVmAsksForSpeed) {
