--- a/tests/auto/cluster/handover_test.cpp
+++ b/tests/auto/cluster/handover_test.cpp
@@ -130,7 +130,7 @@
   Put(1, 500);
   standbys_[0].is_silent = true;
   standbys_[1].speed = OwnSpeed() * 3;
-  EXPECT_EQ(CandidateAfter(settings_.min_term, clock_.Now()),
+  EXPECT_EQ(CandidateAfter(settings_.min_term, Behind{clock_.Now()}),
             standbys_[1].address);
 }
 
