--- a/src/libs/cluster/relay.h
+++ b/src/libs/cluster/relay.h
@@ -1,17 +1,15 @@
 #ifndef PAPAYADRIFT_CLUSTER_RELAY_H_
 #define PAPAYADRIFT_CLUSTER_RELAY_H_
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
-#include "base/identifiers.h"
 #include "cluster/frontend_list.h"
 #include "cluster/process_context.h"
+#include "cluster/relay_messages.h"
 #include "http/message.h"
 
 // Calls that a frontend can't handle itself because the store refuses its
@@ -19,34 +17,6 @@
 
 namespace papayadrift::cluster {
 
-enum class RelayKind { kSubmit, kState, kCancel, kCount };
-
-struct RelayCall {
-  RelayKind kind = RelayKind::kState;
-  std::string queue;
-  JobId id;
-  std::string job;           // Encoded; submissions only.
-  int64_t remaining_ms = 0;  // Time for which the caller still waits.
-
-  friend bool operator==(const RelayCall&, const RelayCall&) = default;
-};
-
-struct RelayAnswer {
-  // Whether the other frontend could handle the call; if not, it has done
-  // nothing.
-  bool is_handled = false;
-  // A SubmitResult, JobState, CancelResult or count, depending on the call.
-  uint32_t value = 0;
-  bool has_job = true;  // For queries about a job.
-
-  friend bool operator==(const RelayAnswer&, const RelayAnswer&) = default;
-};
-
-std::string Encode(const RelayCall& call);
-std::string Encode(const RelayAnswer& answer);
-std::optional<RelayCall> DecodeRelayCall(std::string_view bytes);
-std::optional<RelayAnswer> DecodeRelayAnswer(std::string_view bytes);
-
 // Sends calls to other frontends.
 class Relay {
  public:
