Jobs: Acknowledges an end only on evidence that is stored

Cause: an end that matched no run of that runner was taken for recorded at once, without a line. So a leader that had given the run up, or that had been deposed before the run was claimed, told the agent to forget a completion that nobody had stored; then the task was started anew.

Change: each end has a typed settlement. A completion of a run that was given up completes its open task, and a later run of it is stopped or not started. What changes nothing is acknowledged only after an append that began later is stored: a deposed leader acknowledges nothing. Ends that can't be true (a task or run that doesn't exist, a run that was claimed for another runner) are logged and counted. Each acknowledged end has a line, run.end_acknowledged, with its number, the version of the leader's state, the term, and why nothing had to be stored.

--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -72,6 +72,15 @@
                   "Decisions and changes of belief of the leader.",
                   {{"change", std::string(jobs::ToText(event.kind))}})
       .Add();
+  using Kind = jobs::JobSchedulerEvent::Kind;
+  if (event.kind == Kind::kEndUnmatched || event.kind == Kind::kEndInvalid) {
+    registry_
+        .AddCounter("papayadrift_unmatched_ends_total",
+                    "Ends of runs that the leader did not hold for the runner, "
+                    "by what became of them.",
+                    {{"settlement", event.reason}})
+        .Add();
+  }
 }
 
 void ClusterMetrics::UpdateLeaderGauges(uint64_t term,
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -48,7 +48,12 @@
     case Kind::kRunPaced:
     case Kind::kTargetMissed:
     case Kind::kTargetMet:
+    case Kind::kEndUnmatched:
       return Event::kRunChanged;
+    case Kind::kEndAcknowledged:
+      return Event::kRunEndAcknowledged;
+    case Kind::kEndInvalid:
+      return Event::kMessageUnreadable;
     case Kind::kRunWithdrawn:
     case Kind::kRunLost:
     case Kind::kTaskGivenUp:
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -10,6 +10,7 @@
 
 #include "base/instant.h"
 #include "base/resources.h"
+#include "jobs/end_settlement.h"
 #include "jobs/job.h"
 #include "jobs/lease_refusal.h"
 #include "jobs/run_table.h"
@@ -62,9 +63,9 @@
   // gets neither a lease nor new runs before it has accepted their stops, or
   // the starts are void.
   std::map<TaskKey, OrphanRun> released;
-  uint64_t handled_ends = 0;                   // Highest number processed.
-  uint64_t recorded_ends = 0;                  // Highest number that is stored.
-  std::map<uint64_t, uint64_t> unstored_ends;  // Number to scheduler version.
+  uint64_t handled_ends = 0;   // Highest number processed.
+  uint64_t recorded_ends = 0;  // Highest number that is stored.
+  std::map<uint64_t, UnstoredEnd> unstored_ends;  // By number.
   // The number of the last change after which more work may fit here; see
   // Fleet::MarkChanged().
   uint64_t changed_at = 0;
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -89,6 +89,12 @@
       return "target_missed";
     case Kind::kTargetMet:
       return "target_met";
+    case Kind::kEndAcknowledged:
+      return "end_acknowledged";
+    case Kind::kEndUnmatched:
+      return "end_unmatched";
+    case Kind::kEndInvalid:
+      return "end_invalid";
   }
   return "unknown";
 }
@@ -281,8 +287,12 @@
   stored_version_ = std::max(stored_version_, version);
   for (Runner& runner : fleet_.runners() | std::views::values) {
     auto& ends = runner.unstored_ends;
-    while (!ends.empty() && ends.begin()->second <= stored_version_) {
-      runner.recorded_ends = ends.begin()->first;
+    while (!ends.empty() && ends.begin()->second.version <= stored_version_) {
+      const auto& [number, end] = *ends.begin();
+      runner.recorded_ends = number;
+      Emit(JobSchedulerEvent::Kind::kEndAcknowledged, ToText(end.task), end.run,
+           ToText(runner.report.incarnation),
+           DescribeAcknowledgement(number, end));
       ends.erase(ends.begin());
     }
   }
@@ -578,6 +588,7 @@
 
 JobScheduler::Changes JobScheduler::TakeChanges() {
   Changes changes{version_, {}, {}};
+  taken_version_ = version_;
   for (const JobId& id : changed_outcomes_) {
     if (const Entry* entry = FindOrNull(jobs_, id)) {
       changes.outcomes.emplace_back(id, entry->progress.outcome);
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -15,6 +15,7 @@
 #include "base/instant.h"
 #include "jobs/crash_history.h"
 #include "jobs/duration_estimator.h"
+#include "jobs/end_settlement.h"
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
@@ -141,6 +142,9 @@
     kRunPaced,
     kTargetMissed,
     kTargetMet,
+    kEndAcknowledged,
+    kEndUnmatched,
+    kEndInvalid,
   };
   Kind kind;
   std::string subject;  // The task, job or runner.
@@ -166,7 +170,8 @@
 // The leader's state of all jobs and runners, and all scheduling decisions.
 // Does no I/O and reads no clock. A change becomes visible to agents only once
 // it is stored: starts are not sent, and ends not acknowledged, until
-// OnStored() covers them.
+// OnStored() covers them. That holds also for ends that change nothing: a
+// leader that can't store anything may not know of later claims.
 class JobScheduler {
  public:
   // Values to be stored, and the version that they bring the store to.
@@ -226,9 +231,9 @@
   void Forget(const JobId& id) { jobs_.erase(id); }
 
   Changes TakeChanges();
-  bool has_changes() const {
-    return !changed_outcomes_.empty() || !changed_tasks_.empty();
-  }
+  // Whether the store should be written to, be it only to confirm that this is
+  // still the leader.
+  bool has_changes() const { return version_ > taken_version_; }
   // The version that includes all changes made so far.
   uint64_t version() const { return version_; }
   uint64_t stored_version() const { return stored_version_; }
@@ -351,6 +356,16 @@
                    Run& run,
                    Instant now) const;
   void ProcessEndedRun(Runner& runner, const EndedRun& ended, Instant now);
+  EndSettlement SettlementOf(const Runner& runner, const EndedRun& ended);
+  void ProcessEndOfClaimedRun(Runner& runner,
+                              const EndedRun& ended,
+                              Instant now);
+  // Processes the end of a run that this leader doesn't hold for the runner.
+  // What completed an open task counts, so that it is not started again.
+  void ProcessUnmatchedEnd(const Runner& runner,
+                           const EndedRun& ended,
+                           EndSettlement settlement,
+                           Instant now);
   void ProcessMissingRun(Runner& runner,
                          const TaskKey& task,
                          Run& run,
@@ -384,6 +399,8 @@
                     const std::string& checkpoint,
                     const RunnerIncarnation& incarnation,
                     Instant now);
+  // Takes a task of an open job, or the whole gang, for done.
+  void CompleteTask(const TaskKey& task, Instant now);
   void RecordFailure(const TaskKey& task,
                      const RunnerIncarnation& incarnation,
                      Instant now);
@@ -397,6 +414,10 @@
                 Run& run,
                 std::string reason,
                 Instant now);
+  // Withdraws whatever run of the task is claimed.
+  void WithdrawRunOf(const TaskKey& task,
+                     const std::string& reason,
+                     Instant now);
   void WithdrawGang(const TaskKey& task, Instant now);
   // Reports that a withdrawn run is no longer active.
   void EmitStopped(const Runner& runner,
@@ -485,6 +506,7 @@
   Instant regrouped_at_;
   RunnerIncarnation regrouped_runner_;  // The last one that was considered.
   uint64_t version_ = 0;
+  uint64_t taken_version_ = 0;  // By the last TakeChanges().
   uint64_t stored_version_ = 0;
   std::set<JobId> changed_outcomes_;
   std::set<TaskKey> changed_tasks_;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -225,35 +225,89 @@
     return;
   }
   runner.handled_ends = ended.number;
+  const uint64_t version_before = version_;
+  const EndSettlement settlement = SettlementOf(runner, ended);
+  if (settlement == EndSettlement::kClaimedRun) {
+    ProcessEndOfClaimedRun(runner, ended, now);
+  } else {
+    ProcessUnmatchedEnd(runner, ended, settlement, now);
+  }
+  if (version_ == version_before) {
+    // Nothing has to be stored for it, but the next append shows that no other
+    // leader had been elected when the end was listed.
+    ++version_;
+  }
+  runner.unstored_ends.emplace(
+      ended.number,
+      UnstoredEnd{version_, ended.task, ended.run, ended.end, settlement});
+}
+
+EndSettlement JobScheduler::SettlementOf(const Runner& runner,
+                                         const EndedRun& ended) {
   const Run* run = FindOrNull(runner.runs, ended.task);
   if (run != nullptr && run->number == ended.run) {
-    if (ended.end == RunEnd::kDone) {
-      ObserveDuration(ended.task, *run, now);
-    }
-    const std::string checkpoint =
-        ended.checkpoint.empty() ? run->checkpoint : ended.checkpoint;
-    if (run->is_withdrawn) {
-      EmitStopped(runner, ended.task, *run, now);
-    }
-    runner.runs.erase(ended.task);
-    interference_.Forget(ended.task);
-    Emit(JobSchedulerEvent::Kind::kRunEnded, ToText(ended.task), ended.run,
-         ToText(runner.report.incarnation),
-         ended.end == RunEnd::kDone     ? "done"
-         : ended.end == RunEnd::kFailed ? "failed"
-                                        : "interrupted");
-    if (ended.end == RunEnd::kDone) {
-      runner.failure_streak = 0;
-    } else if (ended.end == RunEnd::kFailed) {
-      CountFailure(runner, ended.task, now);
-    }
-    HandleRunEnd(ended.task, ended.end, checkpoint, runner.report.incarnation,
-                 now);
+    return EndSettlement::kClaimedRun;
+  }
+  const TaskProgress* progress = TaskOf(ended.task);
+  if (progress == nullptr) {
+    return EndSettlement::kUnknownTask;
+  }
+  const bool is_claimed_elsewhere =
+      ended.run == progress->run && progress->phase == TaskPhase::kClaimed &&
+      progress->incarnation != runner.report.incarnation;
+  if (ended.run == 0 || ended.run > progress->run || is_claimed_elsewhere) {
+    return EndSettlement::kUnknownRun;
+  }
+  if (!open_.contains(ended.task.job)) {
+    return EndSettlement::kJobEnded;
+  }
+  if (progress->phase == TaskPhase::kDone) {
+    return EndSettlement::kTaskDone;
+  }
+  return ended.end == RunEnd::kDone && !FindStep(ended.task)->is_long_running
+             ? EndSettlement::kLateCompletion
+             : EndSettlement::kRunGivenUp;
+}
+
+void JobScheduler::ProcessUnmatchedEnd(const Runner& runner,
+                                       const EndedRun& ended,
+                                       EndSettlement settlement,
+                                       Instant now) {
+  Emit(IsInvalid(settlement) ? JobSchedulerEvent::Kind::kEndInvalid
+                             : JobSchedulerEvent::Kind::kEndUnmatched,
+       ToText(ended.task), ended.run, ToText(runner.report.incarnation),
+       std::string(ToText(settlement)));
+  if (settlement == EndSettlement::kLateCompletion) {
+    WithdrawRunOf(ended.task, "An earlier run has completed the task.", now);
+    CompleteTask(ended.task, now);
   }
-  runner.unstored_ends.emplace(ended.number, version_);
-  if (version_ <= stored_version_) {
-    OnStored(stored_version_);
+}
+
+void JobScheduler::ProcessEndOfClaimedRun(Runner& runner,
+                                          const EndedRun& ended,
+                                          Instant now) {
+  const Run run = runner.runs.at(ended.task);
+  if (ended.end == RunEnd::kDone) {
+    ObserveDuration(ended.task, run, now);
+  }
+  if (run.is_withdrawn) {
+    EmitStopped(runner, ended.task, run, now);
   }
+  runner.runs.erase(ended.task);
+  interference_.Forget(ended.task);
+  Emit(JobSchedulerEvent::Kind::kRunEnded, ToText(ended.task), ended.run,
+       ToText(runner.report.incarnation),
+       ended.end == RunEnd::kDone     ? "done"
+       : ended.end == RunEnd::kFailed ? "failed"
+                                      : "interrupted");
+  if (ended.end == RunEnd::kDone) {
+    runner.failure_streak = 0;
+  } else if (ended.end == RunEnd::kFailed) {
+    CountFailure(runner, ended.task, now);
+  }
+  HandleRunEnd(ended.task, ended.end,
+               ended.checkpoint.empty() ? run.checkpoint : ended.checkpoint,
+               runner.report.incarnation, now);
 }
 
 void JobScheduler::CountFailure(Runner& runner,
@@ -283,7 +337,7 @@
   const Step* step = FindStep(task);
   TaskProgress* progress = TaskOf(task);
   if (step == nullptr || progress == nullptr ||
-      progress->phase != TaskPhase::kClaimed) {
+      progress->phase == TaskPhase::kDone) {
     return;
   }
   if (!open_.contains(task.job)) {
@@ -291,22 +345,10 @@
     return;
   }
   if (end == RunEnd::kDone && !step->is_long_running) {
-    Entry& entry = jobs_.at(task.job);
-    auto& tasks = entry.progress.occurrences[task.occurrence].steps[task.step];
-    if (step->is_gang) {
-      // The end of one member completes all members.
-      for (uint32_t i = 0; i < tasks.size(); ++i) {
-        tasks[i].phase = TaskPhase::kDone;
-        Change({task.job, task.occurrence, task.step, i});
-      }
-      WithdrawGang(task, now);
-    }
-    ClearCrashes(task);
-    progress->phase = TaskPhase::kDone;
-    progress->incarnation = {};
-    progress->checkpoint.clear();
-    Change(task);
-    CheckCompletion(task.job, now);
+    CompleteTask(task, now);
+    return;
+  }
+  if (progress->phase != TaskPhase::kClaimed) {
     return;
   }
   Release(task, checkpoint);
@@ -317,6 +359,26 @@
   }
 }
 
+void JobScheduler::CompleteTask(const TaskKey& task, Instant now) {
+  Entry& entry = jobs_.at(task.job);
+  auto& tasks = entry.progress.occurrences[task.occurrence].steps[task.step];
+  if (entry.job.steps[task.step].is_gang) {
+    // The end of one member completes all members.
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+      tasks[i].phase = TaskPhase::kDone;
+      Change({task.job, task.occurrence, task.step, i});
+    }
+    WithdrawGang(task, now);
+  }
+  ClearCrashes(task);
+  TaskProgress& progress = tasks[task.index];
+  progress.phase = TaskPhase::kDone;
+  progress.incarnation = {};
+  progress.checkpoint.clear();
+  Change(task);
+  CheckCompletion(task.job, now);
+}
+
 void JobScheduler::RecordFailure(const TaskKey& task,
                                  const RunnerIncarnation& incarnation,
                                  Instant now) {
@@ -382,6 +444,16 @@
        ToText(runner.report.incarnation), std::move(reason));
 }
 
+void JobScheduler::WithdrawRunOf(const TaskKey& task,
+                                 const std::string& reason,
+                                 Instant now) {
+  for (Runner& runner : fleet_.runners() | std::views::values) {
+    if (Run* run = FindOrNull(runner.runs, task)) {
+      Withdraw(runner, task, *run, reason, now);
+    }
+  }
+}
+
 void JobScheduler::WithdrawGang(const TaskKey& task, Instant now) {
   for (Runner& runner : fleet_.runners() | std::views::values) {
     for (auto& [other, run] : runner.runs) {
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -89,6 +89,9 @@
      "A run of a task was claimed for a runner, ended or was paced, or its "
      "tail "
      "latency went over its target or back."},
+    {Event::kRunEndAcknowledged, kInfo, "run.end_acknowledged",
+     "An agent may let its runner drop an end: it is stored, or nothing has to "
+     "be."},
     {Event::kRunInterrupted, kWarning, "run.interrupted",
      "A run of a task was lost or withdrawn, and the task waits for another."},
     {Event::kRunnerChanged, kInfo, "runner.changed",
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -49,6 +49,7 @@
   kRequestSent,
   kRequestUnwritten,
   kRunChanged,
+  kRunEndAcknowledged,
   kRunInterrupted,
   kRunnerChanged,
   kServerFailed,
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -112,6 +112,39 @@
   leader->Stop({});
 }
 
+// Guards against a task that runs twice: its runner listed its end to a leader
+// that had been deposed before the task was claimed, and took it for no run
+// that matters.
+TEST_F(LeaderTest, DeposedLeaderAcknowledgesNoEndThatItDoesNotKnow) {
+  const auto deposed = MakeLeader("node-1");
+  deposed->Campaign();
+  log_.Settle();
+  CatchUp();
+  const auto leader = MakeLeader("node-2");
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(deposed->is_confirmed());
+  ASSERT_TRUE(leader->is_confirmed());
+  jobs::RunnerReport report;
+  report.incarnation = {"agent", "instance", 1};
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, {JobId("a"), 0, 0, 0}, 1, jobs::RunEnd::kDone, ""}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  std::optional<http::Response> response;
+  deposed->HandleReport(request,
+                        [&](const http::Response& it) { response = it; });
+  clock_.Advance(LeaderSettings().report_timeout);
+  while (!response) {
+    // The leader's own timer triggers the next step.
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  const auto answer = jobs::Decode<jobs::ReportAnswer>(response->body);
+  EXPECT_EQ(answer ? answer->recorded_ends : 0, 0U);
+  deposed->Stop({});
+  leader->Stop({});
+}
+
 // Guards against an agent that exits after telling a leader without connection
 // to the store that its runner has ended: the next leaders had to wait until
 // the lease expired.
--- a/tests/auto/jobs/job_scheduler_fixture.cpp
+++ b/tests/auto/jobs/job_scheduler_fixture.cpp
@@ -11,7 +11,11 @@
 }
 
 JobSchedulerTest::JobSchedulerTest()
-    : scheduler_(JobSchedulerSettings(), At(0), nullptr) {
+    : scheduler_(JobSchedulerSettings(),
+                 At(0),
+                 [this](const JobSchedulerEvent& event) {
+                   events_.push_back(event);
+                 }) {
   RouteTable routes;
   routes.version = 1;
   Queue queue;
--- a/tests/auto/jobs/job_scheduler_fixture.h
+++ b/tests/auto/jobs/job_scheduler_fixture.h
@@ -39,6 +39,7 @@
   RunnerOrders Orders(int64_t now_ms);
   TaskKey Task(uint32_t index) const { return {JobId("a"), 0, 0, index}; }
 
+  std::vector<JobSchedulerEvent> events_;
   JobScheduler scheduler_;
   std::map<JobId, StoredProgress> stored_;
   size_t stored_tasks_ = 0;  // Number of task records written.
