Jobs: Grants no lease to a runner that was removed after its report

What callers could see: a task in two places at once.

Cause: the answer to a report may wait in a busy leader until the next round has removed its runner, whose lease had expired.

Change: no lease for a runner that isn't known; its next report makes it known.

Evidence: RunnerThatWasRemovedGetsNoLease fails with the former condition.

--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -201,7 +201,8 @@
   // Processes a report; returns false if it is from a superseded incarnation.
   bool OnReport(const RunnerReport& report, Instant now);
   // Returns whether the runner may get a lease. What can't be confirmed of its
-  // runs ends with the one that it has.
+  // runs ends with the one that it has. One that was removed after its report
+  // gets none: nobody would know of it.
   bool MayLease(const RunnerIncarnation& incarnation, Instant now) const;
   // Leases of the runner may last until `until` on this process's clock.
   void OnLeaseGranted(const RunnerIncarnation& incarnation, Instant until);
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -130,7 +130,7 @@
 bool JobScheduler::MayLease(const RunnerIncarnation& incarnation,
                             Instant now) const {
   const Runner* runner = fleet_.Find(incarnation);
-  return runner == nullptr || !RefusalOf(*runner, now);
+  return runner != nullptr && !RefusalOf(*runner, now);
 }
 
 std::optional<std::string> JobScheduler::LossOf(const Runner& runner,
--- a/tests/auto/jobs/run_ends_test.cpp
+++ b/tests/auto/jobs/run_ends_test.cpp
@@ -137,5 +137,12 @@
   EXPECT_TRUE(HasEvent(JobSchedulerEvent::Kind::kEndAcknowledged, Task(0)));
 }
 
+// Guards against a lease that no leader knows of: the runner was removed
+// between its report and the answer.
+TEST_F(RunEndsTest, RunnerThatWasRemovedGetsNoLease) {
+  GiveUpFirstRuns(1);
+  EXPECT_FALSE(scheduler_.MayLease(kFirst, At(kLapsedMs)));
+}
+
 }  // namespace
 }  // namespace papayadrift::jobs
