Cluster: Moves a term in the store into a class of its own

leader.cpp had grown to 835 lines, and what is asked of the store (candidacy, epoch and sequence of the appends, repeats, fencing, the time of the last confirmation, resignation) could only be tested through a whole leader.

LeaderTerm has it now; Leader, 700 lines, decides what is appended and when. Calls, their order, log lines and metrics are as before.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -1,13 +1,10 @@
 #include "cluster/leader.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 #include <ranges>
 #include <utility>
 #include <variant>
 
-#include "base/hash.h"
 #include "base/lookup.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
@@ -18,12 +15,6 @@
 
 using logging::Event;
 
-// Timeout of one append, after which it is repeated with the same sequence
-// number. The store's client may give up sooner.
-constexpr milliseconds kAppendTimeout(2000);
-// Delay before a refused append is repeated.
-constexpr milliseconds kRefusedRetryDelay(60);
-constexpr int kMaxCandidacyAttempts = 3;
 // Expired jobs are deleted at this period and at most this many at once. That
 // suffices for 8,700 finished jobs a day.
 constexpr milliseconds kExpiryCheckPeriod(5000);
@@ -74,103 +65,35 @@
       directory_(directory),
       replica_(replica),
       on_end_(std::move(on_end)),
+      term_(std::make_shared<LeaderTerm>(
+          context,
+          metrics,
+          [this] { StartLeadingIfReady(); },
+          [this] { OnTermEnded(); })),
+      record_(term_->record()),
+      confirmed_at_(term_->confirmed_at()),
       metrics_(metrics),
       load_(settings.load),
       step_timer_(context.loop) {}
 
-void Leader::After(milliseconds delay, std::function<void()> action) {
-  auto timer =
-      std::make_shared<boost::asio::steady_timer>(context_.loop, delay);
-  timer->async_wait([weak = weak_from_this(), timer,
-                     action = std::move(action)](boost::system::error_code ec) {
-    const auto self = weak.lock();
-    if (!ec && self && !self->has_ended_) {
-      action();
-    }
-  });
-}
-
 void Leader::Campaign() {
-  record_ = {replica_.leader().term + 1, settings_.node, settings_.address};
-  expected_end_ = replica_.progress_end();
-  // The store must not take the appends of two candidates for the same term for
-  // repeats of one append.
-  constexpr uint64_t kSequenceBits = 31;
-  sequence_ =
-      StableHash(settings_.node + settings_.address,
-                 static_cast<uint64_t>(
-                     context_.clock.WallNow().time_since_epoch().count())) >>
-      (64 - kSequenceBits);
-  SendCandidacy(kMaxCandidacyAttempts);
+  term_->Campaign(
+      {replica_.leader().term + 1, settings_.node, settings_.address},
+      replica_.progress_end());
   // Jobs are stored before their progress, so this reads the job of every
   // progress record of the last leader.
   CatchUpOnJobs();
 }
 
-void Leader::SendCandidacy(int attempts_left) {
-  const Instant started_at = context_.clock.Now();
-  context_.log.Write(
-      keyed_log::Append{
-          kProgressTopic,
-          {{kLeaderKey, jobs::Encode(record_)}},
-          expected_end_,
-          keyed_log::Writer{kLeaderWriter, record_.term, sequence_}},
-      started_at + kAppendTimeout,
-      [weak = weak_from_this(), started_at,
-       attempts_left](const keyed_log::AppendResult& result) {
-        const auto self = weak.lock();
-        if (!self || self->has_ended_) {
-          return;
-        }
-        if (std::holds_alternative<keyed_log::Stored>(result)) {
-          self->confirmed_at_ = started_at;
-          self->OnElected();
-        } else if (std::holds_alternative<keyed_log::Unanswered>(result) &&
-                   attempts_left > 1) {
-          self->SendCandidacy(attempts_left - 1);
-        } else {
-          self->End("The store rejected the candidacy or did not answer.");
-        }
-      });
-}
-
-void Leader::OnElected() {
-  ++sequence_;
-  context_.logger.Log(Event::kLeaderElected,
-                      {{"term", static_cast<int64_t>(record_.term)}});
-  PublishAddress();
-  is_elected_ = true;
-  StartLeadingIfReady();
-}
-
-void Leader::PublishAddress() {
-  context_.log.Write(
-      keyed_log::Append{kLeaderTopic,
-                        {{kLeaderKey, jobs::Encode(record_)}},
-                        std::nullopt,
-                        keyed_log::Writer{kLeaderWriter, record_.term, 0}},
-      context_.clock.Now() + kAppendTimeout,
-      [weak = weak_from_this()](const keyed_log::AppendResult& result) {
-        const auto self = weak.lock();
-        if (!self || self->has_ended_ ||
-            std::holds_alternative<keyed_log::Stored>(result) ||
-            std::holds_alternative<keyed_log::Fenced>(result)) {
-          return;
-        }
-        self->After(kRefusedRetryDelay,
-                    [self = self.get()] { self->PublishAddress(); });
-      });
-}
-
 void Leader::CatchUpOnJobs() {
   replica_.CatchUpOnJobs([weak = weak_from_this()](bool is_caught_up) {
     const auto self = weak.lock();
-    if (!self || self->has_ended_) {
+    if (!self || self->term_->has_ended()) {
       return;
     }
     if (!is_caught_up) {
-      self->After(kReloadRetryDelay,
-                  [self = self.get()] { self->CatchUpOnJobs(); });
+      self->term_->After(kReloadRetryDelay,
+                         [self = self.get()] { self->CatchUpOnJobs(); });
       return;
     }
     self->has_read_jobs_ = true;
@@ -179,7 +102,7 @@
 }
 
 void Leader::StartLeadingIfReady() {
-  if (is_elected_ && has_read_jobs_) {
+  if (term_->is_elected() && has_read_jobs_) {
     StartLeading();
   }
 }
@@ -277,8 +200,8 @@
     if (is_read) {
       self->FollowJobs();
     } else {
-      self->After(kReloadRetryDelay,
-                  [self = self.get()] { self->FollowJobs(); });
+      self->term_->After(kReloadRetryDelay,
+                         [self = self.get()] { self->FollowJobs(); });
     }
   });
 }
@@ -293,7 +216,7 @@
 
 void Leader::ScheduleStep(milliseconds delay) {
   const Instant due = context_.clock.Now() + delay;
-  if (has_ended_ || (is_step_due_ && step_due_ <= due)) {
+  if (term_->has_ended() || (is_step_due_ && step_due_ <= due)) {
     return;
   }
   is_step_due_ = true;
@@ -302,7 +225,7 @@
   step_timer_.async_wait(
       [weak = weak_from_this()](boost::system::error_code ec) {
         const auto self = weak.lock();
-        if (!ec && self && !self->has_ended_) {
+        if (!ec && self && !self->term_->has_ended()) {
           self->is_step_due_ = false;
           self->UpdateLoad(self->context_.clock.Now() - self->step_due_);
           self->Step();
@@ -418,7 +341,7 @@
 }
 
 milliseconds Leader::TimeToAppend() const {
-  if (is_writing_) {
+  if (term_->is_appending()) {
     // The store's answer brings a round at once.
     return settings_.max_step_interval;
   }
@@ -429,7 +352,7 @@
 
 void Leader::Flush() {
   const Instant now = context_.clock.Now();
-  if (is_writing_) {
+  if (term_->is_appending()) {
     return;
   }
   const bool is_heartbeat_due =
@@ -442,98 +365,53 @@
     ScheduleStep(delay);
     return;
   }
-  auto append = std::make_shared<keyed_log::Append>();
-  append->topic = kProgressTopic;
-  append->writer = keyed_log::Writer{kLeaderWriter, record_.term, sequence_};
-  const uint64_t version = AppendChanges(*append);
+  std::vector<keyed_log::Record> records;
+  const uint64_t version = AppendChanges(records);
   for (const JobId& id : std::exchange(deleted_jobs_, {})) {
-    append->records.push_back({KeyOf(kOutcomePrefix, id), {}});
+    records.push_back({KeyOf(kOutcomePrefix, id), {}});
   }
   if (now - learned_appended_at_ >= settings_.learned_period) {
     learned_appended_at_ = now;
-    AppendHandover(*append);
+    AppendHandover(records);
   }
-  if (append->records.empty()) {
-    ++record_.heartbeats;
-    append->records.push_back({kLeaderKey, jobs::Encode(record_)});
+  if (records.empty()) {
+    records.push_back(term_->NextHeartbeat());
   }
-  is_writing_ = true;
   last_append_at_ = now;
-  Write(append, version);
-  CountWork(WorkKind::kAppends, append->records.size(), now);
+  const size_t record_count = records.size();
+  term_->Append(std::move(records), [this, version] {
+    scheduler_->OnStored(version);
+    Step();
+  });
+  CountWork(WorkKind::kAppends, record_count, now);
 }
 
-uint64_t Leader::AppendChanges(keyed_log::Append& append) {
+uint64_t Leader::AppendChanges(std::vector<keyed_log::Record>& records) {
   const jobs::JobScheduler::Changes changes = scheduler_->TakeChanges();
   for (const auto& [task, progress] : changes.tasks) {
-    append.records.push_back(
+    records.push_back(
         {KeyOf(task), progress ? jobs::Encode(*progress) : std::string()});
     directory_.OnStarted(task.job);
   }
   for (const auto& [id, outcome] : changes.outcomes) {
-    append.records.push_back({KeyOf(kOutcomePrefix, id),
-                              jobs::Encode(jobs::StoredOutcome{outcome})});
+    records.push_back({KeyOf(kOutcomePrefix, id),
+                       jobs::Encode(jobs::StoredOutcome{outcome})});
     directory_.OnOutcome(id, outcome);
   }
   return changes.version;
 }
 
-void Leader::AppendHandover(keyed_log::Append& append) {
+void Leader::AppendHandover(std::vector<keyed_log::Record>& records) {
   if (const jobs::LearnedModel learned = scheduler_->learned();
       !learned.is_empty()) {
-    append.records.push_back({kLearnedKey, jobs::Encode(learned)});
+    records.push_back({kLearnedKey, jobs::Encode(learned)});
   }
   if (jobs::AgentList agents = KnownAgents(); agents != stored_agents_) {
     stored_agents_ = std::move(agents);
-    append.records.push_back({kAgentsKey, jobs::Encode(stored_agents_)});
+    records.push_back({kAgentsKey, jobs::Encode(stored_agents_)});
   }
 }
 
-void Leader::Write(const std::shared_ptr<keyed_log::Append>& append,
-                   uint64_t version) {
-  const Instant started_at = context_.clock.Now();
-  context_.log.Write(*append, started_at + kAppendTimeout,
-                     [weak = weak_from_this(), append, version,
-                      started_at](const keyed_log::AppendResult& result) {
-                       const auto self = weak.lock();
-                       if (self && !self->has_ended_) {
-                         self->OnWritten(append, version, started_at, result);
-                       }
-                     });
-}
-
-void Leader::OnWritten(const std::shared_ptr<keyed_log::Append>& append,
-                       uint64_t version,
-                       Instant started_at,
-                       const keyed_log::AppendResult& result) {
-  if (std::holds_alternative<keyed_log::Stored>(result)) {
-    confirmed_at_ = started_at;
-    metrics_.OnAppendStored(context_.clock.Now() - started_at);
-    ++sequence_;
-    is_writing_ = false;
-    scheduler_->OnStored(version);
-    if (!is_resigning_) {
-      Step();
-    } else if (record_.has_resigned) {
-      OnResigned();
-    } else {
-      Resign();
-    }
-    return;
-  }
-  if (std::holds_alternative<keyed_log::Fenced>(result) ||
-      std::holds_alternative<keyed_log::Moved>(result)) {
-    End("The store rejected an append because of a later term.");
-    return;
-  }
-  if (std::holds_alternative<keyed_log::Unanswered>(result)) {
-    Write(append, version);
-    return;
-  }
-  After(kRefusedRetryDelay,
-        [this, append, version] { Write(append, version); });
-}
-
 void Leader::DeleteExpiredJobs() {
   const Instant now = context_.clock.Now();
   if (is_deleting_jobs_ || now - expiry_checked_at_ < kExpiryCheckPeriod) {
@@ -554,7 +432,7 @@
       append, now + kAppendTimeout,
       [weak = weak_from_this(), ids](const keyed_log::AppendResult& result) {
         const auto self = weak.lock();
-        if (!self || self->has_ended_) {
+        if (!self || self->term_->has_ended()) {
           return;
         }
         self->is_deleting_jobs_ = false;
@@ -588,7 +466,7 @@
         [weak = weak_from_this(), batch,
          sent_at = now](const http::ClientResult& result) {
           const auto self = weak.lock();
-          if (!self || self->has_ended_) {
+          if (!self || self->term_->has_ended()) {
             return;
           }
           const Instant answered_at = self->context_.clock.Now();
@@ -753,44 +631,38 @@
 
 void Leader::Stop(const std::optional<FrontendRecord>& successor) {
   if (!is_leading_) {
-    End("The process is stopping.");
+    term_->End("The process is stopping.");
     return;
   }
   is_leading_ = false;
-  is_resigning_ = true;
-  successor_ = successor;
   RejectPendingReports();
-  if (!is_writing_) {
-    Resign();
-  }
-}
-
-void Leader::Resign() {
-  record_.has_resigned = true;
-  record_.successor = successor_ ? successor_->node : std::string();
-  auto append = std::make_shared<keyed_log::Append>();
-  append->topic = kProgressTopic;
-  append->writer = keyed_log::Writer{kLeaderWriter, record_.term, sequence_};
-  const uint64_t version = AppendChanges(*append);
-  AppendHandover(*append);
-  append->records.push_back({kLeaderKey, jobs::Encode(record_)});
-  is_writing_ = true;
-  Write(append, version);
+  auto version = std::make_shared<uint64_t>(0);
+  term_->Resign(
+      successor ? successor->node : std::string(),
+      [this, version] {
+        std::vector<keyed_log::Record> records;
+        *version = AppendChanges(records);
+        AppendHandover(records);
+        return records;
+      },
+      [this, version, successor] {
+        scheduler_->OnStored(*version);
+        if (successor) {
+          NotifySuccessor(*successor);
+        }
+      });
 }
 
-void Leader::OnResigned() {
-  if (successor_) {
-    http::Request request;
-    request.method = "POST";
-    request.path = kSuccessionPath;
-    context_.client.Send(successor_->address, request,
-                         context_.clock.Now() + kNotificationTimeout,
-                         [](const http::ClientResult&) {
-                           // If the call fails, all frontends read it from the
-                           // store a little later.
-                         });
-  }
-  End("It has resigned.");
+void Leader::NotifySuccessor(const FrontendRecord& successor) {
+  http::Request request;
+  request.method = "POST";
+  request.path = kSuccessionPath;
+  context_.client.Send(successor.address, request,
+                       context_.clock.Now() + kNotificationTimeout,
+                       [](const http::ClientResult&) {
+                         // If the call fails, all frontends read it from the
+                         // store a little later.
+                       });
 }
 
 void Leader::RejectPendingReports() {
@@ -803,16 +675,9 @@
   pending_reports_.clear();
 }
 
-void Leader::End(std::string_view reason) {
-  if (has_ended_) {
-    return;
-  }
+void Leader::OnTermEnded() {
   const auto self = shared_from_this();
-  has_ended_ = true;
   is_leading_ = false;
-  context_.logger.Log(Event::kLeaderEnded,
-                      {{"term", static_cast<int64_t>(record_.term)},
-                       {"reason", std::string(reason)}});
   RejectPendingReports();
   metrics_.UpdateLeaderGauges(0, 0, 0, {});
   replica_.SetListener({});
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -14,6 +14,7 @@
 #include "cluster/frontend_list.h"
 #include "cluster/job_replica.h"
 #include "cluster/leader_load.h"
+#include "cluster/leader_term.h"
 #include "cluster/process_context.h"
 #include "cluster/report_queue.h"
 #include "jobs/directory.h"
@@ -60,7 +61,7 @@
                          const LeaderSettings&) = default;
 };
 
-// One term of a leader, from its candidacy until the store has a later term.
+// A leader for one term, from its candidacy until the store has a later term.
 // Owns the job scheduler; no other process sends orders.
 class Leader : public std::enable_shared_from_this<Leader> {
  public:
@@ -120,9 +121,6 @@
   void ProcessReport(const WaitingReport& waiting);
   // Processes reports that wait, up to the limit of a round.
   void ProcessWaitingReports();
-  void SendCandidacy(int attempts_left);
-  void OnElected();
-  void PublishAddress();
   // Starts to lead once the term is won and the jobs are read.
   void StartLeadingIfReady();
   void StartLeading();
@@ -147,12 +145,6 @@
   // cost processor time.
   milliseconds TimeToAppend() const;
   void Flush();
-  void Write(const std::shared_ptr<keyed_log::Append>& append,
-             uint64_t version);
-  void OnWritten(const std::shared_ptr<keyed_log::Append>& append,
-                 uint64_t version,
-                 Instant started_at,
-                 const keyed_log::AppendResult& result);
   void SendOrders();
   // Deletes jobs that ended long ago. They are deleted from the jobs topic
   // first, so that no later leader takes one for a new job.
@@ -162,38 +154,28 @@
   void AnswerReports();
   // Appends the changes of jobs; returns the scheduler's version that they
   // cover.
-  uint64_t AppendChanges(keyed_log::Append& append);
+  uint64_t AppendChanges(std::vector<keyed_log::Record>& records);
   // Appends the other state that the next leader takes over, if it has changed.
-  void AppendHandover(keyed_log::Append& append);
+  void AppendHandover(std::vector<keyed_log::Record>& records);
   void RejectPendingReports();
-  void Resign();
-  void OnResigned();
-  void End(std::string_view reason);
+  void NotifySuccessor(const FrontendRecord& successor);
+  void OnTermEnded();
   void LogSchedulerEvent(const jobs::JobSchedulerEvent& event) const;
-  // Calls `action` after `delay` unless the term has ended by then.
-  void After(milliseconds delay, std::function<void()> action);
 
   const LeaderSettings settings_;
   const ProcessContext context_;
   jobs::Directory& directory_;
   JobReplica& replica_;
   OnEnd on_end_;
-  jobs::LeaderRecord record_;
+  const std::shared_ptr<LeaderTerm> term_;
+  const jobs::LeaderRecord& record_;  // Of the term.
+  const Instant& confirmed_at_;       // As the term says.
   jobs::RouteTable routes_;
-  std::optional<uint64_t> expected_end_;
-  uint64_t sequence_ = 0;
-  // Start of the last append by which the store confirmed the term.
-  Instant confirmed_at_;
-  bool is_elected_ = false;
   bool has_read_jobs_ = false;  // All jobs stored before the candidacy.
   bool is_leading_ = false;
-  bool is_resigning_ = false;
-  bool has_ended_ = false;
-  std::optional<FrontendRecord> successor_;
   jobs::AgentList stored_agents_;
   std::optional<jobs::JobScheduler> scheduler_;
   ClusterMetrics& metrics_;
-  bool is_writing_ = false;
   bool is_deleting_jobs_ = false;
   Instant expiry_checked_at_;
   LeaderLoad load_;
--- /dev/null
+++ b/src/libs/cluster/leader_term.cpp
@@ -0,0 +1,197 @@
+#include "cluster/leader_term.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <utility>
+#include <variant>
+
+#include "base/hash.h"
+#include "cluster/cluster_metrics.h"
+#include "cluster/topics.h"
+#include "jobs/codec.h"
+
+namespace papayadrift::cluster {
+namespace {
+
+using logging::Event;
+
+// Delay before a refused append is repeated.
+constexpr milliseconds kRefusedRetryDelay(60);
+constexpr int kMaxCandidacyAttempts = 3;
+
+}  // namespace
+
+LeaderTerm::LeaderTerm(const ProcessContext& context,
+                       ClusterMetrics& metrics,
+                       OnElected on_elected,
+                       OnEnd on_end)
+    : context_(context),
+      metrics_(metrics),
+      on_elected_(std::move(on_elected)),
+      on_end_(std::move(on_end)) {}
+
+void LeaderTerm::After(milliseconds delay, std::function<void()> action) {
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_.loop, delay);
+  timer->async_wait([weak = weak_from_this(), timer,
+                     action = std::move(action)](boost::system::error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self && !self->has_ended_) {
+      action();
+    }
+  });
+}
+
+void LeaderTerm::Campaign(const jobs::LeaderRecord& candidate,
+                          std::optional<uint64_t> expected_end) {
+  record_ = candidate;
+  expected_end_ = expected_end;
+  // The store must not take the appends of two candidates for the same term for
+  // repeats of one append.
+  constexpr uint64_t kSequenceBits = 31;
+  sequence_ =
+      StableHash(record_.node + record_.address,
+                 static_cast<uint64_t>(
+                     context_.clock.WallNow().time_since_epoch().count())) >>
+      (64 - kSequenceBits);
+  SendCandidacy(kMaxCandidacyAttempts);
+}
+
+void LeaderTerm::SendCandidacy(int attempts_left) {
+  const Instant started_at = context_.clock.Now();
+  context_.log.Write(
+      keyed_log::Append{
+          kProgressTopic,
+          {{kLeaderKey, jobs::Encode(record_)}},
+          expected_end_,
+          keyed_log::Writer{kLeaderWriter, record_.term, sequence_}},
+      started_at + kAppendTimeout,
+      [weak = weak_from_this(), started_at,
+       attempts_left](const keyed_log::AppendResult& result) {
+        const auto self = weak.lock();
+        if (!self || self->has_ended_) {
+          return;
+        }
+        if (std::holds_alternative<keyed_log::Stored>(result)) {
+          self->confirmed_at_ = started_at;
+          self->OnCandidacyStored();
+        } else if (std::holds_alternative<keyed_log::Unanswered>(result) &&
+                   attempts_left > 1) {
+          self->SendCandidacy(attempts_left - 1);
+        } else {
+          self->End("The store rejected the candidacy or did not answer.");
+        }
+      });
+}
+
+void LeaderTerm::OnCandidacyStored() {
+  ++sequence_;
+  context_.logger.Log(Event::kLeaderElected,
+                      {{"term", static_cast<int64_t>(record_.term)}});
+  PublishAddress();
+  is_elected_ = true;
+  on_elected_();
+}
+
+void LeaderTerm::PublishAddress() {
+  context_.log.Write(
+      keyed_log::Append{kLeaderTopic,
+                        {{kLeaderKey, jobs::Encode(record_)}},
+                        std::nullopt,
+                        keyed_log::Writer{kLeaderWriter, record_.term, 0}},
+      context_.clock.Now() + kAppendTimeout,
+      [weak = weak_from_this()](const keyed_log::AppendResult& result) {
+        const auto self = weak.lock();
+        if (!self || self->has_ended_ ||
+            std::holds_alternative<keyed_log::Stored>(result) ||
+            std::holds_alternative<keyed_log::Fenced>(result)) {
+          return;
+        }
+        self->After(kRefusedRetryDelay,
+                    [self = self.get()] { self->PublishAddress(); });
+      });
+}
+
+keyed_log::Record LeaderTerm::NextHeartbeat() {
+  ++record_.heartbeats;
+  return {kLeaderKey, jobs::Encode(record_)};
+}
+
+void LeaderTerm::Append(std::vector<keyed_log::Record> records,
+                        OnStored on_stored) {
+  append_ = {kProgressTopic, std::move(records), std::nullopt,
+             keyed_log::Writer{kLeaderWriter, record_.term, sequence_}};
+  on_stored_ = std::move(on_stored);
+  is_appending_ = true;
+  Write();
+}
+
+void LeaderTerm::Write() {
+  const Instant started_at = context_.clock.Now();
+  context_.log.Write(append_, started_at + kAppendTimeout,
+                     [weak = weak_from_this(),
+                      started_at](const keyed_log::AppendResult& result) {
+                       const auto self = weak.lock();
+                       if (self && !self->has_ended_) {
+                         self->OnWritten(started_at, result);
+                       }
+                     });
+}
+
+void LeaderTerm::OnWritten(Instant started_at,
+                           const keyed_log::AppendResult& result) {
+  if (std::holds_alternative<keyed_log::Stored>(result)) {
+    confirmed_at_ = started_at;
+    metrics_.OnAppendStored(context_.clock.Now() - started_at);
+    ++sequence_;
+    is_appending_ = false;
+    std::exchange(on_stored_, {})();
+    if (resignation_ && !record_.has_resigned) {
+      AppendResignation();
+    }
+    return;
+  }
+  if (std::holds_alternative<keyed_log::Fenced>(result) ||
+      std::holds_alternative<keyed_log::Moved>(result)) {
+    End("The store rejected an append because of a later term.");
+    return;
+  }
+  if (std::holds_alternative<keyed_log::Unanswered>(result)) {
+    Write();
+    return;
+  }
+  After(kRefusedRetryDelay, [this] { Write(); });
+}
+
+void LeaderTerm::Resign(const std::string& successor,
+                        LastRecords last_records,
+                        OnResigned on_resigned) {
+  resignation_ = {successor, std::move(last_records), std::move(on_resigned)};
+  if (!is_appending_) {
+    AppendResignation();
+  }
+}
+
+void LeaderTerm::AppendResignation() {
+  record_.has_resigned = true;
+  record_.successor = resignation_->successor;
+  std::vector<keyed_log::Record> records = resignation_->last_records();
+  records.push_back({kLeaderKey, jobs::Encode(record_)});
+  Append(std::move(records), [this] {
+    resignation_->on_resigned();
+    End("It has resigned.");
+  });
+}
+
+void LeaderTerm::End(std::string_view reason) {
+  if (has_ended_) {
+    return;
+  }
+  has_ended_ = true;
+  context_.logger.Log(Event::kLeaderEnded,
+                      {{"term", static_cast<int64_t>(record_.term)},
+                       {"reason", std::string(reason)}});
+  on_end_();
+}
+
+}  // namespace papayadrift::cluster
