Cluster: Takes the agent's decisions out of its I/O

What an agent knows of its runner and the leader, and what it decides on that, could only be run with sockets, timers and a store beside it, so no search over histories could drive it. RunnerSession holds it now: the announced process and its generation, whether an announcement is plausible, the runner's clock and lists, recorded ends, the lease, the highest term, the reports and lease renewals on their way, the suspicion of a crash, and the verdict on an order. It does no I/O, is told the time and can be copied. RunnerAgent keeps the calls, the timers, the lookup of the leader and the log.

--- /dev/null
+++ b/src/libs/cluster/runner_session.cpp
@@ -0,0 +1,336 @@
+#include "cluster/runner_session.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace papayadrift::cluster {
+namespace {
+
+// Consecutive refused connections after which the runner is considered ended. A
+// single one may be due to a restart of the listener.
+constexpr uint32_t kRefusedCallsUntilEnded = 2;
+// Maximum time for which ends that are not recorded yet delay the next listing
+// of runs.
+constexpr milliseconds kEndsRecordingDelay(300);
+// Longest time by which the clock of the VM may be set back after its runner
+// has started, with room to spare.
+constexpr milliseconds kMaxClockStep(60'000);
+// Announcements by which the sequence number of one process may advance at
+// once: two weeks of them.
+constexpr uint64_t kMaxSequenceStep = 1'000'000;
+
+int64_t ToMs(Instant instant) {
+  return std::chrono::floor<milliseconds>(instant).time_since_epoch().count();
+}
+
+bool IsSameProcess(const Announcement& one, const Announcement& other) {
+  return one.instance == other.instance &&
+         one.start_unix_ms == other.start_unix_ms;
+}
+
+// Whether `announcement` is newer than `known`.
+bool IsNewer(const Announcement& announcement, const Announcement& known) {
+  if (announcement.start_unix_ms != known.start_unix_ms) {
+    return announcement.start_unix_ms > known.start_unix_ms;
+  }
+  return announcement.instance != known.instance ||
+         announcement.sequence > known.sequence;
+}
+
+}  // namespace
+
+RunnerSession::RunnerSession(const RunnerAgentSettings& settings,
+                             int64_t agent_start_unix_ms)
+    : settings_(settings), agent_start_unix_ms_(agent_start_unix_ms) {}
+
+jobs::RunnerIncarnation RunnerSession::incarnation() const {
+  return {settings_.node, announced_->instance, announced_->start_unix_ms};
+}
+
+bool RunnerSession::HasLease(Instant now) const {
+  return runner_clock_ms_ && lease_until_ms_ > ToMs(now);
+}
+
+int64_t RunnerSession::LeaseEndOnRunnerClock() const {
+  return runner_clock_ms_
+             ? *runner_clock_ms_ + (lease_until_ms_ - runner_clock_read_ms_)
+             : 0;
+}
+
+bool RunnerSession::IsPlausible(const Announcement& announcement,
+                                WallInstant wall_now) const {
+  const int64_t latest_start =
+      (wall_now + kMaxClockStep).time_since_epoch().count();
+  const bool is_known = announced_ && IsSameProcess(announcement, *announced_);
+  return announcement.start_unix_ms <= latest_start &&
+         (!is_known ||
+          announcement.sequence <= announced_->sequence + kMaxSequenceStep);
+}
+
+AnnouncementVerdict RunnerSession::OnAnnouncement(
+    const Announcement& announcement,
+    Instant now,
+    WallInstant wall_now) {
+  if (announcement.service != settings_.service ||
+      (announced_ && !IsNewer(announcement, *announced_))) {
+    return AnnouncementVerdict::kNotNewer;
+  }
+  if (!IsPlausible(announcement, wall_now)) {
+    return AnnouncementVerdict::kImplausible;
+  }
+  if (!IsRunnerUp() || !IsSameProcess(announcement, *announced_)) {
+    OnRunnerStarted(announcement, now);
+    return AnnouncementVerdict::kStarted;
+  }
+  const bool is_changed = announcement.state != announced_->state ||
+                          announcement.capacity != announced_->capacity;
+  announced_ = announcement;
+  return is_changed ? AnnouncementVerdict::kChanged
+                    : AnnouncementVerdict::kUnchanged;
+}
+
+void RunnerSession::OnRunnerStarted(const Announcement& announcement,
+                                    Instant now) {
+  announced_ = announcement;
+  has_ended_ = false;
+  ++generation_;
+  is_renewing_ = false;
+  refused_calls_ = 0;
+  crash_.reset();
+  suspected_crash_.reset();
+  answered_at_ms_ = ToMs(now);
+  runner_clock_ms_.reset();
+  listed_at_ms_ = 0;
+  active_.clear();
+  ended_.clear();
+  has_all_ends_ = true;
+  recorded_ends_ = 0;
+  lease_until_ms_ = 0;
+}
+
+bool RunnerSession::OnRunnerLeaving(const std::string& instance) {
+  if (!IsRunnerUp() || announced_->instance != instance) {
+    return false;
+  }
+  OnRunnerEnded(std::nullopt);
+  return true;
+}
+
+void RunnerSession::OnRunnerEnded(std::optional<jobs::CrashTime> crash) {
+  has_ended_ = true;
+  crash_ = crash;
+  is_end_recorded_ = false;
+  ++generation_;
+  announced_->state = jobs::RunnerState::kGone;
+}
+
+bool RunnerSession::OnLeader(const jobs::LeaderRecord& leader) {
+  if (leader.term <= leader_.term) {
+    return false;
+  }
+  leader_ = leader;
+  ++reports_;
+  is_reporting_ = false;
+  return true;
+}
+
+void RunnerSession::OnTerm(uint64_t term) {
+  term_ = std::max(term_, term);
+}
+
+bool RunnerSession::CanRenewLease() const {
+  return IsRunnerUp() && !is_renewing_;
+}
+
+RenewalCall RunnerSession::StartRenewal(Instant now) {
+  is_renewing_ = true;
+  RenewalCall call;
+  call.request.term = term_;
+  call.generation = generation_;
+  call.sent_at = now;
+  if (runner_clock_ms_ && !suspected_crash_) {
+    // Each process numbers its ends anew. One that may not be the announced one
+    // must not take ends for recorded that are not.
+    call.request.recorded_ends = recorded_ends_;
+  }
+  if (HasLease(now)) {
+    call.request.lease_until_ms = LeaseEndOnRunnerClock();
+    call.request.wait = settings_.renewal_wait;
+  }
+  return call;
+}
+
+jobs::CrashTime RunnerSession::CrashTimeFor(RunnerFailure failure,
+                                            Instant sent_at,
+                                            Instant now) const {
+  // A call in progress breaks at the moment of the crash. A call that took
+  // longer than its timeout was held up on this VM.
+  const milliseconds longest =
+      settings_.renewal_wait + settings_.runner_timeout;
+  const bool is_prompt = failure == RunnerFailure::kUnanswered &&
+                         ToMs(now) - ToMs(sent_at) < longest.count();
+  return {is_prompt ? ToMs(now) : answered_at_ms_, ToMs(now)};
+}
+
+RenewalOutcome RunnerSession::OnRenewalFailed(RunnerFailure failure,
+                                              Instant sent_at,
+                                              Instant now) {
+  const bool is_superseded = failure == RunnerFailure::kSuperseded;
+  if (is_superseded) {
+    suspected_crash_.reset();
+  } else if (!suspected_crash_) {
+    suspected_crash_ = CrashTimeFor(failure, sent_at, now);
+  }
+  refused_calls_ =
+      failure == RunnerFailure::kNotListening ? refused_calls_ + 1 : 0;
+  if (refused_calls_ >= kRefusedCallsUntilEnded) {
+    const bool is_leaving = announced_->state == jobs::RunnerState::kDraining;
+    OnRunnerEnded(is_leaving ? std::nullopt : suspected_crash_);
+    return {.has_runner_ended = true, .is_report_due = true};
+  }
+  return {.is_superseded = is_superseded, .next_renewal = kRetryDelay};
+}
+
+RenewalOutcome RunnerSession::OnLeaseRenewed(const RenewalCall& call,
+                                             LeaseRenewalResult result,
+                                             Instant now) {
+  if (call.generation != generation_) {
+    return {};
+  }
+  is_renewing_ = false;
+  if (const auto* failure = std::get_if<RunnerFailure>(&result)) {
+    return OnRenewalFailed(*failure, call.sent_at, now);
+  }
+  refused_calls_ = 0;
+  suspected_crash_.reset();
+  answered_at_ms_ = ToMs(now);
+  auto& renewal = std::get<LeaseRenewalResponse>(result);
+  if (renewal.start_unix_ms != 0 &&
+      renewal.start_unix_ms != announced_->start_unix_ms) {
+    // Another process of the runner has the same name; its announcement is
+    // still to come. It must not be granted a lease on the clock of the earlier
+    // one, nor start what was meant for that.
+    runner_clock_ms_.reset();
+    return {.next_renewal = kRetryDelay};
+  }
+  runner_clock_ms_ = renewal.clock_ms;
+  runner_clock_read_ms_ = ToMs(now);
+  const bool is_first = listed_at_ms_ == 0;
+  listed_at_ms_ = ToMs(call.sent_at);
+  active_ = std::move(renewal.active);
+  ended_ = std::move(renewal.ended);
+  has_all_ends_ = renewal.has_all_ends;
+  const bool has_unrecorded_ends =
+      std::ranges::any_of(ended_, [this](const jobs::EndedRun& ended) {
+        return ended.number > recorded_ends_;
+      });
+  milliseconds delay = HasLease(now) ? milliseconds(0) : kRetryDelay;
+  if (has_unrecorded_ends) {
+    delay = kEndsRecordingDelay;
+  }
+  return {.is_report_due = has_unrecorded_ends || is_first,
+          .next_renewal = delay};
+}
+
+bool RunnerSession::CanReport() const {
+  return announced_ && !is_reporting_ && !leader_.address.empty();
+}
+
+ReportCall RunnerSession::StartReport(Instant now) {
+  is_reporting_ = true;
+  ReportCall call;
+  call.ticket = {++reports_, generation_};
+  jobs::RunnerReport& report = call.report;
+  report.incarnation = incarnation();
+  report.agent_address = settings_.address;
+  report.service = announced_->service;
+  report.zone = announced_->zone;
+  report.vm = announced_->vm;
+  report.state = announced_->state;
+  report.capacity = announced_->capacity;
+  report.labels = announced_->labels;
+  report.sent_at_ms = ToMs(now);
+  report.agent_start_unix_ms = agent_start_unix_ms_;
+  if (has_ended_) {
+    report.crash = crash_;
+  } else {
+    report.listed_at_ms = listed_at_ms_;
+    report.active = active_;
+    report.ended = ended_;
+    report.has_all_ends = has_all_ends_;
+  }
+  return call;
+}
+
+bool RunnerSession::IsAwaited(const ReportTicket& ticket) const {
+  return ticket.number == reports_ && is_reporting_;
+}
+
+ReportOutcome RunnerSession::OnReported(
+    const ReportTicket& ticket,
+    const std::optional<jobs::ReportAnswer>& answer) {
+  is_reporting_ = false;
+  if (!answer || answer->term < term_) {
+    return {};
+  }
+  term_ = answer->term;
+  if (ticket.generation != generation_) {
+    return {.is_accepted = true};
+  }
+  is_end_recorded_ = has_ended_;
+  lease_until_ms_ = std::max(lease_until_ms_, answer->lease_until_ms);
+  const bool has_more_recorded_ends = answer->recorded_ends > recorded_ends_;
+  recorded_ends_ = std::max(recorded_ends_, answer->recorded_ends);
+  return {.is_accepted = true,
+          .is_end_recorded = is_end_recorded_,
+          .is_renewal_due = has_more_recorded_ends};
+}
+
+std::optional<jobs::OrderVerdict> RunnerSession::VerdictOn(
+    const jobs::OrderBatch& batch,
+    const jobs::Order& order,
+    Instant deadline,
+    Instant now) const {
+  const bool is_start = std::holds_alternative<jobs::StartOrder>(order);
+  if (batch.term < term_) {
+    return jobs::OrderVerdict::kSuperseded;
+  }
+  if (!IsRunnerUp() || batch.incarnation != incarnation() ||
+      (is_start && announced_->state != jobs::RunnerState::kReady)) {
+    return jobs::OrderVerdict::kRefused;
+  }
+  const bool is_stop = std::holds_alternative<jobs::StopOrder>(order);
+  const bool is_void =
+      !is_stop && batch.valid_until_ms != 0 && ToMs(now) > batch.valid_until_ms;
+  if (is_void || now > deadline) {
+    return jobs::OrderVerdict::kExpired;
+  }
+  if (is_start && !HasLease(now)) {
+    return jobs::OrderVerdict::kLeaseExpired;
+  }
+  return is_start ? ViewVerdict(batch.jobs_viewed_at_ms, now) : std::nullopt;
+}
+
+std::optional<jobs::OrderVerdict> RunnerSession::ViewVerdict(
+    int64_t viewed_at_ms,
+    Instant now) const {
+  const int64_t now_ms = ToMs(now);
+  if (viewed_at_ms == 0 || viewed_at_ms > now_ms) {
+    return jobs::OrderVerdict::kBadView;
+  }
+  return now_ms - viewed_at_ms > settings_.view_limit.count()
+             ? std::optional(jobs::OrderVerdict::kOldView)
+             : std::nullopt;
+}
+
+void RunnerSession::OnOrderAnswered(uint64_t generation,
+                                    jobs::OrderVerdict verdict,
+                                    Instant now) {
+  if (generation == generation_ && verdict != jobs::OrderVerdict::kUnanswered &&
+      verdict != jobs::OrderVerdict::kRefused) {
+    answered_at_ms_ = ToMs(now);
+  }
+}
+
+}  // namespace papayadrift::cluster
--- /dev/null
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -0,0 +1,184 @@
+#include "cluster/runner_session.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace papayadrift::cluster {
+namespace {
+
+constexpr uint64_t kTerm = 3;
+constexpr int64_t kStartUnixMs = 1000;
+constexpr int64_t kRunnerClockMs = 70'000;
+constexpr WallInstant kWallNow(milliseconds(1'000'000));
+const jobs::TaskKey kTask{JobId("a"), 0, 0, 0};
+const jobs::StartOrder kStart{kTask, 1, {}, {}, {}};
+
+Instant At(int64_t ms) {
+  return Instant(milliseconds(ms));
+}
+
+// Ends with the numbers 1 to `count`.
+std::vector<jobs::EndedRun> Ends(uint64_t count) {
+  std::vector<jobs::EndedRun> ends;
+  for (uint64_t n = 1; n <= count; ++n) {
+    ends.push_back(
+        {n, kTask, static_cast<uint32_t>(n), jobs::RunEnd::kDone, ""});
+  }
+  return ends;
+}
+
+class RunnerSessionTest : public testing::Test {
+ protected:
+  RunnerSessionTest() {
+    EXPECT_EQ(Announce({"own", kStartUnixMs, 1, "127.0.0.1:3", "s"}),
+              AnnouncementVerdict::kStarted);
+    EXPECT_TRUE(session_.OnLeader({kTerm, "node-1", "127.0.0.1:1"}));
+  }
+
+  AnnouncementVerdict Announce(const Announcement& announcement) {
+    return session_.OnAnnouncement(announcement, now_, kWallNow);
+  }
+  // Sends a report and has it answered.
+  ReportOutcome Report(const jobs::ReportAnswer& answer) {
+    return session_.OnReported(session_.StartReport(now_).ticket, answer);
+  }
+  // Sends a lease renewal, whose answer lists the ends 1 to `ends`.
+  RenewalOutcome Renew(uint64_t ends = 0) {
+    LeaseRenewalResponse response;
+    response.clock_ms = kRunnerClockMs;
+    response.ended = Ends(ends);
+    return session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  }
+  RenewalOutcome FailToRenew(RunnerFailure failure) {
+    return session_.OnLeaseRenewed(session_.StartRenewal(now_), failure, now_);
+  }
+  std::optional<jobs::OrderVerdict> VerdictOn(const jobs::Order& order,
+                                              uint64_t term = kTerm) {
+    return session_.VerdictOn({term,
+                               session_.incarnation(),
+                               {},
+                               0,
+                               now_.time_since_epoch() / milliseconds(1)},
+                              order, now_, now_);
+  }
+
+  Instant now_ = At(10'000);
+  RunnerSession session_{{.node = "agent", .address = "a:1", .service = "s"},
+                         kStartUnixMs};
+};
+
+TEST_F(RunnerSessionTest, ReportsWhatTheRunnerHasListed) {
+  jobs::RunnerReport report = session_.StartReport(now_).report;
+  EXPECT_EQ(report.incarnation,
+            (jobs::RunnerIncarnation{"agent", "own", kStartUnixMs}));
+  EXPECT_EQ(report.listed_at_ms, 0);
+  EXPECT_FALSE(session_.CanReport());  // Until that one is answered.
+  session_.OnTerm(kTerm);
+  const RenewalCall call = session_.StartRenewal(now_);
+  EXPECT_FALSE(session_.CanRenewLease());
+  now_ += milliseconds(200);
+  LeaseRenewalResponse response;
+  response.ended = Ends(2);
+  response.has_all_ends = false;
+  const RenewalOutcome outcome = session_.OnLeaseRenewed(call, response, now_);
+  EXPECT_TRUE(outcome.is_report_due);
+  EXPECT_TRUE(session_.CanRenewLease());
+  report = session_.StartReport(now_).report;
+  EXPECT_EQ(report.listed_at_ms, 10'000);
+  EXPECT_EQ(report.sent_at_ms, 10'200);
+  EXPECT_EQ(report.ended, Ends(2));
+  EXPECT_FALSE(report.has_all_ends);
+}
+
+// The lease is granted on the agent's clock.
+TEST_F(RunnerSessionTest, ConvertsTheLeaseToTheRunnersClock) {
+  EXPECT_TRUE(Report({kTerm, 0, 12'000}).is_accepted);
+  EXPECT_FALSE(session_.HasLease(now_));  // The runner's clock is not known.
+  EXPECT_EQ(session_.LeaseEndOnRunnerClock(), 0);
+  EXPECT_EQ(VerdictOn(kStart), jobs::OrderVerdict::kLeaseExpired);
+  Renew();
+  EXPECT_TRUE(session_.HasLease(now_));
+  EXPECT_EQ(VerdictOn(kStart), std::nullopt);
+  const LeaseRenewalRequest request = session_.StartRenewal(At(11'000)).request;
+  EXPECT_EQ(request.lease_until_ms, kRunnerClockMs + 2000);
+  EXPECT_GT(request.wait, milliseconds(0));
+  EXPECT_FALSE(session_.HasLease(At(12'000)));
+}
+
+TEST_F(RunnerSessionTest, FollowsTheHighestTerm) {
+  EXPECT_TRUE(Report({kTerm, 0, 12'000}).is_accepted);
+  session_.OnTerm(kTerm + 1);
+  session_.OnTerm(kTerm);
+  EXPECT_EQ(session_.term(), kTerm + 1);
+  EXPECT_EQ(VerdictOn(jobs::StopOrder{kTask, 1}),
+            jobs::OrderVerdict::kSuperseded);
+  EXPECT_EQ(VerdictOn(jobs::StopOrder{kTask, 1}, kTerm + 1), std::nullopt);
+  EXPECT_FALSE(Report({kTerm, 0, 20'000}).is_accepted);
+  EXPECT_FALSE(session_.OnLeader({kTerm, "node-2", "127.0.0.1:2"}));
+  EXPECT_EQ(session_.leader().node, "node-1");
+}
+
+// Guards against the answer of a former leader that is taken for the present
+// one's.
+TEST_F(RunnerSessionTest, DoesNotAwaitAFormerLeadersAnswer) {
+  const ReportTicket former = session_.StartReport(now_).ticket;
+  EXPECT_TRUE(session_.IsAwaited(former));
+  EXPECT_TRUE(session_.OnLeader({kTerm + 1, "node-2", "127.0.0.1:2"}));
+  EXPECT_FALSE(session_.IsAwaited(former));
+  const ReportTicket present = session_.StartReport(now_).ticket;
+  EXPECT_FALSE(session_.IsAwaited(former));
+  EXPECT_TRUE(session_.IsAwaited(present));
+  session_.OnReported(present, std::nullopt);
+  EXPECT_FALSE(session_.IsAwaited(present));  // An answer that comes twice.
+}
+
+// Guards against a process that is granted what was meant for the one before.
+TEST_F(RunnerSessionTest, IgnoresAnswersToCallsToAnEarlierProcess) {
+  session_.OnTerm(kTerm);
+  const RenewalCall renewal = session_.StartRenewal(now_);
+  const ReportTicket report = session_.StartReport(now_).ticket;
+  EXPECT_EQ(Announce({"next", kStartUnixMs + 1, 1, "127.0.0.1:4", "s"}),
+            AnnouncementVerdict::kStarted);
+  LeaseRenewalResponse listed;
+  listed.ended = Ends(1);
+  EXPECT_EQ(session_.OnLeaseRenewed(renewal, listed, now_), RenewalOutcome());
+  const ReportOutcome outcome =
+      session_.OnReported(report, jobs::ReportAnswer{kTerm, 1, 20'000});
+  EXPECT_EQ(outcome, ReportOutcome{.is_accepted = true});
+  Renew();
+  EXPECT_FALSE(session_.HasLease(now_));
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+}
+
+TEST_F(RunnerSessionTest, TakesTheRunnerForEndedAfterTwoRefusedCalls) {
+  session_.OnTerm(kTerm);
+  Renew();
+  now_ += milliseconds(500);
+  EXPECT_FALSE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_FALSE(session_.IsRunnerUp());
+  EXPECT_TRUE(session_.IsEndUnrecorded());
+  EXPECT_EQ(VerdictOn(kStart), jobs::OrderVerdict::kRefused);
+  const ReportCall call = session_.StartReport(now_);
+  EXPECT_EQ(call.report.state, jobs::RunnerState::kGone);
+  EXPECT_EQ(call.report.crash, (jobs::CrashTime{10'000, 10'500}));
+  EXPECT_TRUE(session_.OnReported(call.ticket, jobs::ReportAnswer{kTerm, 0, 0})
+                  .is_end_recorded);
+  EXPECT_FALSE(session_.IsEndUnrecorded());
+}
+
+TEST_F(RunnerSessionTest, IsTheSameAfterACopy) {
+  Report({kTerm, 0, 12'000});
+  Renew(2);
+  RunnerSession copy = session_;
+  EXPECT_EQ(copy.StartReport(now_), session_.StartReport(now_));
+  copy = session_;
+  EXPECT_EQ(copy.StartRenewal(now_), session_.StartRenewal(now_));
+}
+
+}  // namespace
+}  // namespace papayadrift::cluster
