Cluster: Uses counts of recorded ends only under the term that gave them

Cause: the agent kept the highest count of recorded ends that any leader had answered. A deposed leader that still takes itself for the leader may answer with more than the later one has recorded; the count stayed, went to the runner with the later leader's term, and the runner forgot ends that no store has.

Change: a count goes only into lease renewals of the term that gave it. What a later term says replaces it, also if it is lower; the runner is never told less than it has already answered. A count above the ends that the leader of that term was told of is ignored, with one line (message.unreadable) for each such count. An agent that has restarted writes that line, too, if its runner has forgotten ends by then: it can't know of them.

Tests: six in runner_session_test. StartsNothingOnAProcessThatIsNotAnnounced relied on a count of ends that its runner had never listed: the runner now lists that end before its crash. What the test expects is as it was.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -245,6 +245,15 @@
     return;
   }
   is_report_failing_ = false;
+  if (outcome.ignored_ends) {
+    context_.logger.Log(
+        Event::kMessageUnreadable,
+        {{"from", "leader"},
+         {"term", static_cast<int64_t>(answer->term)},
+         {"recorded_ends", static_cast<int64_t>(*outcome.ignored_ends)},
+         {"reason",
+          "No report since the agent's start lists that many ends."}});
+  }
   if (outcome.is_end_recorded && on_stopped_) {
     std::exchange(on_stopped_, nullptr)();
   }
--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -105,7 +105,9 @@
   active_.clear();
   ended_.clear();
   has_all_ends_ = true;
-  recorded_ends_ = 0;
+  ends_ = {};
+  dropped_ends_ = 0;
+  ignored_ends_ = 0;
   lease_until_ms_ = 0;
 }
 
@@ -143,6 +145,11 @@
   return IsRunnerUp() && !is_renewing_;
 }
 
+uint64_t RunnerSession::RecordedEnds() const {
+  // The leader of a later term may lack what an earlier one has recorded.
+  return std::max(dropped_ends_, ends_.term == term_ ? ends_.recorded : 0);
+}
+
 RenewalCall RunnerSession::StartRenewal(Instant now) {
   is_renewing_ = true;
   RenewalCall call;
@@ -152,7 +159,7 @@
   if (runner_clock_ms_ && !suspected_crash_) {
     // Each process numbers its ends anew. One that may not be the announced one
     // must not take ends for recorded that are not.
-    call.request.recorded_ends = recorded_ends_;
+    call.request.recorded_ends = RecordedEnds();
   }
   if (HasLease(now)) {
     call.request.lease_until_ms = LeaseEndOnRunnerClock();
@@ -214,6 +221,7 @@
     runner_clock_ms_.reset();
     return {.next_renewal = kRetryDelay};
   }
+  dropped_ends_ = std::max(dropped_ends_, call.request.recorded_ends);
   runner_clock_ms_ = renewal.clock_ms;
   runner_clock_read_ms_ = ToMs(now);
   const bool is_first = listed_at_ms_ == 0;
@@ -221,9 +229,10 @@
   active_ = std::move(renewal.active);
   ended_ = std::move(renewal.ended);
   has_all_ends_ = renewal.has_all_ends;
+  const uint64_t recorded_ends = RecordedEnds();
   const bool has_unrecorded_ends =
-      std::ranges::any_of(ended_, [this](const jobs::EndedRun& ended) {
-        return ended.number > recorded_ends_;
+      std::ranges::any_of(ended_, [recorded_ends](const jobs::EndedRun& ended) {
+        return ended.number > recorded_ends;
       });
   milliseconds delay = HasLease(now) ? milliseconds(0) : kRetryDelay;
   if (has_unrecorded_ends) {
@@ -240,7 +249,7 @@
 ReportCall RunnerSession::StartReport(Instant now) {
   is_reporting_ = true;
   ReportCall call;
-  call.ticket = {++reports_, generation_};
+  call.ticket = {.number = ++reports_, .generation = generation_};
   jobs::RunnerReport& report = call.report;
   report.incarnation = incarnation();
   report.agent_address = settings_.address;
@@ -259,6 +268,9 @@
     report.active = active_;
     report.ended = ended_;
     report.has_all_ends = has_all_ends_;
+    for (const jobs::EndedRun& ended : ended_) {
+      call.ticket.last_end = std::max(call.ticket.last_end, ended.number);
+    }
   }
   return call;
 }
@@ -280,11 +292,28 @@
   }
   is_end_recorded_ = has_ended_;
   lease_until_ms_ = std::max(lease_until_ms_, answer->lease_until_ms);
-  const bool has_more_recorded_ends = answer->recorded_ends > recorded_ends_;
-  recorded_ends_ = std::max(recorded_ends_, answer->recorded_ends);
+  const uint64_t known_ends = RecordedEnds();
+  const auto ignored_ends = OnEndsRecorded(*answer, ticket.last_end);
   return {.is_accepted = true,
           .is_end_recorded = is_end_recorded_,
-          .is_renewal_due = has_more_recorded_ends};
+          .is_renewal_due = RecordedEnds() > known_ends,
+          .ignored_ends = ignored_ends};
+}
+
+std::optional<uint64_t> RunnerSession::OnEndsRecorded(
+    const jobs::ReportAnswer& answer,
+    uint64_t last_reported_end) {
+  if (answer.term > ends_.term) {
+    ends_ = {.term = answer.term};
+  }
+  ends_.reported = std::max(ends_.reported, last_reported_end);
+  const uint64_t count = answer.recorded_ends;
+  if (count <= std::max(ends_.reported, dropped_ends_)) {
+    ends_.recorded = std::max(ends_.recorded, count);
+    return std::nullopt;
+  }
+  return std::exchange(ignored_ends_, count) == count ? std::nullopt
+                                                      : std::optional(count);
 }
 
 std::optional<jobs::OrderVerdict> RunnerSession::VerdictOn(
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -49,6 +49,7 @@
 struct ReportTicket {
   uint64_t number = 0;
   uint64_t generation = 0;
+  uint64_t last_end = 0;  // The highest number of an end in it.
 
   friend bool operator==(const ReportTicket&, const ReportTicket&) = default;
 };
@@ -66,6 +67,9 @@
   bool is_accepted = false;
   bool is_end_recorded = false;  // The leader knows that the runner has ended.
   bool is_renewal_due = false;   // The runner may drop more ends.
+  // A count of recorded ends that is not used, since the leader was not told of
+  // that many; set once for each such count.
+  std::optional<uint64_t> ignored_ends;
 
   friend bool operator==(const ReportOutcome&, const ReportOutcome&) = default;
 };
@@ -149,6 +153,12 @@
   RenewalOutcome OnRenewalFailed(RunnerFailure failure,
                                  Instant sent_at,
                                  Instant now);
+  // Takes over what the leader of the latest term says of recorded ends.
+  // Returns the count if it is to be ignored and was not so before.
+  std::optional<uint64_t> OnEndsRecorded(const jobs::ReportAnswer& answer,
+                                         uint64_t last_reported_end);
+  // The number up to which the runner may drop its ends.
+  uint64_t RecordedEnds() const;
   // Returns when the runner crashed if a call to it that was sent at `sent_at`
   // failed as the first one.
   jobs::CrashTime CrashTimeFor(RunnerFailure failure,
@@ -159,6 +169,15 @@
   std::optional<jobs::OrderVerdict> ViewVerdict(int64_t viewed_at_ms,
                                                 Instant now) const;
 
+  // What the leader of a term has said of the ends of the announced process.
+  struct TermEnds {
+    uint64_t term = 0;
+    uint64_t reported = 0;  // The leader was told of ends up to this number.
+    uint64_t recorded = 0;
+
+    friend bool operator==(const TermEnds&, const TermEnds&) = default;
+  };
+
   RunnerAgentSettings settings_;
   int64_t agent_start_unix_ms_;
   std::optional<Announcement> announced_;
@@ -177,7 +196,9 @@
   std::vector<jobs::ActiveRun> active_;
   std::vector<jobs::EndedRun> ended_;
   bool has_all_ends_ = true;
-  uint64_t recorded_ends_ = 0;
+  TermEnds ends_;
+  uint64_t dropped_ends_ = 0;  // The runner was told, and has answered.
+  uint64_t ignored_ends_ = 0;
   uint64_t term_ = 0;
   int64_t lease_until_ms_ = 0;  // On the agent's clock.
   jobs::LeaderRecord leader_;
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -356,6 +356,9 @@
     acknowledged_ends =
         std::max(acknowledged_ends, has_restarted ? call.recorded_ends : 0);
     response.start_unix_ms = has_restarted ? 2000 : 1000;
+    if (!has_restarted) {
+      response.ended = {{5, {JobId("a"), 0, 0, 0}, 1, jobs::RunEnd::kDone, ""}};
+    }
     answers_since_restart += has_restarted ? 1 : 0;
     done(response);
   }
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -171,6 +171,82 @@
   EXPECT_FALSE(session_.IsEndUnrecorded());
 }
 
+// Guards against a runner that forgets ends that no store has: a deposed leader
+// that still takes itself for the leader has recorded more of them than the
+// later one.
+TEST_F(RunnerSessionTest, RunnerForgetsNoEndOnTheWordOfADeposedLeader) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  EXPECT_TRUE(Report({kTerm, 5, 20'000}).is_renewal_due);
+  session_.OnTerm(kTerm + 1);  // Orders of the later leader.
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+}
+
+// The same, by an agent that knows only the deposed leader after a restart:
+// the runner refuses its calls, and the later leader has recorded fewer ends.
+TEST_F(RunnerSessionTest, RestartedAgentUsesNoCountOfADeposedLeader) {
+  Report({kTerm, 5, 0});
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kSuperseded).is_superseded);
+  EXPECT_TRUE(session_.OnLeader({kTerm + 1, "node-2", "127.0.0.1:2"}));
+  Report({kTerm + 1, 0, 0});
+  EXPECT_TRUE(Renew(5).is_report_due);
+  EXPECT_TRUE(Report({kTerm + 1, 3, 0}).is_renewal_due);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 3U);
+}
+
+// An end that a runner has dropped need not be recorded again.
+TEST_F(RunnerSessionTest, NeverTellsTheRunnerALowerCountAgain) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  Renew(5);  // Tells it.
+  session_.OnTerm(kTerm + 1);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+  Report({kTerm + 1, 2, 20'000});
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+}
+
+// A call that is not answered may not have told the runner anything.
+TEST_F(RunnerSessionTest, UnansweredCallHasNotToldTheRunner) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  FailToRenew(RunnerFailure::kUnanswered);
+  session_.OnTerm(kTerm + 1);
+  Renew(5);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+}
+
+// Guards against a count for which there can be no reason: the leader has been
+// told of three ends.
+TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
+  session_.OnTerm(kTerm);
+  Renew(3);
+  const ReportOutcome outcome = Report({kTerm, 4, 20'000});
+  EXPECT_TRUE(outcome.is_accepted);
+  EXPECT_FALSE(outcome.is_renewal_due);
+  EXPECT_EQ(outcome.ignored_ends, 4U);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  EXPECT_TRUE(session_.HasLease(now_));
+  // Said once.
+  EXPECT_EQ(Report({kTerm, 4, 20'000}).ignored_ends, std::nullopt);
+  EXPECT_EQ(Report({kTerm, UINT64_MAX, 20'000}).ignored_ends, UINT64_MAX);
+  EXPECT_TRUE(Report({kTerm, 3, 20'000}).is_renewal_due);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 3U);
+}
+
+// What a leader has recorded stays so within its term, although its answers
+// overtake each other and the runner no longer lists it.
+TEST_F(RunnerSessionTest, CountsEndsOfEarlierReportsWithinATerm) {
+  session_.OnTerm(kTerm);
+  Renew(3);
+  EXPECT_TRUE(Report({kTerm, 2, 20'000}).is_renewal_due);
+  Renew();
+  EXPECT_EQ(Report({kTerm, 3, 20'000}).ignored_ends, std::nullopt);
+  Report({kTerm, 1, 20'000});
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 3U);
+}
+
 TEST_F(RunnerSessionTest, IsTheSameAfterACopy) {
   Report({kTerm, 0, 12'000});
   Renew(2);
