Cluster: Tells no count of ends to a process that may be another one

Cause: a runner may start again under its name, and its ends are numbered anew. The agent left the count out after a call that broke, but sent it again once a call of an earlier term was refused, which either process may do, and when no call broke because the agent was held up between two of them. The new process then forgot ends of its own that nobody had seen.

Change: the count is told only if the last call was answered with the announced process's start, and was sent at most 1.5 s before. The bound is chosen: a call takes at most 1 s and the next one follows within 300 ms.

Tests: RestartedRunnerForgetsNoEndOfItsOwnOnceItRefuses and ...AfterAPause fail on the code before. ctest -R '^cluster$' passes.

--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -13,6 +13,10 @@
 // Maximum time for which ends that are not recorded yet delay the next listing
 // of runs.
 constexpr milliseconds kEndsRecordingDelay(300);
+// Longest time after a call that the announced process has answered for which
+// the next one is taken to reach the same process. Calls follow each other
+// faster, also if they are answered late, unless the agent is held up.
+constexpr milliseconds kConfirmationTimeout(1500);
 // Longest time by which the clock of the VM may be set back after its runner
 // has started, with room to spare.
 constexpr milliseconds kMaxClockStep(60'000);
@@ -100,6 +104,7 @@
   crash_.reset();
   suspected_crash_.reset();
   answered_at_ms_ = ToMs(now);
+  confirmed_at_.reset();
   runner_clock_ms_.reset();
   listed_at_ms_ = 0;
   active_.clear();
@@ -150,13 +155,17 @@
   return std::max(dropped_ends_, ends_.term == term_ ? ends_.recorded : 0);
 }
 
+bool RunnerSession::IsProcessConfirmed(Instant now) const {
+  return confirmed_at_ && now - *confirmed_at_ <= kConfirmationTimeout;
+}
+
 RenewalCall RunnerSession::StartRenewal(Instant now) {
   is_renewing_ = true;
   RenewalCall call;
   call.request.term = term_;
   call.generation = generation_;
   call.sent_at = now;
-  if (runner_clock_ms_ && !suspected_crash_) {
+  if (IsProcessConfirmed(now)) {
     // Each process numbers its ends anew. One that may not be the announced one
     // must not take ends for recorded that are not.
     call.request.recorded_ends = RecordedEnds();
@@ -184,6 +193,8 @@
                                               Instant sent_at,
                                               Instant now) {
   const bool is_superseded = failure == RunnerFailure::kSuperseded;
+  // A refusal does not tell which process it is from.
+  confirmed_at_.reset();
   if (is_superseded) {
     suspected_crash_.reset();
   } else if (!suspected_crash_) {
@@ -218,9 +229,11 @@
     // Another process of the runner has the same name; its announcement is
     // still to come. It must not be granted a lease on the clock of the earlier
     // one, nor start what was meant for that.
+    confirmed_at_.reset();
     runner_clock_ms_.reset();
     return {.next_renewal = kRetryDelay};
   }
+  confirmed_at_ = call.sent_at;
   dropped_ends_ = std::max(dropped_ends_, call.request.recorded_ends);
   runner_clock_ms_ = renewal.clock_ms;
   runner_clock_read_ms_ = ToMs(now);
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -159,6 +159,9 @@
                                          uint64_t last_reported_end);
   // The number up to which the runner may drop its ends.
   uint64_t RecordedEnds() const;
+  // Whether a call now reaches the announced process, if any, and not a later
+  // one of the same name.
+  bool IsProcessConfirmed(Instant now) const;
   // Returns when the runner crashed if a call to it that was sent at `sent_at`
   // failed as the first one.
   jobs::CrashTime CrashTimeFor(RunnerFailure failure,
@@ -189,6 +192,9 @@
   // When the runner crashed, if calls to it fail.
   std::optional<jobs::CrashTime> suspected_crash_;
   std::optional<jobs::CrashTime> crash_;  // See jobs::RunnerReport.
+  // When the last call that the announced process has answered was sent, if
+  // none has failed since.
+  std::optional<Instant> confirmed_at_;
   // Time on the runner's clock, and on the agent's clock when it was read.
   std::optional<int64_t> runner_clock_ms_;
   int64_t runner_clock_read_ms_ = 0;
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -217,6 +217,31 @@
   EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
 }
 
+// Guards against a runner that started again under its name and forgets ends of
+// its own, since those of the process before had the same numbers. A call of an
+// earlier term may be refused by either process.
+TEST_F(RunnerSessionTest, RestartedRunnerForgetsNoEndOfItsOwnOnceItRefuses) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  FailToRenew(RunnerFailure::kUnanswered);
+  FailToRenew(RunnerFailure::kSuperseded);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  Renew(5);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+}
+
+// The same, by an agent that was held up between two calls, so that none broke.
+TEST_F(RunnerSessionTest, RestartedRunnerForgetsNoEndOfItsOwnAfterAPause) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  now_ += milliseconds(1501);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  Renew(5);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+}
+
 // Guards against a count for which there can be no reason: the leader has been
 // told of three ends.
 TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
