Jobs: Deletes no job before its outcome is stored

Cause: a job whose outcome was on its way to the store counted as stored. A leader that was suspended with that append for the retention time (180 s and more) deleted the job when it woke up, before it learned that another one had been elected: the deletion needs no term. The job, open in the store, was lost.

Change: a job expires only once the version at which it ended is stored. Then the outcome is final, whoever leads, and a late deletion does no harm.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -255,7 +255,7 @@
   entry.ended_at = now;
   open_.erase(id);
   changed_outcomes_.insert(id);
-  ++version_;
+  entry.ended_version = ++version_;
   ForEachTask(entry.progress, id, [this](const TaskKey& key, const auto& task) {
     if (task.run > 0) {
       changed_tasks_.insert(key);
@@ -568,7 +568,7 @@
   std::vector<JobId> expired;
   for (const auto& [id, entry] : jobs_) {
     if (expired.size() < max_count && !open_.contains(id) &&
-        !changed_outcomes_.contains(id) &&
+        entry.ended_version <= stored_version_ &&
         now - entry.ended_at > settings_.retention) {
       expired.push_back(id);
     }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -269,6 +269,8 @@
     JobProgress progress;
     std::map<TaskKey, RunnerIncarnation> failed_on;
     Instant ended_at;  // Unset while the job is open.
+    // Of the scheduler when the job ended; 0 if an earlier leader stored that.
+    uint64_t ended_version = 0;
     // By occurrence and step.
     std::map<std::pair<uint32_t, uint32_t>, WaitingStep> waiting;
     // How long the tasks of each step take.
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -563,6 +563,49 @@
   leader->Stop({});
 }
 
+// Guards against an accepted job that is lost: a leader that was suspended when
+// it was to store the job's outcome wakes up after the retention time. By then
+// another one leads.
+TEST_F(LeaderTest, DeposedLeaderDeletesNoJobWhoseOutcomeIsNotStored) {
+  const AgentOfEndedRunner agent;
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  job.steps[0].count = 1;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  Store(kProgressTopic, {KeyOf(task), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_EQ(leader->scheduler()->open_jobs(), 1U);
+  jobs::LeaderRecord later{2, "node-2", "127.0.0.1:2"};
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(later)}},
+              std::nullopt,
+              keyed_log::Writer{kLeaderWriter, later.term, 1}},
+             Instant(), [](const keyed_log::AppendResult&) {});
+  jobs::RunnerReport report;
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  leader->HandleReport(request, [](const http::Response&) {});
+  ASSERT_EQ(leader->scheduler()->open_jobs(), 0U);
+  ASSERT_GT(loop_.run_one(), 0U);  // Sends the append of the outcome.
+  clock_.Advance(LeaderSettings().scheduler.retention + seconds(60));
+  ASSERT_GT(loop_.run_one(), 0U);
+  log_.Settle();
+  EXPECT_EQ(end_count_, 1);
+  jobs::Directory directory;
+  JobReplica replica(context(), directory);
+  replica.CatchUpOnJobs([](bool) {});
+  log_.Settle();
+  EXPECT_TRUE(replica.content().jobs.contains(JobId("a")));
+}
+
 // Guards against ends, and crashes, that are lost since the report of the next
 // process of a runner took the place of the one that told of them.
 TEST_F(LeaderTest, ReportOfARestartedRunnerOvertakesNoEnds) {
