Cluster: Shows a job as ended only once that is stored

Cause: the leader told its front's directory of an outcome when it made the append. A leader that had been deposed without knowing it was refused by the store, and its front went on showing the job as completed. A later leader, for which the task was still claimed, gave the run up with its runner's lease and placed the task again.

Change: the directory is told of starts and outcomes when the append that has them is stored.

OutcomeIsShownOnlyOnceItIsStored fails with the directory told at the append; the other tests of cluster pass in both cases.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -371,7 +371,8 @@
     return;
   }
   std::vector<keyed_log::Record> records;
-  const uint64_t version = AppendChanges(records);
+  auto changes = scheduler_->TakeChanges();
+  AppendChanges(changes, records);
   for (const JobId& id : std::exchange(deleted_jobs_, {})) {
     records.push_back({KeyOf(kOutcomePrefix, id), {}});
   }
@@ -384,26 +385,33 @@
   }
   last_append_at_ = now;
   const size_t record_count = records.size();
-  term_->Append(std::move(records), [this, version] {
-    scheduler_->OnStored(version);
+  term_->Append(std::move(records), [this, changes = std::move(changes)] {
+    OnChangesStored(changes);
     Step();
   });
   CountWork(WorkKind::kAppends, record_count, now);
 }
 
-uint64_t Leader::AppendChanges(std::vector<keyed_log::Record>& records) {
-  const jobs::JobScheduler::Changes changes = scheduler_->TakeChanges();
+void Leader::AppendChanges(const jobs::JobScheduler::Changes& changes,
+                           std::vector<keyed_log::Record>& records) {
   for (const auto& [task, progress] : changes.tasks) {
     records.push_back(
         {KeyOf(task), progress ? jobs::Encode(*progress) : std::string()});
-    directory_.OnStarted(task.job);
   }
   for (const auto& [id, outcome] : changes.outcomes) {
     records.push_back({KeyOf(kOutcomePrefix, id),
                        jobs::Encode(jobs::StoredOutcome{outcome})});
+  }
+}
+
+void Leader::OnChangesStored(const jobs::JobScheduler::Changes& changes) {
+  for (const jobs::TaskKey& task : changes.tasks | std::views::keys) {
+    directory_.OnStarted(task.job);
+  }
+  for (const auto& [id, outcome] : changes.outcomes) {
     directory_.OnOutcome(id, outcome);
   }
-  return changes.version;
+  scheduler_->OnStored(changes.version);
 }
 
 void Leader::AppendHandover(std::vector<keyed_log::Record>& records) {
@@ -641,17 +649,18 @@
   }
   is_leading_ = false;
   RejectPendingReports();
-  auto version = std::make_shared<uint64_t>(0);
+  auto changes = std::make_shared<jobs::JobScheduler::Changes>();
   term_->Resign(
       successor ? successor->node : std::string(),
-      [this, version] {
+      [this, changes] {
         std::vector<keyed_log::Record> records;
-        *version = AppendChanges(records);
+        *changes = scheduler_->TakeChanges();
+        AppendChanges(*changes, records);
         AppendHandover(records);
         return records;
       },
-      [this, version, successor] {
-        scheduler_->OnStored(*version);
+      [this, changes, successor] {
+        OnChangesStored(*changes);
         if (successor) {
           NotifySuccessor(*successor);
         }
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -152,9 +152,10 @@
   bool IsRecorded(const PendingReport& report) const;
   void Answer(const PendingReport& report);
   void AnswerReports();
-  // Appends the changes of jobs; returns the scheduler's version that they
-  // cover.
-  uint64_t AppendChanges(std::vector<keyed_log::Record>& records);
+  static void AppendChanges(const jobs::JobScheduler::Changes& changes,
+                            std::vector<keyed_log::Record>& records);
+  // Acts on what is stored; callers are told of outcomes from then on.
+  void OnChangesStored(const jobs::JobScheduler::Changes& changes);
   // Appends the other state that the next leader takes over, if it has changed.
   void AppendHandover(std::vector<keyed_log::Record>& records);
   void RejectPendingReports();
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -145,6 +145,40 @@
   leader->Stop({});
 }
 
+// Guards against a job that is shown as completed and runs again: the leader
+// told callers of the outcome when it began to store it, and was deposed.
+TEST_F(LeaderTest, OutcomeIsShownOnlyOnceItIsStored) {
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  const AgentOfEndedRunner agent;
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, task.job), jobs::Encode(job)});
+  Store(kProgressTopic, {KeyOf(task), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  jobs::RunnerReport report;
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, ""}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  clock_.Advance(LeaderSettings().min_append_interval);
+  const size_t appends = log_.append_count();
+  leader->HandleReport(request, [](const http::Response&) {});
+  while (log_.append_count() == appends) {
+    // The leader's own timer triggers the next step.
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(directory_.StateOf("q", task.job), jobs::JobState::kRunning);
+  log_.Settle();
+  EXPECT_EQ(directory_.StateOf("q", task.job), jobs::JobState::kCompleted);
+  leader->Stop({});
+}
+
 // Guards against an agent that exits after telling a leader without connection
 // to the store that its runner has ended: the next leaders had to wait until
 // the lease expired.
