Jobs: Keeps an ended runner out after a late report

Cause: a report that an agent had given up, and that came after the one that told of the runner's end, brought the runner back as a new one. It was taken for ready, got starts, and the answer granted a lease; the tasks waited there until that had expired or the agent had refused them.

Change: the scheduler keeps the time of each report of an end for as long as a message may be late (late_order_limit), and rejects reports of the same agent and process that were sent before it.

Tests: ReportThatItsRunnersEndHasOvertakenChangesNothing fails on the code before.

--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -193,7 +193,8 @@
   LearnedModel learned() const;
   void ImportLearned(const LearnedModel& learned);
 
-  // Processes a report; returns false if it is from a superseded incarnation.
+  // Processes a report; returns false if it is from a superseded incarnation, or
+  // from one that has ended since.
   bool OnReport(const RunnerReport& report, Instant now);
   // Returns whether the runner may get a lease. What can't be confirmed of its
   // runs ends with the one that it has.
@@ -278,6 +279,12 @@
     // Of the progress; unset since it has changed.
     std::optional<JobTally> tally;
   };
+  // The report that told of a runner's end.
+  struct EndReport {
+    int64_t agent_start_unix_ms = 0;
+    int64_t sent_at_ms = 0;
+    Instant received_at;
+  };
   struct ReadyStep;
   // A request that fitted on no runner in this pass over the ready steps.
   struct UnplaceableNeed {
@@ -288,6 +295,8 @@
     Resources need;
   };
 
+  // Whether the runner has ended since the report was sent.
+  bool IsOvertakenByEnd(const RunnerReport& report) const;
   Instant LeaseExpiry(Instant lease_end) const;
   milliseconds ResendPeriod() const;
   // Whether cancellations are known as they were so recently that a start may
@@ -479,6 +488,8 @@
   // instance.
   std::map<std::pair<std::string, std::string>, std::map<TaskKey, OrphanRun>>
       released_;
+  // Of runners that have ended a little while ago.
+  std::map<RunnerIncarnation, EndReport> end_reports_;
   Interference interference_;
   DurationEstimator durations_;
   CrashHistory crashes_;
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -34,6 +34,11 @@
     return false;
   }
   if (report.state == RunnerState::kGone) {
+    std::erase_if(end_reports_, [&](const auto& it) {
+      return now - it.second.received_at > settings_.late_order_limit;
+    });
+    end_reports_[incarnation] = {report.agent_start_unix_ms, report.sent_at_ms,
+                                 now};
     RemoveEarlierIncarnations(incarnation, nullptr, now);
     const Runner* ended = fleet_.Find(incarnation);
     RemoveRunner(incarnation, "The agent reported that the runner has ended.",
@@ -41,6 +46,9 @@
                  now);
     return true;
   }
+  if (IsOvertakenByEnd(report)) {
+    return false;
+  }
   Runner& runner = fleet_.Get(incarnation);
   if (runner.former_agents.contains(report.agent_start_unix_ms)) {
     return false;
@@ -87,6 +95,13 @@
   return true;
 }
 
+bool JobScheduler::IsOvertakenByEnd(const RunnerReport& report) const {
+  const EndReport* end = FindOrNull(end_reports_, report.incarnation);
+  return end != nullptr &&
+         report.agent_start_unix_ms == end->agent_start_unix_ms &&
+         report.sent_at_ms < end->sent_at_ms;
+}
+
 void JobScheduler::ProcessLists(Runner& runner,
                                 const RunnerReport& report,
                                 Instant now) {
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -318,6 +318,79 @@
   EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kFailed);
 }
 
+// Guards against a job that is given up after one failure, which its runner
+// lists until it is acknowledged.
+TEST_F(JobSchedulerTest, EndThatIsReportedAgainCountsOnce) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  const std::vector<EndedRun> ended = {{1, Task(0), 1, RunEnd::kFailed, ""}};
+  Report(kFirst, 500, {}, ended);
+  ASSERT_EQ(CountStarts(Orders(500)), 1U);
+  Report(kFirst, 900, {{Task(0), 2, "", 0, 0}}, ended);
+  Report(kFirst, 1300, {{Task(0), 2, "", 0, 0}}, ended);
+  Store();
+  EXPECT_EQ(scheduler_.open_jobs(), 1U);
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kOpen);
+  const Runner& runner = *scheduler_.fleet().Find(kFirst);
+  ASSERT_EQ(runner.runs.size(), 1U);
+  EXPECT_EQ(runner.runs.at(Task(0)).number, 2U);
+}
+
+// Guards against a run that ends, or that counts as started, on the answer to
+// an order for the run before it.
+TEST_F(JobSchedulerTest, ResultForAnEarlierRunChangesNothing) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  const auto first = Orders(0);
+  ASSERT_EQ(CountStarts(first), 1U);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kStopped, ""}});
+  ASSERT_EQ(CountStarts(Orders(500)), 1U);
+  for (const OrderVerdict verdict :
+       {OrderVerdict::kDone, OrderVerdict::kNoRoom, OrderVerdict::kStaleRun}) {
+    scheduler_.OnOrderResult(kFirst, first[0].second, {verdict, 600}, At(600));
+  }
+  scheduler_.OnOrderResult(kFirst, StopOrder{Task(0), 1},
+                           {OrderVerdict::kDone, 600}, At(600));
+  const Runner& runner = *scheduler_.fleet().Find(kFirst);
+  ASSERT_EQ(runner.runs.size(), 1U);
+  const auto& run = runner.runs.at(Task(0));
+  EXPECT_EQ(run.number, 2U);
+  EXPECT_FALSE(run.is_accepted);
+  EXPECT_FALSE(run.is_withdrawn);
+}
+
+// A notice of a cancellation may come after the job's end, and again.
+TEST_F(JobSchedulerTest, CancellationOfAnEndedJobChangesNothing) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  Orders(0);
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  Store();
+  scheduler_.Cancel(JobId("a"), At(600));
+  scheduler_.Cancel(JobId("a"), At(700));
+  EXPECT_FALSE(scheduler_.has_changes());
+  Store();
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kCompleted);
+}
+
+// Guards against a runner that has ended and gets starts, since an earlier
+// report of it has come late.
+TEST_F(JobSchedulerTest, ReportThatItsRunnersEndHasOvertakenChangesNothing) {
+  Report(kFirst, 0);
+  RunnerReport late = ReportOf(kFirst);
+  late.sent_at_ms = 100;
+  RunnerReport gone = late;
+  gone.state = RunnerState::kGone;
+  gone.sent_at_ms = 200;
+  EXPECT_TRUE(scheduler_.OnReport(gone, At(210)));
+  EXPECT_FALSE(scheduler_.OnReport(late, At(220)));
+  EXPECT_EQ(scheduler_.fleet().Find(kFirst), nullptr);
+  late.sent_at_ms = 300;  // Its agent took it for ended by mistake.
+  EXPECT_TRUE(scheduler_.OnReport(late, At(310)));
+  EXPECT_NE(scheduler_.fleet().Find(kFirst), nullptr);
+}
+
 TEST_F(JobSchedulerTest, InterruptedRunsAreNoAttempts) {
   Report(kFirst, 0);
   scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
