--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -193,8 +193,8 @@
   LearnedModel learned() const;
   void ImportLearned(const LearnedModel& learned);
 
-  // Processes a report; returns false if it is from a superseded incarnation, or
-  // from one that has ended since.
+  // Processes a report; returns false if it is from a superseded incarnation,
+  // or from one that has ended since.
   bool OnReport(const RunnerReport& report, Instant now);
   // Returns whether the runner may get a lease. What can't be confirmed of its
   // runs ends with the one that it has.
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -183,6 +183,52 @@
   frontend_.Stop();
 }
 
+// The notice tells nothing; what the store says of the leader counts.
+TEST_F(JobFrontendTest, LateNoticeOfASuccessionStartsNoCampaign) {
+  const jobs::LeaderRecord last{3, "node-9", "127.0.0.1:9"};
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(last)}},
+              std::nullopt,
+              std::nullopt},
+             {}, [](const keyed_log::AppendResult&) {});
+  frontend_.Start();
+  log_.Settle();
+  const size_t before = log_.append_count();
+  for (int i = 0; i < 2; ++i) {
+    frontend_.HandleSuccession([](const http::Response&) {});
+    log_.Settle();
+  }
+  EXPECT_EQ(log_.append_count(), before);
+  frontend_.Stop();
+}
+
+// Guards against a job that is stored when the frontend that relayed it no
+// longer waits, or twice.
+TEST_F(JobFrontendTest, RelayedSubmissionIsStoredOnceAndInTime) {
+  RelayCall call{RelayKind::kSubmit, "q", kId, jobs::Encode(job_), 0};
+  std::optional<RelayAnswer> answer;
+  const auto relay = [&] {
+    http::Request request;
+    request.body = Encode(call);
+    frontend_.HandleRelay(request, [&](const http::Response& it) {
+      answer = DecodeRelayAnswer(it.body);
+    });
+    log_.Settle();
+  };
+  relay();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->value, static_cast<uint32_t>(SubmitResult::kNotStored));
+  EXPECT_EQ(log_.append_count(), 0U);
+  call.remaining_ms = kSubmitTimeout.count();
+  for (int i = 0; i < 2; ++i) {
+    answer.reset();
+    relay();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->value, static_cast<uint32_t>(SubmitResult::kAccepted));
+    EXPECT_EQ(log_.append_count(), 1U);
+  }
+}
+
 // Guards against a restarted cluster that takes what it reads of its last
 // leader for a sign that this one is alive.
 TEST_F(JobFrontendTest, RecordsFromBeforeTheStartAreNoSignOfALeader) {
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -135,6 +135,40 @@
   EXPECT_FALSE(session_.IsAwaited(present));  // An answer that comes twice.
 }
 
+// A heartbeat may arrive after its process has crashed and another one has
+// registered.
+TEST_F(RunnerSessionTest, LateAnnouncementOfAnEarlierProcessIsIgnored) {
+  EXPECT_EQ(Announce({"next", kStartUnixMs + 1, 5, "127.0.0.1:4", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_EQ(Announce({"own", kStartUnixMs, 9, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kNotNewer);
+  EXPECT_EQ(Announce({"next",
+                      kStartUnixMs + 1,
+                      4,
+                      "127.0.0.1:4",
+                      "s",
+                      {},
+                      {},
+                      jobs::RunnerState::kDraining}),
+            AnnouncementVerdict::kNotNewer);
+  EXPECT_EQ(session_.announced().instance, "next");
+  EXPECT_EQ(session_.announced().state, jobs::RunnerState::kReady);
+}
+
+// Guards against a start or a stop that the next process takes for its own.
+TEST_F(RunnerSessionTest, OrderForAnEarlierProcessIsRefused) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  jobs::OrderBatch batch{kTerm, session_.incarnation(), {}, 0, 10'000};
+  EXPECT_EQ(session_.VerdictOn(batch, kStart, now_, now_), std::nullopt);
+  EXPECT_EQ(Announce({"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_EQ(session_.VerdictOn(batch, kStart, now_, now_),
+            jobs::OrderVerdict::kRefused);
+  EXPECT_EQ(session_.VerdictOn(batch, jobs::StopOrder{kTask, 1}, now_, now_),
+            jobs::OrderVerdict::kRefused);
+}
+
 // Guards against a process that is granted what was meant for the one before.
 TEST_F(RunnerSessionTest, IgnoresAnswersToCallsToAnEarlierProcess) {
   session_.OnTerm(kTerm);
