Cluster: Ends no runner on the departure of an earlier process

Cause: the call by which a runner leaves names its id, not its start. A runner that gets no answer to it ends anyway, and may start again under the same id; if the departure was read after the next announcement, the agent took the new process for ended, and the leader released runs that went on.

Change: a departure counts at once only if the announced process has announced that it drains, as the users' pages say it does before a planned end.

Tests: LateDepartureDoesNotEndTheNextProcess fails on the code before; RunnerThatLeavesWithoutDrainingHasNotCrashed and DepartureAfterDrainingEndsTheRunnerAtOnce guard the rest. StaysUntilTheEndOfItsRunnerIsRecorded announces the draining now, as a runner does that leaves; what it expects is as it was. ctest -R '^cluster$' passes.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -87,7 +87,7 @@
 }
 
 void RunnerAgent::OnRunnerLeaving(const std::string& instance) {
-  if (session_.OnRunnerLeaving(instance)) {
+  if (session_.OnRunnerLeaving(instance, context_.clock.Now())) {
     OnRunnerEnded("The runner announced that it is leaving.");
   }
 }
--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -104,6 +104,7 @@
   crash_.reset();
   suspected_crash_.reset();
   answered_at_ms_ = ToMs(now);
+  left_at_.reset();
   confirmed_at_.reset();
   runner_clock_ms_.reset();
   listed_at_ms_ = 0;
@@ -116,10 +117,14 @@
   lease_until_ms_ = 0;
 }
 
-bool RunnerSession::OnRunnerLeaving(const std::string& instance) {
+bool RunnerSession::OnRunnerLeaving(const std::string& instance, Instant now) {
   if (!IsRunnerUp() || announced_->instance != instance) {
     return false;
   }
+  if (announced_->state != jobs::RunnerState::kDraining) {
+    left_at_ = now;
+    return false;
+  }
   OnRunnerEnded(std::nullopt);
   return true;
 }
@@ -203,7 +208,8 @@
   refused_calls_ =
       failure == RunnerFailure::kNotListening ? refused_calls_ + 1 : 0;
   if (refused_calls_ >= kRefusedCallsUntilEnded) {
-    const bool is_leaving = announced_->state == jobs::RunnerState::kDraining;
+    const bool is_leaving =
+        left_at_ || announced_->state == jobs::RunnerState::kDraining;
     OnRunnerEnded(is_leaving ? std::nullopt : suspected_crash_);
     return {.has_runner_ended = true, .is_report_due = true};
   }
@@ -234,6 +240,9 @@
     return {.next_renewal = kRetryDelay};
   }
   confirmed_at_ = call.sent_at;
+  if (left_at_ && *left_at_ < call.sent_at) {
+    left_at_.reset();
+  }
   dropped_ends_ = std::max(dropped_ends_, call.request.recorded_ends);
   runner_clock_ms_ = renewal.clock_ms;
   runner_clock_read_ms_ = ToMs(now);
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -89,8 +89,10 @@
   AnnouncementVerdict OnAnnouncement(const Announcement& announcement,
                                      Instant now,
                                      WallInstant wall_now);
-  // Returns whether it is the announced process that leaves.
-  bool OnRunnerLeaving(const std::string& instance);
+  // Returns whether the announced process has ended: a planned end comes after
+  // it has announced that it drains. Otherwise it may be an earlier one of the
+  // same name that left, and calls will show.
+  bool OnRunnerLeaving(const std::string& instance, Instant now);
   // Takes over `leader` and returns true if its term is later than that of the
   // known one, whose answer is then no longer waited for.
   bool OnLeader(const jobs::LeaderRecord& leader);
@@ -192,6 +194,8 @@
   // When the runner crashed, if calls to it fail.
   std::optional<jobs::CrashTime> suspected_crash_;
   std::optional<jobs::CrashTime> crash_;  // See jobs::RunnerReport.
+  // When a process of this name left, if none has answered a later call.
+  std::optional<Instant> left_at_;
   // When the last call that the announced process has answered was sent, if
   // none has failed since.
   std::optional<Instant> confirmed_at_;
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -122,6 +122,12 @@
 
 // A VM is removed while the leader can't store that its runner has ended.
 TEST_F(RunnerAgentTest, StaysUntilTheEndOfItsRunnerIsRecorded) {
+  Announcement draining;
+  draining.instance = "instance";
+  draining.service = "s";
+  draining.sequence = 1;
+  draining.state = jobs::RunnerState::kDraining;
+  agent_.OnAnnouncement(draining);
   agent_.OnRunnerLeaving("instance");
   agent_.Stop(clock_.Now() + milliseconds(20), [this] { has_stopped_ = true; });
   loop_.poll();
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -169,6 +169,44 @@
             jobs::OrderVerdict::kRefused);
 }
 
+// Guards against runs that are released while they go on: a runner whose
+// departure was not answered has ended and started again under its name, and
+// the departure is read after that.
+TEST_F(RunnerSessionTest, LateDepartureDoesNotEndTheNextProcess) {
+  session_.OnTerm(kTerm);
+  EXPECT_EQ(Announce({"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_TRUE(session_.IsRunnerUp());
+  now_ += milliseconds(10);
+  Renew();
+  FailToRenew(RunnerFailure::kNotListening);
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_TRUE(session_.StartReport(now_).report.crash);
+}
+
+TEST_F(RunnerSessionTest, DepartureAfterDrainingEndsTheRunnerAtOnce) {
+  Announcement draining{"own", kStartUnixMs, 2, "127.0.0.1:3", "s"};
+  draining.state = jobs::RunnerState::kDraining;
+  EXPECT_EQ(Announce(draining), AnnouncementVerdict::kChanged);
+  EXPECT_FALSE(session_.OnRunnerLeaving("other", now_));
+  EXPECT_TRUE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_FALSE(session_.IsRunnerUp());
+  EXPECT_EQ(session_.StartReport(now_).report.crash, std::nullopt);
+}
+
+// Its announcement that it drains may be lost. No task is to blame.
+TEST_F(RunnerSessionTest, RunnerThatLeavesWithoutDrainingHasNotCrashed) {
+  session_.OnTerm(kTerm);
+  const RenewalCall call = session_.StartRenewal(now_);
+  now_ += milliseconds(10);
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  session_.OnLeaseRenewed(call, LeaseRenewalResponse{}, now_);
+  FailToRenew(RunnerFailure::kNotListening);
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_EQ(session_.StartReport(now_).report.crash, std::nullopt);
+}
+
 // Guards against a process that is granted what was meant for the one before.
 TEST_F(RunnerSessionTest, IgnoresAnswersToCallsToAnEarlierProcess) {
   session_.OnTerm(kTerm);
