--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -135,6 +135,78 @@
   EXPECT_FALSE(session_.IsAwaited(present));  // An answer that comes twice.
 }
 
+// A heartbeat may arrive after its process has crashed and another one has
+// registered.
+TEST_F(RunnerSessionTest, LateAnnouncementOfAnEarlierProcessIsIgnored) {
+  EXPECT_EQ(Announce({"next", kStartUnixMs + 1, 5, "127.0.0.1:4", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_EQ(Announce({"own", kStartUnixMs, 9, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kNotNewer);
+  EXPECT_EQ(Announce({"next",
+                      kStartUnixMs + 1,
+                      4,
+                      "127.0.0.1:4",
+                      "s",
+                      {},
+                      {},
+                      jobs::RunnerState::kDraining}),
+            AnnouncementVerdict::kNotNewer);
+  EXPECT_EQ(session_.announced().instance, "next");
+  EXPECT_EQ(session_.announced().state, jobs::RunnerState::kReady);
+}
+
+// Guards against a start or a stop that the next process takes for its own.
+TEST_F(RunnerSessionTest, OrderForAnEarlierProcessIsRefused) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  jobs::OrderBatch batch{kTerm, session_.incarnation(), {}, 0, 10'000};
+  EXPECT_EQ(session_.VerdictOn(batch, kStart, now_, now_), std::nullopt);
+  EXPECT_EQ(Announce({"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_EQ(session_.VerdictOn(batch, kStart, now_, now_),
+            jobs::OrderVerdict::kRefused);
+  EXPECT_EQ(session_.VerdictOn(batch, jobs::StopOrder{kTask, 1}, now_, now_),
+            jobs::OrderVerdict::kRefused);
+}
+
+// Guards against runs that are released while they go on: a runner whose
+// departure was not answered has ended and started again under its name, and
+// the departure is read after that.
+TEST_F(RunnerSessionTest, LateDepartureDoesNotEndTheNextProcess) {
+  session_.OnTerm(kTerm);
+  EXPECT_EQ(Announce({"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_TRUE(session_.IsRunnerUp());
+  now_ += milliseconds(10);
+  Renew();
+  FailToRenew(RunnerFailure::kNotListening);
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_TRUE(session_.StartReport(now_).report.crash);
+}
+
+TEST_F(RunnerSessionTest, DepartureAfterDrainingEndsTheRunnerAtOnce) {
+  Announcement draining{"own", kStartUnixMs, 2, "127.0.0.1:3", "s"};
+  draining.state = jobs::RunnerState::kDraining;
+  EXPECT_EQ(Announce(draining), AnnouncementVerdict::kChanged);
+  EXPECT_FALSE(session_.OnRunnerLeaving("other", now_));
+  EXPECT_TRUE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_FALSE(session_.IsRunnerUp());
+  EXPECT_EQ(session_.StartReport(now_).report.crash, std::nullopt);
+}
+
+// Its announcement that it drains may be lost. No task is to blame.
+TEST_F(RunnerSessionTest, RunnerThatLeavesWithoutDrainingHasNotCrashed) {
+  session_.OnTerm(kTerm);
+  const RenewalCall call = session_.StartRenewal(now_);
+  now_ += milliseconds(10);
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  session_.OnLeaseRenewed(call, LeaseRenewalResponse{}, now_);
+  FailToRenew(RunnerFailure::kNotListening);
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_EQ(session_.StartReport(now_).report.crash, std::nullopt);
+}
+
 // Guards against a process that is granted what was meant for the one before.
 TEST_F(RunnerSessionTest, IgnoresAnswersToCallsToAnEarlierProcess) {
   session_.OnTerm(kTerm);
