Cluster: Moves the election of the leader into a class of its own

job_frontend.cpp had grown to 726 lines, and when a frontend campaigns (leader check, takeover by frontends that are no standbys, time of the campaign, query before it, answers as a standby, handover) could only be tested through all that serves callers.

LeaderElection has it now, with its settings in JobFrontendSettings::election and the leader that it makes; JobFrontend, 558 lines, serves callers. Calls, their order, log lines and metrics are as before. The period at which the leader is asked and the one at which the list of frontends is read were one setting; both are 1 s still.

--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -1,11 +1,10 @@
 #include "cluster/job_frontend.h"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <utility>
 
-#include "base/hash.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
@@ -24,8 +23,6 @@
 constexpr milliseconds kAnnouncementRetryDelay(500);
 // Part of the caller's deadline that is reserved for sending the response.
 constexpr milliseconds kResponseMargin(100);
-// Candidates campaign at different times, so that the first round elects one.
-constexpr uint64_t kCandidacySpreadMs = 60;
 // If the store has not answered for this long, the process reports that it is
 // not ready and callers are sent elsewhere. Covers a few answers of the store
 // and the period of the readiness checks.
@@ -64,13 +61,25 @@
                           OnFrontendRecord(record);
                         }),
       relay_(context, frontends_, settings.leader.address),
-      handover_(settings.handover, context, frontends_),
-      leader_check_timer_(context.loop) {}
+      election_(
+          settings.election,
+          context,
+          *metrics_,
+          replica_,
+          frontends_,
+          [this](Leader::OnEnd on_end) {
+            auto leader = std::make_shared<Leader>(settings_.leader, context_,
+                                                   *metrics_, directory_,
+                                                   replica_, std::move(on_end));
+            leader->SetRoutes(routes_);
+            return leader;
+          },
+          [this](Instant started_at) { OnStoreAnswered(started_at); }) {}
 
 JobFrontend::~JobFrontend() = default;
 
 void JobFrontend::Start() {
-  leader_seen_at_ = context_.clock.Now();
+  election_.Start();
   store_answered_at_ = context_.clock.Now();
   Announce();
   FollowFrontends();
@@ -79,9 +88,7 @@
 void JobFrontend::Stop() {
   is_stopping_ = true;
   AnnounceDeparture();
-  if (leader_) {
-    leader_->Stop(frontends_.ChooseSuccessor());
-  }
+  election_.Stop();
 }
 
 bool JobFrontend::is_ready() const {
@@ -102,16 +109,16 @@
   context_.logger.Log(Event::kConfigurationInForce,
                       {{"version", static_cast<int64_t>(routes.version)},
                        {"queues", static_cast<int64_t>(routes.queues.size())}});
-  if (leader_) {
-    leader_->SetRoutes(routes_);
+  if (election_.leader() != nullptr) {
+    election_.leader()->SetRoutes(routes_);
   }
 }
 
 void JobFrontend::OnFrontendRecord(const keyed_log::Record& record) {
   if (record.key == kLeaderKey) {
     const auto leader = jobs::Decode<jobs::LeaderRecord>(record.value);
-    if (leader && leader->term >= published_leader_.term) {
-      published_leader_ = *leader;
+    if (leader) {
+      election_.OnLeaderPublished(*leader);
     }
     return;
   }
@@ -128,212 +135,35 @@
   }
 }
 
-void JobFrontend::ScheduleLeaderCheck(milliseconds delay) {
-  leader_check_timer_.expires_after(delay);
-  leader_check_timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      CheckLeader();
-    }
-  });
-}
-
-void JobFrontend::CheckLeader() {
-  if (is_stopping_) {
-    return;
-  }
-  metrics_->UpdateLeaderless(is_leading()
-                                 ? milliseconds(0)
-                                 : std::chrono::floor<milliseconds>(
-                                       context_.clock.Now() - leader_seen_at_));
-  if (leader_) {
-    if (is_leading()) {
-      store_answered_at_ = context_.clock.Now();
-      ConsiderHandover();
-    }
-    ScheduleLeaderCheck(settings_.leader_check_period);
-    return;
-  }
-  if (!is_following()) {
-    if (context_.clock.Now() - leader_seen_at_ <
-        settings_.standby_takeover_timeout) {
-      CheckLeaderRemotely();
-      return;
-    }
-    is_taking_over_ = true;
-    initial_state_read_at_.reset();
-  }
-  const Instant started_at = context_.clock.Now();
-  // Reads the jobs that were accepted in the meantime, in parallel.
-  replica_.CatchUpOnJobs([](bool) {});
-  replica_.CatchUpOnProgress([this, started_at](bool is_caught_up) {
-    if (!is_caught_up) {
-      ScheduleLeaderCheck(settings_.leader_check_period);
-      return;
-    }
-    store_answered_at_ = std::max(store_answered_at_, started_at);
-    // Records from before do not prove that the leader is still running.
-    if (!initial_state_read_at_) {
-      initial_state_read_at_ = context_.clock.Now();
-      leader_seen_at_ = *initial_state_read_at_ - settings_.leader_timeout +
-                        settings_.startup_leader_timeout;
-    } else if (replica_.leader_seen_at() > *initial_state_read_at_) {
-      leader_seen_at_ = std::max(leader_seen_at_, replica_.leader_seen_at());
-      is_taking_over_ = false;
-    }
-    CampaignIfDue();
-  });
-}
-
-bool JobFrontend::is_following() const {
-  return frontends_.IsOwnStandby() || is_taking_over_;
-}
-
-const std::string& JobFrontend::leader_address() const {
-  return replica_.leader().term >= published_leader_.term
-             ? replica_.leader().address
-             : published_leader_.address;
-}
-
-void JobFrontend::CheckLeaderRemotely() {
-  QueryLeader(settings_.leader_poll_timeout, [this](bool is_leader) {
-    if (is_leader) {
-      leader_seen_at_ = context_.clock.Now();
-    }
-    ScheduleLeaderCheck(is_leader ? settings_.frontend_poll_period
-                                  : settings_.leader_check_period);
-  });
-}
-
-Instant JobFrontend::CampaignTime(Instant now) {
-  const jobs::LeaderRecord& last = replica_.leader();
-  // There is no leader to wait for if the last one resigned, or was this
-  // process before its restart.
-  const bool is_leaderless =
-      last.term == 0 || last.has_resigned || last.node == settings_.leader.node;
-  if (!is_leaderless) {
-    leaderless_since_.reset();
-    const milliseconds spread(StableHash(settings_.leader.node, last.term) %
-                              kCandidacySpreadMs);
-    return leader_seen_at_ + settings_.leader_timeout + spread +
-           settings_.campaign_delay;
-  }
-  if (!leaderless_since_) {
-    leaderless_since_ = now;
-  }
-  if (last.successor.empty()) {
-    return *leaderless_since_ + settings_.campaign_delay;
-  }
-  return last.successor == settings_.leader.node
-             ? *leaderless_since_
-             : *leaderless_since_ + settings_.successor_timeout +
-                   settings_.campaign_delay;
-}
-
-void JobFrontend::CampaignIfDue() {
-  if (leader_ || is_stopping_) {
-    ScheduleLeaderCheck(settings_.leader_check_period);
-    return;
-  }
-  const Instant now = context_.clock.Now();
-  const Instant campaign_at = CampaignTime(now);
-  if (now < campaign_at) {
-    ScheduleLeaderCheck(
-        std::min(settings_.leader_check_period,
-                 std::chrono::ceil<milliseconds>(campaign_at - now)));
-  } else if (leaderless_since_) {
-    StartCampaign();
-  } else {
-    CampaignUnlessLeaderAnswers();
-  }
-}
-
-void JobFrontend::QueryLeader(milliseconds timeout,
-                              std::function<void(bool is_leader)> done) {
-  http::Request request;
-  request.method = "GET";
-  request.path = kLeaderPath;
-  context_.client.Send(
-      leader_address(), request, context_.clock.Now() + timeout,
-      [done = std::move(done)](const http::ClientResult& result) {
-        const auto* response = std::get_if<http::Response>(&result);
-        done(response != nullptr && response->status == 200);
-      });
-}
-
-void JobFrontend::CampaignUnlessLeaderAnswers() {
-  QueryLeader(settings_.leader_query_timeout,
-              [this, term = replica_.leader().term](bool is_leader) {
-                if (is_leader) {
-                  leader_seen_at_ = context_.clock.Now() -
-                                    settings_.leader_timeout +
-                                    settings_.leader_check_period;
-                  is_taking_over_ = false;
-                } else if (term == replica_.leader().term && !leader_ &&
-                           !is_stopping_) {
-                  StartCampaign();
-                  return;
-                }
-                ScheduleLeaderCheck(settings_.leader_check_period);
-              });
-}
-
-void JobFrontend::ConsiderHandover() {
-  handover_.Consider(leader_->behind(),
-                     [this, term = leader_->term()](
-                         const std::optional<FrontendRecord>& candidate) {
-                       if (candidate && is_leading() &&
-                           leader_->term() == term && !is_stopping_) {
-                         is_taking_over_ = false;
-                         leader_->Stop(candidate);
-                       }
-                     });
-}
-
-void JobFrontend::StartCampaign() {
-  handover_.OnTermBegun();
-  leader_ = std::make_shared<Leader>(
-      settings_.leader, context_, *metrics_, directory_, replica_, [this] {
-        leader_seen_at_ = context_.clock.Now();
-        boost::asio::post(context_.loop, [this] { leader_.reset(); });
-      });
-  leader_->SetRoutes(routes_);
-  leader_->Campaign();
-  ScheduleLeaderCheck(settings_.leader_check_period);
+void JobFrontend::OnStoreAnswered(Instant started_at) {
+  store_answered_at_ = std::max(store_answered_at_, started_at);
 }
 
 void JobFrontend::HandleLeaderQuery(const async_http::Respond& respond) const {
-  respond({is_leading() ? 200 : 409, {}, {}});
+  election_.HandleLeaderQuery(respond);
 }
 
 void JobFrontend::HandleStandbyQuery(const async_http::Respond& respond) {
-  const bool is_up_to_date =
-      replica_.caught_up_at() + settings_.leader_timeout >=
-      context_.clock.Now();
-  const bool may_lead =
-      !is_stopping_ && !leader_ && initial_state_read_at_ && is_up_to_date;
-  respond({may_lead ? 200 : 409,
-           {},
-           may_lead ? handover_.Answer() : std::string()});
+  election_.HandleStandbyQuery(respond);
 }
 
 void JobFrontend::HandleSuccession(const async_http::Respond& respond) {
-  respond({is_stopping_ ? 409 : 200, {}, {}});
-  CheckLeader();
+  election_.HandleSuccession(respond);
 }
 
 void JobFrontend::Refresh(milliseconds freshness,
                           bool is_job_known,
                           std::function<void(bool)> done) {
   const Instant started_at = context_.clock.Now();
-  if (!is_leading() && context_.log.is_out()) {
+  if (!election_.is_leading() && context_.log.is_out()) {
     done(false);
     return;
   }
-  if (!is_leading() && !is_following()) {
+  if (!election_.is_leading() && !election_.is_following()) {
     done(false);
     return;
   }
-  if (is_leading()) {
+  if (election_.is_leading()) {
     // What callers change goes to any frontend, and the leader reads it.
     if (is_job_known &&
         replica_.jobs_caught_up_at() + settings_.count_freshness >=
@@ -357,7 +187,7 @@
           done(false);
           return;
         }
-        store_answered_at_ = std::max(store_answered_at_, started_at);
+        OnStoreAnswered(started_at);
         replica_.CatchUpOnJobs(done);
       });
 }
@@ -377,7 +207,7 @@
       write->record, write->deadline - kResponseMargin,
       [this, write, started_at](const keyed_log::AppendResult& result) {
         if (std::holds_alternative<keyed_log::Stored>(result)) {
-          store_answered_at_ = std::max(store_answered_at_, started_at);
+          OnStoreAnswered(started_at);
           write->done(SubmitResult::kAccepted);
           return;
         }
@@ -523,15 +353,15 @@
 }
 
 void JobFrontend::NotifyOfCancellation(const JobId& id) {
-  if (leader_) {
-    leader_->OnCancelled(id);
+  if (election_.leader() != nullptr) {
+    election_.leader()->OnCancelled(id);
     return;
   }
   http::Request request;
   request.method = "POST";
   request.path = kCancellationPath;
   request.body = id.text();
-  context_.client.Send(leader_address(), request,
+  context_.client.Send(election_.leader_address(), request,
                        context_.clock.Now() + kQueryTimeout,
                        [](const http::ClientResult&) {
                          // Without it, the leader reads the cancellation.
@@ -540,7 +370,8 @@
 
 void JobFrontend::HandleCancellation(const http::Request& request,
                                      const async_http::Respond& respond) {
-  const bool is_known = leader_ && leader_->OnCancelled(JobId(request.body));
+  const bool is_known = election_.leader() != nullptr &&
+                        election_.leader()->OnCancelled(JobId(request.body));
   respond({is_known ? 200 : 404, {}, {}});
 }
 
@@ -573,7 +404,8 @@
   }
   write->is_relayed = true;
   relay_.Send(
-      write->call, leader_address(), write->deadline - kResponseMargin,
+      write->call, election_.leader_address(),
+      write->deadline - kResponseMargin,
       [write, give_up](const Relay::Outcome& outcome) {
         write->may_be_stored |= outcome.may_be_done;
         if (!outcome.answer) {
@@ -600,7 +432,7 @@
                              const std::string& queue,
                              const JobId& id,
                              std::function<void(const RelayAnswer*)> done) {
-  relay_.Send({kind, queue, id, {}, 0}, leader_address(),
+  relay_.Send({kind, queue, id, {}, 0}, election_.leader_address(),
               context_.clock.Now() + kRelayedQueryTimeout,
               [done = std::move(done)](const Relay::Outcome& outcome) {
                 done(outcome.answer ? &*outcome.answer : nullptr);
@@ -622,7 +454,7 @@
     return;
   }
   if (call->kind == RelayKind::kState || call->kind == RelayKind::kCount) {
-    if (!is_leading() && !is_following()) {
+    if (!election_.is_leading() && !election_.is_following()) {
       // This process would have to relay the query itself.
       answer(RelayAnswer{});
       return;
@@ -702,10 +534,10 @@
   const Instant started_at = context_.clock.Now();
   frontend_records_.CatchUp([this, started_at](bool is_caught_up) {
     if (is_caught_up) {
-      store_answered_at_ = std::max(store_answered_at_, started_at);
+      OnStoreAnswered(started_at);
     }
     if (!std::exchange(has_read_frontends_, true)) {
-      CheckLeader();
+      election_.CheckLeader();
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(
         context_.loop, settings_.frontend_poll_period);
@@ -716,11 +548,11 @@
 
 void JobFrontend::HandleReport(const http::Request& request,
                                const async_http::Respond& respond) {
-  if (!leader_) {
+  if (election_.leader() == nullptr) {
     respond({409, {}, {}});
     return;
   }
-  leader_->HandleReport(request, respond);
+  election_.leader()->HandleReport(request, respond);
 }
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -1,7 +1,6 @@
 #ifndef PAPAYADRIFT_CLUSTER_JOB_FRONTEND_H_
 #define PAPAYADRIFT_CLUSTER_JOB_FRONTEND_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -11,14 +10,13 @@
 #include <variant>
 
 #include "cluster/frontend_list.h"
-#include "cluster/handover.h"
 #include "cluster/job_replica.h"
 #include "cluster/leader.h"
+#include "cluster/leader_election.h"
 #include "cluster/process_context.h"
 #include "cluster/relay.h"
 #include "jobs/directory.h"
 #include "jobs/job.h"
-#include "jobs/leader_record.h"
 #include "jobs/route_table.h"
 #include "keyed_log/group_writer.h"
 #include "keyed_log/topic_follower.h"
@@ -29,29 +27,7 @@
   LeaderSettings leader;
   int64_t started_ms = 0;      // Unix time at which the process started.
   uint32_t millicores = 1000;  // Of its VM.
-  // Period at which a frontend that does not lead checks whether there is a
-  // leader.
-  milliseconds leader_check_period{300};
-  // A leader of which no record or answer has been seen for this long is
-  // considered failed. Covers several of its heartbeats.
-  milliseconds leader_timeout{1300};
-  // This process campaigns this much later than others: the fewer cores its VM
-  // has, the longer.
-  milliseconds campaign_delay{0};
-  // A process that begins to follow the stored progress waits this long for a
-  // record of a leader. A slow one may store something every 500 ms only.
-  milliseconds startup_leader_timeout{700};
-  // After a leader has named its successor, the other frontends wait this long
-  // before they campaign.
-  milliseconds successor_timeout{400};
-  HandoverSettings handover;
-  // Timeout of the query whether the leader still leads, sent before a campaign
-  // if the store has no recent record of it.
-  milliseconds leader_query_timeout{200};
-  // The same for a frontend that is not a standby and only asks. An answer
-  // takes several turns of the leader's event loop, each of which is long on a
-  // VM that is short of processor time.
-  milliseconds leader_poll_timeout{1000};
+  LeaderElectionSettings election;
   // Data that was read at most this long ago may answer a caller without
   // another read, unless the answer is that there is no such job.
   milliseconds state_freshness{100};
@@ -64,11 +40,6 @@
   milliseconds frontend_poll_period{1000};
   milliseconds announcement_period{10000};
   milliseconds frontend_timeout{35000};
-  // A frontend that is not a standby replicates and campaigns like one if no
-  // leader has answered for this long. With the time that it then waits for
-  // records, it is twice the time in which a standby leads, and half of that
-  // for which leases last without a leader.
-  milliseconds standby_takeover_timeout{2300};
 
   friend bool operator==(const JobFrontendSettings&,
                          const JobFrontendSettings&) = default;
@@ -88,8 +59,8 @@
 using StateResult = std::variant<jobs::JobState, JobUnknown, std::monostate>;
 enum class CancelResult { kCancelled, kNoSuchJob, kFailed };
 
-// Accepts jobs, answers queries about them, and campaigns for leadership when
-// there is no leader. Each process that serves callers has one.
+// Accepts jobs, answers queries about them, and takes part in the election of
+// the leader. Each process that serves callers has one.
 class JobFrontend {
  public:
   JobFrontend(const JobFrontendSettings& settings,
@@ -146,29 +117,8 @@
  private:
   struct PendingWrite;
 
-  // Whether this process leads, and so has the current state of all jobs.
-  bool is_leading() const { return leader_ && leader_->is_confirmed(); }
-  // Whether this process replicates the stored jobs.
-  bool is_following() const;
-  // Address of the leader, as far as is known.
-  const std::string& leader_address() const;
-  void CheckLeader();
-  void ScheduleLeaderCheck(milliseconds delay);
-  // Checks for the leader without reading jobs, as frontends do that are not
-  // standbys.
-  void CheckLeaderRemotely();
-  // Time at which this process should campaign.
-  Instant CampaignTime(Instant now);
-  // Campaigns if it is time to, and otherwise schedules the next check.
-  void CampaignIfDue();
-  // Campaigns unless the leader answers that it still leads.
-  void CampaignUnlessLeaderAnswers();
-  void QueryLeader(milliseconds timeout,
-                   std::function<void(bool is_leader)> done);
-  void StartCampaign();
-  // Resigns in favour of a frontend that should rather lead, if one could lead
-  // at once.
-  void ConsiderHandover();
+  // The store has answered a call that began at `started_at`.
+  void OnStoreAnswered(Instant started_at);
   void Write(const std::shared_ptr<PendingWrite>& write);
   // Determines the result of a submission. If an earlier attempt may have
   // stored the job, a later refusal does not mean that it is not stored.
@@ -213,26 +163,14 @@
   jobs::RouteTable routes_;
   jobs::Directory directory_;
   JobReplica replica_;
-  // When a record or an answer of a leader was last seen.
-  Instant leader_seen_at_;
-  // Since when it has been known that there is no leader.
-  std::optional<Instant> leaderless_since_;
   // The list of other frontends has been read.
   bool has_read_frontends_ = false;
-  // When all that had been stored before was read; unset until then.
-  std::optional<Instant> initial_state_read_at_;
-  // This process is no standby, but replicates and campaigns like one until it
-  // sees a leader.
-  bool is_taking_over_ = false;
   FrontendList frontends_;
   keyed_log::TopicFollower frontend_records_;
-  jobs::LeaderRecord published_leader_;  // As published in the leader topic.
   // Jobs that an attempt of this process may have stored, the oldest first.
   std::deque<JobId> unresolved_jobs_;
   Relay relay_;
-  std::shared_ptr<Leader> leader_;
-  Handover handover_;
-  boost::asio::steady_timer leader_check_timer_;
+  LeaderElection election_;
   bool is_stopping_ = false;
   // Start of the last call that the store answered.
   Instant store_answered_at_;
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -36,7 +36,8 @@
   // With timers that need little time; the clock is moved by the tests.
   static JobFrontendSettings PromptSettings() {
     JobFrontendSettings settings = Settings();
-    settings.leader_check_period = milliseconds(5);
+    settings.election.leader_check_period = milliseconds(5);
+    settings.election.leader_poll_period = milliseconds(5);
     settings.frontend_poll_period = milliseconds(5);
     return settings;
   }
@@ -97,7 +98,7 @@
 // a core, everything it did was late.
 TEST_F(JobFrontendTest, SmallVmDelaysItsCampaign) {
   JobFrontendSettings settings = Settings();
-  settings.campaign_delay = milliseconds(100);
+  settings.election.campaign_delay = milliseconds(100);
   JobFrontend small(settings, context());
   small.Start();
   log_.Settle();
@@ -125,7 +126,7 @@
               std::nullopt},
              {}, [](const keyed_log::AppendResult&) {});
   JobFrontendSettings settings = Settings();
-  settings.campaign_delay = milliseconds(100);
+  settings.election.campaign_delay = milliseconds(100);
   JobFrontend other(settings, context());
   other.Start();
   log_.Settle();
@@ -198,7 +199,7 @@
   const size_t before = log_.append_count();
   const Instant started_at = clock_.Now();
   RunUntil([&] { return log_.append_count() > before; });
-  EXPECT_LT(clock_.Now() - started_at, Settings().leader_timeout);
+  EXPECT_LT(clock_.Now() - started_at, Settings().election.leader_timeout);
   frontend.Stop();
 }
 
@@ -222,12 +223,12 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  clock_.Advance(Settings().standby_takeover_timeout);
+  clock_.Advance(Settings().election.standby_takeover_timeout);
   RunUntil([&] { return log_.read_count(kProgressTopic) > 0; });
   const Instant read_at = clock_.Now();
   const size_t before = log_.append_count();
   RunUntil([&] { return log_.append_count() > before; });
-  EXPECT_LT(clock_.Now() - read_at, Settings().leader_timeout);
+  EXPECT_LT(clock_.Now() - read_at, Settings().election.leader_timeout);
   frontend.Stop();
 }
 
@@ -251,7 +252,7 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  clock_.Advance(Settings().standby_takeover_timeout);
+  clock_.Advance(Settings().election.standby_takeover_timeout);
   RunUntil([&] { return log_.read_count(kProgressTopic) > 0; });
   for (int i = 0; i < 3; ++i) {
     const size_t before = log_.append_count();
@@ -291,13 +292,13 @@
   }
   store(kLeaderKey, jobs::Encode(jobs::LeaderRecord{1, "strong-0", address}));
   JobFrontendSettings settings = PromptSettings();
-  settings.leader_query_timeout = milliseconds(20);
+  settings.election.leader_query_timeout = milliseconds(20);
   JobFrontend frontend(settings, context());
   frontend.Start();
   log_.Settle();
   for (int i = 1; i <= 4; ++i) {
     RunUntil([&] { return answer_count >= i; });
-    clock_.Advance(settings.standby_takeover_timeout / 2);
+    clock_.Advance(settings.election.standby_takeover_timeout / 2);
   }
   EXPECT_EQ(log_.read_count(kProgressTopic), 0U);
   frontend.Stop();
