--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -70,8 +70,6 @@
           metrics,
           [this] { StartLeadingIfReady(); },
           [this] { OnTermEnded(); })),
-      record_(term_->record()),
-      confirmed_at_(term_->confirmed_at()),
       metrics_(metrics),
       load_(settings.load),
       step_timer_(context.loop) {}
@@ -144,7 +142,7 @@
       std::chrono::floor<milliseconds>(now - replica_.leader_seen_at());
   context_.logger.Log(
       Event::kLeaderServes,
-      {{"term", static_cast<int64_t>(record_.term)},
+      {{"term", static_cast<int64_t>(term())},
        {"jobs", static_cast<int64_t>(content.jobs.size())},
        {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
        {"learned_weights",
@@ -162,7 +160,7 @@
   http::Request request;
   request.method = "POST";
   request.path = kLeaderPath;
-  request.body = jobs::Encode(record_);
+  request.body = jobs::Encode(term_->record());
   const Instant deadline = context_.clock.Now() + kNotificationTimeout;
   for (const jobs::AgentAddress& agent : stored_agents_.agents) {
     context_.client.Send(agent.address, request, deadline,
@@ -247,7 +245,7 @@
   SendOrders();
   AnswerReports();
   DeleteExpiredJobs();
-  metrics_.UpdateLeaderGauges(record_.term, scheduler_->open_jobs(),
+  metrics_.UpdateLeaderGauges(term(), scheduler_->open_jobs(),
                               scheduler_->waiting_tasks(),
                               scheduler_->overdue());
   ReportStep(now, before);
@@ -300,7 +298,7 @@
   };
   context_.logger.Log(
       event,
-      {{"term", static_cast<int64_t>(record_.term)},
+      {{"term", static_cast<int64_t>(term())},
        {"view_age_ms", to_ms(load_.view_age())},
        {"lag_ms", to_ms(load_.smoothed_lag())},
        {"reads", static_cast<int64_t>(reads.count)},
@@ -329,7 +327,7 @@
   const jobs::PlacementWork work = scheduler_->fleet().work();
   context_.logger.Log(
       Event::kLeaderDelayed,
-      {{"term", static_cast<int64_t>(record_.term)},
+      {{"term", static_cast<int64_t>(term())},
        {"milliseconds",
         static_cast<int64_t>(
             std::chrono::floor<milliseconds>(duration).count())},
@@ -356,7 +354,7 @@
     return;
   }
   const bool is_heartbeat_due =
-      now - confirmed_at_ >= settings_.heartbeat_period;
+      now - term_->confirmed_at() >= settings_.heartbeat_period;
   if (!scheduler_->has_changes() && deleted_jobs_.empty() &&
       !is_heartbeat_due) {
     return;
@@ -454,7 +452,7 @@
     order_count += orders.size();
     const jobs::Runner* runner = scheduler_->fleet().Find(incarnation);
     auto batch = std::make_shared<jobs::OrderBatch>(
-        jobs::OrderBatch{record_.term, incarnation, std::move(orders),
+        jobs::OrderBatch{term(), incarnation, std::move(orders),
                          scheduler_->OrderDeadlineMs(incarnation, now),
                          scheduler_->JobsViewedAtMs(incarnation)});
     http::Request request;
@@ -500,8 +498,8 @@
 }
 
 bool Leader::is_confirmed() const {
-  return is_leading_ &&
-         context_.clock.Now() - confirmed_at_ <= settings_.confirmation_timeout;
+  return is_leading_ && context_.clock.Now() - term_->confirmed_at() <=
+                            settings_.confirmation_timeout;
 }
 
 bool Leader::OnCancelled(const JobId& id) {
@@ -596,18 +594,17 @@
   if (scheduler_->MayLease(report.incarnation, context_.clock.Now())) {
     // A new leader waits for a whole lease after its election, which comes
     // after the store last confirmed this one.
-    const Instant lease_end = confirmed_at_ + settings_.scheduler.lease;
+    const Instant lease_end = term_->confirmed_at() + settings_.scheduler.lease;
     scheduler_->OnLeaseGranted(report.incarnation, lease_end);
     const auto remaining =
         std::chrono::floor<milliseconds>(lease_end - report.received_at);
     lease_until_ms = report.sent_at_ms + remaining.count();
   }
-  report.respond(
-      {200,
-       {},
-       jobs::Encode(jobs::ReportAnswer{
-           record_.term, scheduler_->RecordedEnds(report.incarnation),
-           lease_until_ms})});
+  report.respond({200,
+                  {},
+                  jobs::Encode(jobs::ReportAnswer{
+                      term(), scheduler_->RecordedEnds(report.incarnation),
+                      lease_until_ms})});
 }
 
 void Leader::AnswerReports() {
@@ -694,7 +691,7 @@
                        {"run", static_cast<int64_t>(event.run)},
                        {"runner", event.runner},
                        {"reason", event.reason},
-                       {"term", static_cast<int64_t>(record_.term)}});
+                       {"term", static_cast<int64_t>(term())}});
 }
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -89,7 +89,7 @@
   // Whether the store has confirmed the term recently. If not, another process
   // may lead, and the state of this one may be stale.
   bool is_confirmed() const;
-  uint64_t term() const { return record_.term; }
+  uint64_t term() const { return term_->record().term; }
   // Unset while this leader keeps up with its work.
   std::optional<Behind> behind() const { return load_.behind(); }
   const jobs::JobScheduler* scheduler() const {
@@ -168,8 +168,6 @@
   JobReplica& replica_;
   OnEnd on_end_;
   const std::shared_ptr<LeaderTerm> term_;
-  const jobs::LeaderRecord& record_;  // Of the term.
-  const Instant& confirmed_at_;       // As the term says.
   jobs::RouteTable routes_;
   bool has_read_jobs_ = false;  // All jobs stored before the candidacy.
   bool is_leading_ = false;
--- a/src/libs/cluster/leader_term.h
+++ b/src/libs/cluster/leader_term.h
@@ -61,7 +61,7 @@
 
   const jobs::LeaderRecord& record() const { return record_; }
   // Start of the last append by which the store confirmed the term.
-  const Instant& confirmed_at() const { return confirmed_at_; }
+  Instant confirmed_at() const { return confirmed_at_; }
   bool is_elected() const { return is_elected_; }
   bool is_appending() const { return is_appending_; }
   bool has_ended() const { return has_ended_; }
