Jobs: Shows ways by which an end is acknowledged and forgotten

- JobSchedulerTest.CompletionOfARunThatWasGivenUpIsKept and CompletionOnARunnerThatWasTakenForEndedIsKept: an end that matches no run is taken for stored at once, so that RecordedEnds() is 1 while the job is open and its task waits: it is started again.
The run was given up since the lease had lapsed, or since the agent had taken its runner for ended and then took the same incarnation back.
- LeaderTest.DeposedLeaderAcknowledgesNoEndThatItDoesNotKnow: the same at a leader that the store has replaced, for a run of the later leader; it answers recorded_ends = 1.
- JobSchedulerTest.RunnerThatWasGivenUpGetsNoLeaseForAnEarlierReport and LeaderTest, same name: MayLease() is true for a runner that is not in the fleet, and OnLeaseGranted() does nothing then.
A leader that was paused for 2.1 s between a report and its answer grants a lease (lease_until_ms is 6001) to a runner that it has given up.
- JobSchedulerTest.EndsCountInWhateverOrderTheyAreListed: an end with a lower number behind a higher one is skipped and acknowledged with it.
- WireTest.EndsBehindAnUnreadableOneAreNotTakenForAll: a row of `finished` that can't be read is dropped while has_all_ends stays true, and the next higher number acknowledges it.

--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -690,5 +690,86 @@
   leader->Stop({});
 }
 
+// Guards against a completion that is acknowledged and forgotten: its run was
+// started by a later leader, so the earlier one, not yet told so by the store,
+// knew nothing of it, and took that for stored.
+TEST_F(LeaderTest, DeposedLeaderAcknowledgesNoEndThatItDoesNotKnow) {
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  CatchUp();
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  const AgentOfEndedRunner agent;
+  log_.Write({kProgressTopic,
+              {{KeyOf(task), jobs::Encode(agent.ClaimedTask())}},
+              std::nullopt,
+              keyed_log::Writer{kLeaderWriter, leader->term() + 1, 1}},
+             Instant(), [](const keyed_log::AppendResult&) {});
+  log_.Settle();
+  jobs::RunnerReport report;
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  uint64_t recorded_ends = 0;
+  leader->HandleReport(request, [&](const http::Response& it) {
+    if (const auto answer = jobs::Decode<jobs::ReportAnswer>(it.body)) {
+      recorded_ends = answer->recorded_ends;
+    }
+  });
+  clock_.Advance(LeaderSettings().report_timeout);
+  ASSERT_GT(loop_.run_one(), 0U);
+  log_.Settle();
+  EXPECT_EQ(recorded_ends, 0U);
+  leader->Stop({});
+}
+
+// Guards against leases that nobody counts: the leader was paused between a
+// report and its answer, and had given the runner up before it answered.
+TEST_F(LeaderTest, RunnerThatWasGivenUpGetsNoLeaseForAnEarlierReport) {
+  constexpr milliseconds kPause(2100);
+  const AgentOfEndedRunner agent;
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, JobId("a")), jobs::Encode(job)});
+  Store(kProgressTopic, {KeyOf(task), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  clock_.Advance(LeaderSettings().scheduler.lease);
+  ASSERT_GT(loop_.run_one(), 0U);  // Begins an append, which confirms the term.
+  log_.Settle();
+  ASSERT_TRUE(leader->is_confirmed());
+  jobs::RunnerReport report;
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  int64_t lease_until_ms = 0;
+  leader->HandleReport(request, [&](const http::Response& it) {
+    if (const auto answer = jobs::Decode<jobs::ReportAnswer>(it.body)) {
+      lease_until_ms = answer->lease_until_ms;
+    }
+  });
+  clock_.Advance(kPause);
+  while (leader->scheduler()->fleet().Find(report.incarnation) != nullptr) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  loop_.poll();
+  EXPECT_EQ(lease_until_ms, 0);
+  leader->Stop({});
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -720,4 +720,63 @@
 }
 
 }  // namespace
+// Guards against a task that runs on although its runner was given up: a report
+// from before brought a lease that nobody counted, and with it a start that was
+// still on its way.
+TEST_F(JobSchedulerTest, RunnerThatWasGivenUpGetsNoLeaseForAnEarlierReport) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  constexpr int64_t kExpiredMs = 7000;
+  Report(kSecond, kExpiredMs);
+  ASSERT_EQ(CountStarts(Orders(kExpiredMs)), 1U);
+  ASSERT_EQ(scheduler_.fleet().Find(kFirst), nullptr);
+  EXPECT_FALSE(scheduler_.MayLease(kFirst, At(kExpiredMs)));
+}
+
+// Guards against completions that are acknowledged and forgotten: the agent had
+// taken its runner for ended, and the leader had released its tasks.
+TEST_F(JobSchedulerTest, CompletionOnARunnerThatWasTakenForEndedIsKept) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  Report(kFirst, 100, {{Task(0), 1, "", 10, 0}});
+  RunnerReport gone = ReportOf(kFirst);
+  gone.state = RunnerState::kGone;
+  gone.sent_at_ms = 200;
+  scheduler_.OnReport(gone, At(200));
+  Store();
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  Store();
+  EXPECT_TRUE(scheduler_.RecordedEnds(kFirst) == 0 ||
+              stored_.at(JobId("a")).outcome == JobOutcome::kCompleted);
+}
+
+// Guards against completions that are acknowledged and forgotten, since the
+// leader had given the run up when the lease of its runner lapsed.
+TEST_F(JobSchedulerTest, CompletionOfARunThatWasGivenUpIsKept) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 1U);
+  Orders(7000);
+  ASSERT_EQ(scheduler_.fleet().Find(kFirst), nullptr);
+  Report(kFirst, 7100, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  Store();
+  EXPECT_TRUE(scheduler_.RecordedEnds(kFirst) == 0 ||
+              stored_.at(JobId("a")).outcome == JobOutcome::kCompleted);
+}
+
+// The users' pages don't say in which order a runner lists its ends.
+TEST_F(JobSchedulerTest, EndsCountInWhateverOrderTheyAreListed) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(2, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 2U);
+  Report(kFirst, 500, {},
+         {{2, Task(1), 1, RunEnd::kDone, ""},
+          {1, Task(0), 1, RunEnd::kDone, ""}});
+  Store();
+  EXPECT_EQ(scheduler_.RecordedEnds(kFirst), 2U);
+  EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kCompleted);
+}
+
 }  // namespace papayadrift::jobs
--- a/tests/auto/platform/wire_test.cpp
+++ b/tests/auto/platform/wire_test.cpp
@@ -253,5 +253,16 @@
   EXPECT_FALSE(ReadRoutes(R"({"version":0,"routes":[],"services":[]})"));
 }
 
+// Guards against an end that is forgotten since the next one, with a higher
+// number, was acknowledged.
+TEST(WireTest, EndsBehindAnUnreadableOneAreNotTakenForAll) {
+  const auto answer = ReadLeaseRenewal(
+      R"({"clock_ms":1,"active":[],"finished":[[58,"a.0.1.9",1,"odd",""],)"
+      R"([59,"a.0.1.8",1,"done",""]]})");
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->ended.empty());
+  EXPECT_FALSE(answer->has_all_ends);
+}
+
 }  // namespace
 }  // namespace papayadrift::platform
