Cluster: Shows that a rejected append leaves its job shown as completed

LeaderTest.JobOfARejectedAppendIsNotShownAsCompleted fails on: Leader::AppendChanges tells the directory of outcomes when the append is made, so a leader that the store has replaced shows a job as completed (state 2 for 1, both before the append is answered and after its rejection) that no record closes. A later leader runs its last task again.

--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -771,5 +771,47 @@
   leader->Stop({});
 }
 
+// Guards against a job that is shown as completed and runs again: a leader that
+// the store had replaced told its frontend of the outcome before it was stored,
+// and the append was rejected.
+TEST_F(LeaderTest, JobOfARejectedAppendIsNotShownAsCompleted) {
+  const AgentOfEndedRunner agent;
+  const JobId id("a");
+  const jobs::TaskKey task{id, 0, 0, 0};
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, id), jobs::Encode(job)});
+  Store(kProgressTopic, {KeyOf(task), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  log_.Write({kProgressTopic,
+              {{kLeaderKey, jobs::Encode(jobs::LeaderRecord{
+                                leader->term() + 1, "node-2", "127.0.0.1:2"})}},
+              std::nullopt,
+              keyed_log::Writer{kLeaderWriter, leader->term() + 1, 1}},
+             Instant(), [](const keyed_log::AppendResult&) {});
+  log_.Settle();
+  jobs::RunnerReport report;
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  leader->HandleReport(request, [](const http::Response&) {});
+  clock_.Advance(LeaderSettings().min_append_interval);
+  const size_t appends = log_.append_count();
+  while (log_.append_count() == appends) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(directory_.StateOf("q", id), jobs::JobState::kRunning);
+  log_.Settle();
+  ASSERT_EQ(end_count_, 1);
+  EXPECT_EQ(directory_.StateOf("q", id), jobs::JobState::kRunning);
+}
+
 }  // namespace
 }  // namespace papayadrift::cluster
