Jobs: Processes ends in the order of their numbers

Cause: each number is processed once, so an end that is listed behind one with a higher number was skipped, and acknowledged with it.

Change: the ends of a report are sorted by number first.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -141,7 +141,10 @@
     }
   }
   ProcessOrphans(runner, report, now);
-  for (const EndedRun& ended : report.ended) {
+  // Each number is processed once, so that lower ones must come first.
+  std::vector<EndedRun> ends = report.ended;
+  std::ranges::sort(ends, {}, &EndedRun::number);
+  for (const EndedRun& ended : ends) {
     ProcessEndedRun(runner, ended, now);
   }
   if (!report.has_all_ends) {
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -115,7 +115,7 @@
 // Guards against a task that runs twice: its runner listed its end to a leader
 // that had been deposed before the task was claimed, and took it for no run
 // that matters.
-TEST_F(LeaderTest, DeposedLeaderAcknowledgesNoEndThatItDoesNotKnow) {
+TEST_F(LeaderTest, ReplacedLeaderAcknowledgesNoEndThatItDoesNotKnow) {
   const auto deposed = MakeLeader("node-1");
   deposed->Campaign();
   log_.Settle();
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -792,7 +792,6 @@
   EXPECT_EQ(CountStarts(Orders(200)), 2U);
 }
 
-}  // namespace
 // Guards against a task that runs on although its runner was given up: a report
 // from before brought a lease that nobody counted, and with it a start that was
 // still on its way.
@@ -852,4 +851,5 @@
   EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kCompleted);
 }
 
+}  // namespace
 }  // namespace papayadrift::jobs
