Tests: Plays random histories of runs against the users' rules

The job scheduler, directory, replica and log follower are the real classes; the flows of cluster::Leader and cluster::RunnerAgent are modelled, as both do I/O themselves. Calls are lost, late, overtaken, held up by the runner or refused by the store; leaders change, also two at a time; processes restart, the store drops its history, capacities shrink.

--- a/tests/auto/keyed_log/fake_keyed_log.cpp
+++ b/tests/auto/keyed_log/fake_keyed_log.cpp
@@ -139,6 +139,11 @@
   }
 }
 
+uint64_t FakeKeyedLog::end_of(const std::string& topic) const {
+  const auto it = topics_.find(topic);
+  return it == topics_.end() ? 0 : it->second.records.size();
+}
+
 void FakeKeyedLog::Expire(const std::string& topic, uint64_t offset) {
   topics_[topic].first = offset;
 }
--- a/tests/auto/keyed_log/fake_keyed_log.h
+++ b/tests/auto/keyed_log/fake_keyed_log.h
@@ -35,6 +35,8 @@
   void Settle();
   // Answers the oldest call, if there is one.
   void AnswerNext();
+  // Offset behind the last record of a topic.
+  uint64_t end_of(const std::string& topic) const;
   // Drops records of a topic before `offset`; the newest of each key stay.
   void Expire(const std::string& topic, uint64_t offset);
   void set_is_down(bool is_down) { is_down_ = is_down; }
--- /dev/null
+++ b/tests/auto/run_histories/world.h
@@ -0,0 +1,116 @@
+#ifndef PAPAYADRIFT_TESTS_RUN_HISTORIES_WORLD_H_
+#define PAPAYADRIFT_TESTS_RUN_HISTORIES_WORLD_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "fake_keyed_log.h"
+#include "jobs/job_scheduler.h"
+#include "model_agent.h"
+#include "model_front.h"
+#include "model_runner.h"
+#include "network.h"
+#include "referee.h"
+#include "simulation.h"
+#include "step.h"
+#include "store_client.h"
+#include "wiring.h"
+
+namespace papayadrift::run_histories {
+
+// Two frontends, and two runners with an agent each, around one store, at the
+// beginning of a day: a leader is elected and knows the runners.
+class World : public Wiring {
+ public:
+  using Trace = std::function<void(const std::string& line)>;
+
+  // Tells `trace` of steps and of the leaders' decisions, if there is one.
+  explicit World(Trace trace = nullptr);
+
+  void Apply(const Step& step);
+  // Ends all faults and lets time pass until everything that was asked for is
+  // done, or for as long as that may take; what is missing then breaks a rule.
+  void Settle();
+
+  const std::optional<std::string>& violation() const {
+    return referee_.violation();
+  }
+  uint64_t event_count() const { return simulation_.event_count(); }
+  Instant Now() const { return simulation_.Now(); }
+
+  void OnReport(const std::string& address,
+                const jobs::RunnerReport& report,
+                const Network::Respond<ReportReply>& respond) override;
+  void OnOrders(size_t agent,
+                const jobs::OrderBatch& batch,
+                const Network::Respond<jobs::OrderAnswer>& respond) override;
+  void OnLeader(size_t agent, const jobs::LeaderRecord& leader) override;
+
+ private:
+  static constexpr size_t kPairs = kLinksOfKind;
+
+  void Do(const Pass& step);
+  void Do(const Submit& step);
+  void Do(const Cancel& step);
+  void Do(const Query& step);
+  void Do(const run_histories::Campaign& step);
+  void Do(const Resign& step);
+  void Do(const RestartFront& step);
+  void Do(const CrashRunner& step);
+  void Do(const RestartAgent& step);
+  void Do(const Resize& step);
+  void Do(const EndRun& step);
+  void Do(const DropHistory& step);
+  void Do(const Disturb& step);
+  void Do(const Cut& step);
+
+  void Log(const std::string& line) const;
+  jobs::JobSchedulerEventListener ListenerOf(size_t front) const;
+  void StartFront(size_t front);
+  void StartAgent(size_t agent, milliseconds clock_lead);
+  void StartRunner(size_t runner, const std::string& instance);
+  void NotifyLeader(const std::string& address, const JobId& id);
+  void SendHeartbeats();
+  void SendHeartbeat(size_t runner);
+  // Lets a frontend campaign if there has been no leader for a while.
+  void WatchLeader();
+  // Returns what callers and runners still wait for; empty: nothing.
+  std::string Missing() const;
+  std::string MissingOf(size_t job) const;
+  bool IsRunning(const jobs::TaskKey& task) const;
+
+  const Trace trace_;
+  Simulation simulation_;
+  Network network_{simulation_};
+  Referee referee_{simulation_};
+  keyed_log::FakeKeyedLog store_;
+  std::array<std::optional<StoreClient>, kPairs> front_stores_;
+  std::array<std::optional<StoreClient>, kPairs> agent_stores_;
+  std::array<std::optional<ModelRunner>, kPairs> runners_;
+  std::array<std::shared_ptr<ModelAgent>, kPairs> agents_;
+  std::array<std::shared_ptr<ModelFront>, kPairs> fronts_;
+  uint64_t instances_ = 0;  // Names of runners given so far.
+  Instant led_at_;          // When there was a leader last.
+};
+
+struct Outcome {
+  std::optional<std::string> violation;  // The rule that was broken first.
+  uint64_t states = 0;                   // Checked, each after one event.
+  milliseconds span{0};                  // Simulated.
+
+  friend bool operator==(const Outcome&, const Outcome&) = default;
+};
+
+// Plays the history in a new world. `settles`: also checks that everything is
+// done in the end.
+Outcome Play(const History& history,
+             bool settles,
+             const World::Trace& trace = nullptr);
+
+}  // namespace papayadrift::run_histories
+
+#endif  // PAPAYADRIFT_TESTS_RUN_HISTORIES_WORLD_H_
