Leader: Shows a job as ended once that is stored

A caller was told 'completed', the append never arrived, the runner crashed, and the next leader, which knows the task as claimed, started it again (TWICE). Callers now see an outcome when the append that has it is stored. The model of the leader's flow follows.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -473,7 +473,7 @@
   for (const auto& [id, outcome] : changes.outcomes) {
     append.records.push_back({KeyOf(kOutcomePrefix, id),
                               jobs::Encode(jobs::StoredOutcome{outcome})});
-    directory_.OnOutcome(id, outcome);
+    unstored_outcomes_.emplace_back(id, outcome);
   }
   return changes.version;
 }
@@ -512,6 +512,9 @@
     ++sequence_;
     is_writing_ = false;
     scheduler_->OnStored(version);
+    for (const auto& [id, outcome] : std::exchange(unstored_outcomes_, {})) {
+      directory_.OnOutcome(id, outcome);
+    }
     if (!is_resigning_) {
       Step();
     } else if (record_.has_resigned) {
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "async_http/server.h"
@@ -194,6 +195,9 @@
   std::optional<jobs::JobScheduler> scheduler_;
   ClusterMetrics& metrics_;
   bool is_writing_ = false;
+  // Outcomes in the append that is being written; callers see them once they
+  // are stored, as the next leader would not know them otherwise.
+  std::vector<std::pair<JobId, jobs::JobOutcome>> unstored_outcomes_;
   bool is_deleting_jobs_ = false;
   Instant expiry_checked_at_;
   LeaderLoad load_;
--- a/tests/auto/run_histories/model_leader.cpp
+++ b/tests/auto/run_histories/model_leader.cpp
@@ -296,7 +296,7 @@
   for (const auto& [id, outcome] : changes.outcomes) {
     append.records.push_back({cluster::KeyOf(cluster::kOutcomePrefix, id),
                               jobs::Encode(jobs::StoredOutcome{outcome})});
-    directory_.OnOutcome(id, outcome);
+    unstored_outcomes_.emplace_back(id, outcome);
   }
   return changes.version;
 }
@@ -353,6 +353,9 @@
 
 void ModelLeader::OnStored(uint64_t version) {
   scheduler_->OnStored(version);
+  for (const auto& [id, outcome] : std::exchange(unstored_outcomes_, {})) {
+    directory_.OnOutcome(id, outcome);
+  }
   if (!is_resigning_) {
     Step();
   } else if (record_.has_resigned) {
--- a/tests/auto/run_histories/model_leader.h
+++ b/tests/auto/run_histories/model_leader.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cluster/job_replica.h"
@@ -113,6 +114,7 @@
   jobs::AgentList stored_agents_;
   std::optional<jobs::JobScheduler> scheduler_;
   bool is_writing_ = false;
+  std::vector<std::pair<JobId, jobs::JobOutcome>> unstored_outcomes_;
   std::vector<JobId> deleted_jobs_;
   Instant last_append_at_;
   Instant agents_appended_at_;
--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -31,6 +31,22 @@
   });
 }
 
+// A job was shown as completed before that was stored: the store was cut off
+// from the leader, the runner crashed, and the next leader started the task
+// again.
+TEST(RunHistoryTest, JobIsShownAsCompletedOnceThatIsStored) {
+  ExpectSound({
+      Submit{0, 0},
+      CrashRunner{0, false, milliseconds(400)},
+      Pass{milliseconds(900)},
+      Cut{Link{LinkKind::kStoreWrite, 0}, milliseconds(8000)},
+      Pass{milliseconds(20)},
+      CrashRunner{1, false, milliseconds(2500)},
+      Query{0, 0},
+      Pass{milliseconds(3500)},
+  });
+}
+
 TEST(RunHistoryTest, RandomHistoriesAreSound) {
   SearchTotals totals;
   for (uint64_t i = 0; i < kHistories; ++i) {
