--- /dev/null
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -0,0 +1,285 @@
+#include "cluster/runner_session.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace papayadrift::cluster {
+namespace {
+
+constexpr uint64_t kTerm = 3;
+constexpr int64_t kStartUnixMs = 1000;
+constexpr int64_t kRunnerClockMs = 70'000;
+constexpr WallInstant kWallNow(milliseconds(1'000'000));
+const jobs::TaskKey kTask{JobId("a"), 0, 0, 0};
+const jobs::StartOrder kStart{kTask, 1, {}, {}, {}};
+
+Instant At(int64_t ms) {
+  return Instant(milliseconds(ms));
+}
+
+// Ends with the numbers 1 to `count`.
+std::vector<jobs::EndedRun> Ends(uint64_t count) {
+  std::vector<jobs::EndedRun> ends;
+  for (uint64_t n = 1; n <= count; ++n) {
+    ends.push_back(
+        {n, kTask, static_cast<uint32_t>(n), jobs::RunEnd::kDone, ""});
+  }
+  return ends;
+}
+
+class RunnerSessionTest : public testing::Test {
+ protected:
+  RunnerSessionTest() {
+    EXPECT_EQ(Announce({"own", kStartUnixMs, 1, "127.0.0.1:3", "s"}),
+              AnnouncementVerdict::kStarted);
+    EXPECT_TRUE(session_.OnLeader({kTerm, "node-1", "127.0.0.1:1"}));
+  }
+
+  AnnouncementVerdict Announce(const Announcement& announcement) {
+    return session_.OnAnnouncement(announcement, now_, kWallNow);
+  }
+  // Sends a report and has it answered.
+  ReportOutcome Report(const jobs::ReportAnswer& answer) {
+    return session_.OnReported(session_.StartReport(now_).ticket, answer);
+  }
+  // Sends a lease renewal, whose answer lists the ends 1 to `ends`.
+  RenewalOutcome Renew(uint64_t ends = 0) {
+    LeaseRenewalResponse response;
+    response.clock_ms = kRunnerClockMs;
+    response.ended = Ends(ends);
+    return session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  }
+  RenewalOutcome FailToRenew(RunnerFailure failure) {
+    return session_.OnLeaseRenewed(session_.StartRenewal(now_), failure, now_);
+  }
+  std::optional<jobs::OrderVerdict> VerdictOn(const jobs::Order& order,
+                                              uint64_t term = kTerm) {
+    return session_.VerdictOn({term,
+                               session_.incarnation(),
+                               {},
+                               0,
+                               now_.time_since_epoch() / milliseconds(1)},
+                              order, now_, now_);
+  }
+
+  Instant now_ = At(10'000);
+  RunnerSession session_{{.node = "agent", .address = "a:1", .service = "s"},
+                         kStartUnixMs};
+};
+
+TEST_F(RunnerSessionTest, ReportsWhatTheRunnerHasListed) {
+  jobs::RunnerReport report = session_.StartReport(now_).report;
+  EXPECT_EQ(report.incarnation,
+            (jobs::RunnerIncarnation{"agent", "own", kStartUnixMs}));
+  EXPECT_EQ(report.listed_at_ms, 0);
+  EXPECT_FALSE(session_.CanReport());  // Until that one is answered.
+  session_.OnTerm(kTerm);
+  const RenewalCall call = session_.StartRenewal(now_);
+  EXPECT_FALSE(session_.CanRenewLease());
+  now_ += milliseconds(200);
+  LeaseRenewalResponse response;
+  response.ended = Ends(2);
+  response.has_all_ends = false;
+  const RenewalOutcome outcome = session_.OnLeaseRenewed(call, response, now_);
+  EXPECT_TRUE(outcome.is_report_due);
+  EXPECT_TRUE(session_.CanRenewLease());
+  report = session_.StartReport(now_).report;
+  EXPECT_EQ(report.listed_at_ms, 10'000);
+  EXPECT_EQ(report.sent_at_ms, 10'200);
+  EXPECT_EQ(report.ended, Ends(2));
+  EXPECT_FALSE(report.has_all_ends);
+}
+
+// The lease is granted on the agent's clock.
+TEST_F(RunnerSessionTest, ConvertsTheLeaseToTheRunnersClock) {
+  EXPECT_TRUE(Report({kTerm, 0, 12'000}).is_accepted);
+  EXPECT_FALSE(session_.HasLease(now_));  // The runner's clock is not known.
+  EXPECT_EQ(session_.LeaseEndOnRunnerClock(), 0);
+  EXPECT_EQ(VerdictOn(kStart), jobs::OrderVerdict::kLeaseExpired);
+  Renew();
+  EXPECT_TRUE(session_.HasLease(now_));
+  EXPECT_EQ(VerdictOn(kStart), std::nullopt);
+  const LeaseRenewalRequest request = session_.StartRenewal(At(11'000)).request;
+  EXPECT_EQ(request.lease_until_ms, kRunnerClockMs + 2000);
+  EXPECT_GT(request.wait, milliseconds(0));
+  EXPECT_FALSE(session_.HasLease(At(12'000)));
+}
+
+TEST_F(RunnerSessionTest, FollowsTheHighestTerm) {
+  EXPECT_TRUE(Report({kTerm, 0, 12'000}).is_accepted);
+  session_.OnTerm(kTerm + 1);
+  session_.OnTerm(kTerm);
+  EXPECT_EQ(session_.term(), kTerm + 1);
+  EXPECT_EQ(VerdictOn(jobs::StopOrder{kTask, 1}),
+            jobs::OrderVerdict::kSuperseded);
+  EXPECT_EQ(VerdictOn(jobs::StopOrder{kTask, 1}, kTerm + 1), std::nullopt);
+  EXPECT_FALSE(Report({kTerm, 0, 20'000}).is_accepted);
+  EXPECT_FALSE(session_.OnLeader({kTerm, "node-2", "127.0.0.1:2"}));
+  EXPECT_EQ(session_.leader().node, "node-1");
+}
+
+// Guards against the answer of a former leader that is taken for the present
+// one's.
+TEST_F(RunnerSessionTest, DoesNotAwaitAFormerLeadersAnswer) {
+  const ReportTicket former = session_.StartReport(now_).ticket;
+  EXPECT_TRUE(session_.IsAwaited(former));
+  EXPECT_TRUE(session_.OnLeader({kTerm + 1, "node-2", "127.0.0.1:2"}));
+  EXPECT_FALSE(session_.IsAwaited(former));
+  const ReportTicket present = session_.StartReport(now_).ticket;
+  EXPECT_FALSE(session_.IsAwaited(former));
+  EXPECT_TRUE(session_.IsAwaited(present));
+  session_.OnReported(present, std::nullopt);
+  EXPECT_FALSE(session_.IsAwaited(present));  // An answer that comes twice.
+}
+
+// Guards against a process that is granted what was meant for the one before.
+TEST_F(RunnerSessionTest, IgnoresAnswersToCallsToAnEarlierProcess) {
+  session_.OnTerm(kTerm);
+  const RenewalCall renewal = session_.StartRenewal(now_);
+  const ReportTicket report = session_.StartReport(now_).ticket;
+  EXPECT_EQ(Announce({"next", kStartUnixMs + 1, 1, "127.0.0.1:4", "s"}),
+            AnnouncementVerdict::kStarted);
+  LeaseRenewalResponse listed;
+  listed.ended = Ends(1);
+  EXPECT_EQ(session_.OnLeaseRenewed(renewal, listed, now_), RenewalOutcome());
+  const ReportOutcome outcome =
+      session_.OnReported(report, jobs::ReportAnswer{kTerm, 1, 20'000});
+  EXPECT_EQ(outcome, ReportOutcome{.is_accepted = true});
+  Renew();
+  EXPECT_FALSE(session_.HasLease(now_));
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+}
+
+TEST_F(RunnerSessionTest, TakesTheRunnerForEndedAfterTwoRefusedCalls) {
+  session_.OnTerm(kTerm);
+  Renew();
+  now_ += milliseconds(500);
+  EXPECT_FALSE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_FALSE(session_.IsRunnerUp());
+  EXPECT_TRUE(session_.IsEndUnrecorded());
+  EXPECT_EQ(VerdictOn(kStart), jobs::OrderVerdict::kRefused);
+  const ReportCall call = session_.StartReport(now_);
+  EXPECT_EQ(call.report.state, jobs::RunnerState::kGone);
+  EXPECT_EQ(call.report.crash, (jobs::CrashTime{10'000, 10'500}));
+  EXPECT_TRUE(session_.OnReported(call.ticket, jobs::ReportAnswer{kTerm, 0, 0})
+                  .is_end_recorded);
+  EXPECT_FALSE(session_.IsEndUnrecorded());
+}
+
+// Guards against a runner that forgets ends that no store has: a deposed leader
+// that still takes itself for the leader has recorded more of them than the
+// later one.
+TEST_F(RunnerSessionTest, RunnerForgetsNoEndOnTheWordOfADeposedLeader) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  EXPECT_TRUE(Report({kTerm, 5, 20'000}).is_renewal_due);
+  session_.OnTerm(kTerm + 1);  // Orders of the later leader.
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+}
+
+// The same, by an agent that knows only the deposed leader after a restart:
+// the runner refuses its calls, and the later leader has recorded fewer ends.
+TEST_F(RunnerSessionTest, RestartedAgentUsesNoCountOfADeposedLeader) {
+  Report({kTerm, 5, 0});
+  EXPECT_TRUE(FailToRenew(RunnerFailure::kSuperseded).is_superseded);
+  EXPECT_TRUE(session_.OnLeader({kTerm + 1, "node-2", "127.0.0.1:2"}));
+  Report({kTerm + 1, 0, 0});
+  EXPECT_TRUE(Renew(5).is_report_due);
+  EXPECT_TRUE(Report({kTerm + 1, 3, 0}).is_renewal_due);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 3U);
+}
+
+// An end that a runner has dropped need not be recorded again.
+TEST_F(RunnerSessionTest, NeverTellsTheRunnerALowerCountAgain) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  Renew(5);  // Tells it.
+  session_.OnTerm(kTerm + 1);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+  Report({kTerm + 1, 2, 20'000});
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+}
+
+// A call that is not answered may not have told the runner anything.
+TEST_F(RunnerSessionTest, UnansweredCallHasNotToldTheRunner) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  FailToRenew(RunnerFailure::kUnanswered);
+  session_.OnTerm(kTerm + 1);
+  Renew(5);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+}
+
+// Guards against a runner that started again under its name and forgets ends of
+// its own, since those of the process before had the same numbers. A call of an
+// earlier term may be refused by either process.
+TEST_F(RunnerSessionTest, RestartedRunnerForgetsNoEndOfItsOwnOnceItRefuses) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  FailToRenew(RunnerFailure::kUnanswered);
+  FailToRenew(RunnerFailure::kSuperseded);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  Renew(5);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+}
+
+// The same, by an agent that was held up between two calls, so that none broke.
+TEST_F(RunnerSessionTest, RestartedRunnerForgetsNoEndOfItsOwnAfterAPause) {
+  session_.OnTerm(kTerm);
+  Renew(5);
+  Report({kTerm, 4, 20'000});
+  now_ += milliseconds(1501);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  Renew(5);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
+}
+
+// Guards against a count for which there can be no reason: the leader has been
+// told of three ends.
+TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
+  session_.OnTerm(kTerm);
+  Renew(3);
+  const ReportOutcome outcome = Report({kTerm, 4, 20'000});
+  EXPECT_TRUE(outcome.is_accepted);
+  EXPECT_FALSE(outcome.is_renewal_due);
+  EXPECT_EQ(outcome.ignored_ends, 4U);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 0U);
+  EXPECT_TRUE(session_.HasLease(now_));
+  // Said once.
+  EXPECT_EQ(Report({kTerm, 4, 20'000}).ignored_ends, std::nullopt);
+  EXPECT_EQ(Report({kTerm, UINT64_MAX, 20'000}).ignored_ends, UINT64_MAX);
+  EXPECT_TRUE(Report({kTerm, 3, 20'000}).is_renewal_due);
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 3U);
+}
+
+// What a leader has recorded stays so within its term, although its answers
+// overtake each other and the runner no longer lists it.
+TEST_F(RunnerSessionTest, CountsEndsOfEarlierReportsWithinATerm) {
+  session_.OnTerm(kTerm);
+  Renew(3);
+  EXPECT_TRUE(Report({kTerm, 2, 20'000}).is_renewal_due);
+  Renew();
+  EXPECT_EQ(Report({kTerm, 3, 20'000}).ignored_ends, std::nullopt);
+  Report({kTerm, 1, 20'000});
+  EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 3U);
+}
+
+TEST_F(RunnerSessionTest, IsTheSameAfterACopy) {
+  Report({kTerm, 0, 12'000});
+  Renew(2);
+  RunnerSession copy = session_;
+  EXPECT_EQ(copy.StartReport(now_), session_.StartReport(now_));
+  copy = session_;
+  EXPECT_EQ(copy.StartRenewal(now_), session_.StartRenewal(now_));
+}
+
+}  // namespace
+}  // namespace papayadrift::cluster
--- a/tests/auto/run_histories/model_agent.h
+++ b/tests/auto/run_histories/model_agent.h
@@ -2,13 +2,12 @@
 #define PAPAYADRIFT_TESTS_RUN_HISTORIES_MODEL_AGENT_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <optional>
-#include <vector>
 
-#include "cluster/runner_agent.h"
+#include "cluster/runner_agent_settings.h"
 #include "cluster/runner_api.h"
+#include "cluster/runner_session.h"
 #include "jobs/leader_record.h"
 #include "jobs/runner.h"
 #include "keyed_log/keyed_log.h"
@@ -19,8 +18,8 @@
 
 namespace papayadrift::run_histories {
 
-// The decisions of cluster::RunnerAgent, without its I/O: one process of the
-// agent, from its start.
+// The calls of cluster::RunnerAgent around cluster::RunnerSession, without
+// their I/O: one process of the agent, from its start.
 class ModelAgent : public std::enable_shared_from_this<ModelAgent> {
  public:
   // The clock of the process is `clock_lead` ahead of the true one.
@@ -41,35 +40,19 @@
  private:
   struct PendingOrders;
 
-  int64_t NowMs() const;
-  jobs::RunnerIncarnation incarnation() const;
-  bool HasLease() const;
-  int64_t LeaseEndOnRunnerClock() const;
-  void OnRunnerStarted(const cluster::Announcement& announcement);
-  void OnRunnerEnded(std::optional<jobs::CrashTime> crash);
-  jobs::CrashTime CrashTimeFor(cluster::RunnerFailure failure,
-                               int64_t sent_at_ms) const;
+  Instant Now() const { return simulation_.Now() + clock_lead_; }
   void ScheduleLeaseRenewal(milliseconds delay);
   void RenewLease();
-  void SendLeaseRenewal(const cluster::LeaseRenewalRequest& call);
-  void OnLeaseRenewed(int64_t sent_at_ms,
+  void OnLeaseRenewed(const cluster::RenewalCall& call,
                       const cluster::LeaseRenewalResult& result);
-  void OnRenewalFailed(cluster::RunnerFailure failure, int64_t sent_at_ms);
-  void TakeLists(const cluster::LeaseRenewalResponse& renewal,
-                 int64_t sent_at_ms);
   void ScheduleReport(milliseconds delay);
   void ReportNow();
   void Report();
-  jobs::RunnerReport MakeReport() const;
-  void OnReported(uint64_t generation, const std::optional<ReportReply>& reply);
-  bool UpdateLeader(const jobs::LeaderRecord& leader);
+  void OnReported(const cluster::ReportTicket& ticket,
+                  const std::optional<ReportReply>& reply);
   void ScheduleLeaderLookup();
   void LookUpLeader();
   void OnLeaderRead(const keyed_log::ReadResult& result);
-  std::optional<jobs::OrderVerdict> LocalVerdict(
-      const jobs::OrderBatch& batch,
-      const jobs::Order& order) const;
-  std::optional<jobs::OrderVerdict> ViewVerdict(int64_t viewed_at_ms) const;
   void SendOrder(const std::shared_ptr<PendingOrders>& pending, size_t i);
   void OnOrderDone(const std::shared_ptr<PendingOrders>& pending,
                    size_t i,
@@ -83,27 +66,7 @@
   keyed_log::KeyedLog& store_;
   Wiring& wiring_;
   ModelRunner& runner_;
-  const int64_t start_unix_ms_;
-  std::optional<cluster::Announcement> announced_;
-  bool has_ended_ = false;
-  uint64_t generation_ = 0;
-  uint32_t refused_calls_ = 0;
-  int64_t answered_at_ms_ = 0;
-  std::optional<jobs::CrashTime> suspected_crash_;
-  std::optional<jobs::CrashTime> crash_;
-  std::optional<int64_t> runner_clock_ms_;
-  int64_t runner_clock_read_ms_ = 0;
-  int64_t listed_at_ms_ = 0;
-  std::vector<jobs::ActiveRun> active_;
-  std::vector<jobs::EndedRun> ended_;
-  bool has_all_ends_ = true;
-  uint64_t recorded_ends_ = 0;
-  uint64_t term_ = 0;
-  int64_t lease_until_ms_ = 0;
-  jobs::LeaderRecord leader_;
-  bool is_renewing_ = false;
-  bool is_reporting_ = false;
-  uint64_t reports_ = 0;
+  cluster::RunnerSession session_;
   bool is_report_needed_ = false;
   bool is_looking_up_leader_ = false;
   Timer renewal_timer_;
