--- a/tests/auto/run_histories/random_history.cpp
+++ b/tests/auto/run_histories/random_history.cpp
@@ -84,6 +84,20 @@
   return Resize{index, OneOf(random, kMillicores)};
 }
 
+// A frontend that hears little, or a runner and its agent.
+std::vector<Link> LinksOfOneParty(Random& random) {
+  const size_t index = Below(random, kLinksOfKind);
+  if (Below(random, 2) == 0) {
+    return {{LinkKind::kStoreRead, index},
+            {LinkKind::kStoreWrite, index},
+            {LinkKind::kCancellation, index}};
+  }
+  return {{LinkKind::kReport, index},
+          {LinkKind::kOrders, index},
+          {LinkKind::kHold, index},
+          {LinkKind::kOrder, index}};
+}
+
 // What happens in one history: few kinds of things, each of them often, and
 // over few links. That leads further than a little of everything.
 class Theme {
@@ -93,6 +107,10 @@
     std::ranges::generate(weights_, [&] { return OneOf(random, kWeights); });
     weights_[0] = std::max<size_t>(weights_[0], 1);  // Of submissions.
     total_ = std::accumulate(weights_.begin(), weights_.end(), size_t{0});
+    if (Below(random, 2) == 0) {
+      links_ = LinksOfOneParty(random);
+      return;
+    }
     constexpr size_t kMaxLinks = 4;
     links_.resize(1 + Below(random, kMaxLinks));
     std::ranges::generate(links_, [&] {
