--- a/tests/auto/run_histories/random_history.cpp
+++ b/tests/auto/run_histories/random_history.cpp
@@ -119,6 +119,24 @@
     });
   }
 
+  // Sometimes, some of the links are cut for most of the history.
+  History First(Random& random) const {
+    constexpr milliseconds kBeginning(1000);
+    constexpr milliseconds kLongCut(15'000);
+    constexpr size_t kCutOnce = 4;  // In so many histories.
+    History history{Submit{Below(random, kJobs), Below(random, kLinksOfKind)}};
+    if (Below(random, kCutOnce) != 0) {
+      return history;
+    }
+    history.emplace_back(Pass{kBeginning});
+    for (const Link& link : links_) {
+      if (Below(random, 2) == 0) {
+        history.emplace_back(Cut{link, kLongCut});
+      }
+    }
+    return history;
+  }
+
   Step Next(Random& random) const {
     constexpr size_t kPassPercent = 40;
     if (Below(random, 100) < kPassPercent) {
@@ -225,7 +243,7 @@
       static_cast<uint32_t>(number), static_cast<uint32_t>(number >> 32U)};
   Random random(seeds);
   const Theme theme(random);
-  History history{Submit{Below(random, kJobs), Below(random, kLinksOfKind)}};
+  History history = theme.First(random);
   while (history.size() < kHistorySteps) {
     history.push_back(theme.Next(random));
   }
