Tests: Adds failing tests of a runner that is suspended for too long

The runner had failed runs while it was faulty, was suspended for 8 s, and one failed run after that, by the task's own fault, suspended it for 8 s again. Completed runs didn't end that.

FailuresOfOneMomentSuspendARunnerBriefly: 8000 ms where 7000 ms are allowed, from what users allow: 3 s, after 4 s without a disruption. CompletedRunEndsASuspension: no start after a completed run.

--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <optional>
 #include <ranges>
+#include <variant>
+#include <vector>
 
 #include "job_scheduler_fixture.h"
 
@@ -579,6 +582,89 @@
   EXPECT_EQ(std::get<StartOrder>(batches[0].second[0]).run, 1U);
 }
 
+// A runner that fails what it is given, and a task that is to last.
+class FailingRunnerTest : public JobSchedulerTest {
+ protected:
+  // Users allow a lasting task to stand still for 3 s, once the system has had
+  // 4 s to recover.
+  static constexpr int64_t kLimitMs = 7000;
+
+  // Starts `tasks` lasting tasks on the only runner.
+  void StartAll(uint32_t tasks) {
+    Job job = JobOf(tasks, 500);
+    job.steps[0].is_long_running = true;
+    Report(kFirst, 0);
+    scheduler_.AddJob(JobId("a"), job);
+    ASSERT_EQ(StartedAt(0), tasks);
+  }
+  // Accepts the starts that are due, and returns their number.
+  size_t StartedAt(int64_t now_ms) {
+    const RunnerOrders orders = Orders(now_ms);
+    for (const auto& [incarnation, order] : orders) {
+      scheduler_.OnOrderResult(incarnation, order,
+                               {OrderVerdict::kDone, now_ms}, At(now_ms));
+      started_.push_back(std::get<StartOrder>(order));
+    }
+    return orders.size();
+  }
+  // Reports the end of the run that was started first.
+  void EndOne(RunEnd end, int64_t now_ms) {
+    const StartOrder run = started_.front();
+    started_.erase(started_.begin());
+    ended_.push_back({ended_.size() + 1, run.task, run.run, end, {}});
+    ReportAll(now_ms);
+  }
+  void ReportAll(int64_t now_ms) {
+    std::vector<ActiveRun> active;
+    for (const StartOrder& run : started_) {
+      active.push_back({run.task, run.run, "", 10, 0});
+    }
+    Report(kFirst, now_ms, active, ended_);
+  }
+  // Returns when the next run is started, or std::nullopt if none is within
+  // twice the limit.
+  std::optional<int64_t> NextStart(int64_t now_ms) {
+    for (const int64_t end_ms = now_ms + 2 * kLimitMs; now_ms < end_ms;
+         now_ms += 50) {
+      ReportAll(now_ms);
+      if (StartedAt(now_ms) > 0) {
+        return now_ms;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::vector<StartOrder> started_;
+  std::vector<EndedRun> ended_;
+};
+
+// Guards against a lasting task that stands still beside an empty runner: all
+// of its runs had failed at one moment, and it got nothing for 8 s.
+TEST_F(FailingRunnerTest, FailuresOfOneMomentSuspendARunnerBriefly) {
+  constexpr uint32_t kTasks = 6;
+  constexpr int64_t kFailedMs = 500;
+  StartAll(kTasks);
+  for (uint32_t i = 0; i < kTasks; ++i) {
+    EndOne(RunEnd::kFailed, kFailedMs);
+  }
+  const auto started_ms = NextStart(kFailedMs);
+  ASSERT_TRUE(started_ms);
+  EXPECT_LE(*started_ms, kFailedMs + kLimitMs);
+}
+
+// Guards against a lasting task that stands still beside an empty runner: tasks
+// that failed by their own fault suspended it, and those that it completed
+// afterwards did not show that it is sound.
+TEST_F(FailingRunnerTest, CompletedRunEndsASuspension) {
+  constexpr int64_t kFailedMs = 500;
+  StartAll(3);
+  EndOne(RunEnd::kFailed, kFailedMs);
+  EndOne(RunEnd::kFailed, kFailedMs);
+  ASSERT_EQ(StartedAt(kFailedMs), 0U);
+  EndOne(RunEnd::kDone, kFailedMs + 100);
+  EXPECT_GT(StartedAt(kFailedMs + 100), 0U);
+}
+
 // A runner hangs together with its runs.
 TEST_F(JobSchedulerTest, MovesAStalledRun) {
   Report(kFirst, 0);
