Tests: Adds failing tests of a runner that starts after its clock was set back

The processes of a runner are ordered by the time of day of their start. After the clock of the VM was set back, the leader refuses the reports of the later process until the lease of the earlier one has expired, and the agent ignores its announcements for good. Listed as known red.

--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -533,6 +533,61 @@
   EXPECT_EQ(answer->results.back().verdict, jobs::OrderVerdict::kExpired);
 }
 
+// A runner that has crashed, with another process at its address.
+class ReplacedRunner : public SilentRunner {
+ public:
+  void RenewLease(const std::string& /*address*/,
+                  const std::string& instance,
+                  const LeaseRenewalRequest& /*call*/,
+                  Instant /*deadline*/,
+                  std::function<void(LeaseRenewalResult)> done) override {
+    if (instance == "later") {
+      is_found = true;
+    }
+    done(RunnerFailure::kOtherIncarnation);
+  }
+
+  bool is_found = false;
+};
+
+// Guards against a runner that gets no work for as long as its agent runs: it
+// started again after the time of day of its VM had been set back.
+TEST_F(RunnerAgentTest, FollowsAProcessThatStartsAfterTheClockWasSetBack) {
+  ReplacedRunner runner;
+  RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
+                    context(), runner);
+  std::optional<jobs::RunnerReport> last;
+  const std::string address = FreeAddress();
+  async_http::Server leader(
+      loop_, {address},
+      [&](const http::Request& request, const async_http::Respond& respond) {
+        last = jobs::Decode<jobs::RunnerReport>(request.body);
+        respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
+      });
+  ASSERT_TRUE(leader.Open());
+  http::Request request;
+  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
+  agent.HandleLeader(request, [](const http::Response&) {});
+  clock_.Advance(milliseconds(5000));
+  agent.OnAnnouncement({"earlier", 4000, 9, "127.0.0.1:3", "s"});
+  while (!last) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  constexpr uint64_t kAnnouncements = 5;
+  for (uint64_t i = 1; i <= kAnnouncements; ++i) {
+    // The runner answers that it is another process meanwhile.
+    boost::asio::steady_timer pause(loop_, milliseconds(200));
+    bool is_over = false;
+    pause.async_wait([&](boost::system::error_code) { is_over = true; });
+    while (!is_over) {
+      ASSERT_GT(loop_.run_one(), 0U);
+    }
+    agent.OnAnnouncement({"later", 3000, i, "127.0.0.1:3", "s"});
+  }
+  EXPECT_EQ(last->incarnation.instance, "later");
+  EXPECT_TRUE(runner.is_found);
+}
+
 // Guards against an agent that loses its runner since another writer has
 // announced one that will start in the year 2255, or the billionth
 // announcement.
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -582,6 +582,26 @@
   EXPECT_EQ(std::get<StartOrder>(batches[0].second[0]).run, 1U);
 }
 
+// Guards against a lasting task that stands still although its runner runs
+// again: a process that starts after its VM's time of day was set back was
+// taken for an earlier one until the lease of its predecessor had expired.
+TEST_F(JobSchedulerTest, ProcessThatStartsAfterAClockWasSetBackIsTheLaterOne) {
+  Job job = JobOf(1, 1000);
+  job.steps[0].is_long_running = true;
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), job);
+  const auto start = Orders(0);
+  ASSERT_EQ(CountStarts(start), 1U);
+  scheduler_.OnOrderResult(kFirst, start[0].second, {OrderVerdict::kDone, 1},
+                           At(1));
+  Report(kFirst, 500, {{Task(0), 1, "", 10, 0}});
+  RunnerIncarnation later = kFirst;
+  later.instance = "i-2";
+  later.start_unix_ms = kFirst.start_unix_ms - 1;
+  Report(later, 1000);
+  EXPECT_EQ(CountStarts(Orders(1000)), 1U);
+}
+
 // A runner that fails what it is given, and a task that is to last.
 class FailingRunnerTest : public JobSchedulerTest {
  protected:
