Jobs: Ends a runner's suspension once it completes a run

Cause: a runner is suspended after failed runs in a row, for up to 8 s, longer than users let such a task stand still (3 s, after 4 s to recover). The count outlives the fault, so one more failure by a task's own fault suspends a sound runner for 8 s again, and a completed run reset the count but not the suspension. The site is full of lasting tasks: the empty runner is the only room.

Change: a suspension for failures lasts 4 s at most, and ends with a completed run. Pauses after a refused start or a stalled run are kept apart from it.

--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -83,6 +83,8 @@
   Instant reserved_until;
   uint32_t failure_streak = 0;  // Failed runs since the last completed one.
   Instant suspended_until;      // Gets no new runs before this time.
+  // Nor before this one, unless a run has been completed on it meanwhile.
+  Instant failing_until;
   // Smoothed ratio of actual to expected task durations.
   double slowness = 1.0;
 
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -320,6 +320,7 @@
                                       : "interrupted");
   if (ended.end == RunEnd::kDone) {
     runner.failure_streak = 0;
+    runner.failing_until = Instant();
   } else if (ended.end == RunEnd::kFailed) {
     CountFailure(runner, ended.task, now);
   }
@@ -331,7 +332,9 @@
 void JobScheduler::CountFailure(Runner& runner,
                                 const TaskKey& task,
                                 Instant now) {
-  constexpr uint32_t kMaxDoublings = 3;
+  // Users let a lasting task stand still beside free capacity for 7 s at most,
+  // the time to recover included.
+  constexpr uint32_t kMaxDoublings = 2;
   ++runner.failure_streak;
   if (Entry* entry = FindOrNull(jobs_, task.job)) {
     entry->failed_on[task] = runner.report.incarnation;
@@ -340,7 +343,7 @@
     return;
   }
   const uint32_t doublings = std::min(runner.failure_streak - 2, kMaxDoublings);
-  runner.suspended_until = now + settings_.failure_pause * (1 << doublings);
+  runner.failing_until = now + settings_.failure_pause * (1 << doublings);
   Emit(JobSchedulerEvent::Kind::kRunnerSuspended,
        ToText(runner.report.incarnation), 0, {},
        std::to_string(runner.failure_streak) +
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -126,6 +126,7 @@
 bool MayHaveOpened(const Runner& runner, const PlacementAttempt& attempt) {
   return runner.changed_at > attempt.fleet_changes ||
          runner.suspended_until > attempt.at ||
+         runner.failing_until > attempt.at ||
          runner.reserved_until > attempt.at ||
          runner.runs.totals().has_isolated;
 }
@@ -139,7 +140,7 @@
          runner.report.state == RunnerState::kReady &&
          now - runner.reported_at <= kMaxReportAge &&
          runner.lease_expires_at > now && now >= runner.suspended_until &&
-         runner.released.empty() &&
+         now >= runner.failing_until && runner.released.empty() &&
          runner.lease_refusal != LeaseRefusal::kOldLists &&
          runner.lease_refusal != LeaseRefusal::kUnconfirmedStop;
 }
