--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -949,9 +949,9 @@
   Report(kFirst, 0);
   scheduler_.AddJob(JobId("a"), JobOf(2, 1000));
   ASSERT_EQ(CountStarts(Orders(0)), 2U);
-  Report(kFirst, 500, {},
-         {{2, Task(1), 1, RunEnd::kDone, ""},
-          {1, Task(0), 1, RunEnd::kDone, ""}});
+  Report(
+      kFirst, 500, {},
+      {{2, Task(1), 1, RunEnd::kDone, ""}, {1, Task(0), 1, RunEnd::kDone, ""}});
   Store();
   EXPECT_EQ(scheduler_.RecordedEnds(kFirst), 2U);
   EXPECT_EQ(stored_.at(JobId("a")).outcome, JobOutcome::kCompleted);
