--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -176,6 +176,39 @@
   leader->Stop({});
 }
 
+// Guards against a job that is shown as completed and started again: the append
+// never arrived, and the next leader did not know of the end.
+TEST_F(LeaderTest, JobIsShownAsCompletedOnceThatIsStored) {
+  const AgentOfEndedRunner agent;
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  Store(kJobsTopic, {KeyOf(kJobPrefix, task.job), jobs::Encode(job)});
+  Store(kProgressTopic, {KeyOf(task), jobs::Encode(agent.ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  clock_.Advance(LeaderSettings().min_append_interval);
+  jobs::RunnerReport report;
+  report.incarnation = agent.ClaimedTask().incarnation;
+  report.sent_at_ms = report.listed_at_ms = 1;
+  report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
+  http::Request request;
+  request.body = jobs::Encode(report);
+  const size_t appends = log_.append_count();
+  leader->HandleReport(request, [](const http::Response&) {});
+  while (log_.append_count() == appends) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  EXPECT_EQ(directory_.StateOf("q", task.job), jobs::JobState::kRunning);
+  log_.Settle();
+  EXPECT_EQ(directory_.StateOf("q", task.job), jobs::JobState::kCompleted);
+  leader->Stop({});
+}
+
 // Guards against a runner that gets a lease while a start that was given up is
 // still on its way to it.
 TEST_F(LeaderTest, NoLeaseBeforeRunsThatWereGivenUpAreStopped) {
