--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr uint64_t kSeed = 20261206;
-constexpr uint64_t kHistories = 12000;
+constexpr uint64_t kHistories = 20000;
 
 // Plays the history and lets it end.
 void ExpectSound(const History& history) {
@@ -47,6 +47,124 @@
   });
 }
 
+// The following are the shortest histories that the checker finds when a
+// mechanism is taken out.
+
+// Guards against a start that is sent before its claim is stored: the next
+// leader starts the task again.
+TEST(RunHistoryTest, StartWaitsForItsClaimToBeStored) {
+  ExpectSound({
+      Submit{1, 1},
+      Cancel{2, 1},
+      Campaign{1},
+      Pass{milliseconds(100)},
+      Pass{milliseconds(2500)},
+  });
+}
+
+// Guards against a run that is released when its runner starts again under its
+// name: the later process may have got the start.
+TEST(RunHistoryTest, LaterProcessStopsARunBeforeItsRelease) {
+  ExpectSound({
+      Submit{2, 0},
+      Pass{milliseconds(125)},
+      CrashRunner{0, false, milliseconds(400)},
+      Pass{milliseconds(20)},
+      Pass{milliseconds(400)},
+      CrashRunner{1, true, milliseconds(0)},
+      Pass{milliseconds(37)},
+  });
+}
+
+// Guards against a stopped run that is kept: each repeat of the stop made the
+// lists too old.
+TEST(RunHistoryTest, FirstStopCounts) {
+  ExpectSound({
+      Submit{2, 1},
+      Pass{milliseconds(1000)},
+      Cut{Link{LinkKind::kReport, 0}, milliseconds(15000)},
+      Resign{0},
+      CrashRunner{0, true, milliseconds(2500)},
+      Pass{milliseconds(400)},
+      Pass{milliseconds(1000)},
+  });
+}
+
+// Guards against a cancelled job that starts: a reload reads the cancellation
+// first.
+TEST(RunHistoryTest, CancellationIsHeardAfterItsJob) {
+  ExpectSound({
+      Submit{2, 1},
+      Cancel{2, 1},
+      Pass{milliseconds(12)},
+      DropHistory{},
+      Pass{milliseconds(2500)},
+      CrashRunner{0, false, milliseconds(400)},
+      Disturb{Link{LinkKind::kReport, 0},
+              Fault{Fault::Kind::kDelayRequest, milliseconds(1100)}},
+      Pass{milliseconds(1750)},
+  });
+}
+
+// Guards against a task that is started again while its run has the lease of
+// the last leader.
+TEST(RunHistoryTest, LeaseOfTheEarlierLeaderCounts) {
+  ExpectSound({
+      Submit{1, 1},
+      Pass{milliseconds(250)},
+      Campaign{1},
+      Pass{milliseconds(400)},
+      Campaign{0},
+      Pass{milliseconds(400)},
+  });
+}
+
+// Guards against an end that is forgotten: it was acknowledged before it was
+// stored.
+TEST(RunHistoryTest, EndIsAcknowledgedOnceStored) {
+  ExpectSound({
+      Submit{0, 0},
+      Resize{0, 1000},
+      Pass{milliseconds(2500)},
+      Disturb{Link{LinkKind::kNotification, 1},
+              Fault{Fault::Kind::kLoseRequest, milliseconds(0)}},
+      Submit{1, 1},
+      Pass{milliseconds(75)},
+      Pass{milliseconds(150)},
+      Campaign{1},
+      Pass{milliseconds(500)},
+      Pass{milliseconds(1000)},
+  });
+}
+
+// Guards against a leader that was elected without the latest claims.
+TEST(RunHistoryTest, CandidateHasReadAllProgress) {
+  ExpectSound({
+      Submit{0, 1},
+      Campaign{1},
+      Cut{Link{LinkKind::kStoreWrite, 1}, milliseconds(600)},
+      Pass{milliseconds(7000)},
+  });
+}
+
+// Guards against a run that is released while its start may still arrive.
+TEST(RunHistoryTest, RunIsReleasedOnceItsStartsAreVoid) {
+  ExpectSound({
+      Pass{milliseconds(150)},
+      Pass{milliseconds(400)},
+      Pass{milliseconds(5)},
+      Pass{milliseconds(50)},
+      Pass{milliseconds(1250)},
+      Disturb{Link{LinkKind::kOrder, 0},
+              Fault{Fault::Kind::kDelayAnswer, milliseconds(3000)}},
+      Pass{milliseconds(5)},
+      Submit{1, 0},
+      Disturb{Link{LinkKind::kHold, 0},
+              Fault{Fault::Kind::kLoseAnswer, milliseconds(0)}},
+      Pass{milliseconds(150)},
+  });
+}
+
 TEST(RunHistoryTest, RandomHistoriesAreSound) {
   SearchTotals totals;
   for (uint64_t i = 0; i < kHistories; ++i) {
