Jobs: Tells ends of ended jobs from ends that can't be true

Cause: of a job that has ended, tasks that are over aren't stored any more, so a later leader knows no run of theirs, and an end that is listed to it once more was logged and counted as one that can't be true (message.unreadable).

Change: whether the job has ended is asked first.

EndOfAJobThatHasEndedIsNoInvalidMessage fails before; found on reading the diff.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -270,15 +270,15 @@
   if (progress == nullptr) {
     return EndSettlement::kUnknownTask;
   }
+  if (!open_.contains(ended.task.job)) {
+    return EndSettlement::kJobEnded;  // Its tasks may have been deleted.
+  }
   const bool is_claimed_elsewhere =
       ended.run == progress->run && progress->phase == TaskPhase::kClaimed &&
       progress->incarnation != runner.report.incarnation;
   if (ended.run == 0 || ended.run > progress->run || is_claimed_elsewhere) {
     return EndSettlement::kUnknownRun;
   }
-  if (!open_.contains(ended.task.job)) {
-    return EndSettlement::kJobEnded;
-  }
   if (progress->phase == TaskPhase::kDone) {
     return EndSettlement::kTaskDone;
   }
--- a/tests/auto/jobs/run_ends_test.cpp
+++ b/tests/auto/jobs/run_ends_test.cpp
@@ -127,6 +127,16 @@
   EXPECT_EQ(scheduler_.fleet().Find(kSecond)->runs.size(), 2U);
 }
 
+// Guards against warnings of ends that can't be true after each change of
+// leaders: of an ended job, tasks that are over aren't stored any more.
+TEST_F(RunEndsTest, EndOfAJobThatHasEndedIsNoInvalidMessage) {
+  scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
+  scheduler_.Restore(JobId("a"), {JobOutcome::kCompleted, {}});
+  Report(kFirst, 500, {}, {{1, Task(0), 1, RunEnd::kDone, ""}});
+  EXPECT_FALSE(HasEvent(JobSchedulerEvent::Kind::kEndInvalid, Task(0)));
+  EXPECT_TRUE(HasEvent(JobSchedulerEvent::Kind::kEndUnmatched, Task(0)));
+}
+
 TEST_F(RunEndsTest, EachAcknowledgedEndIsReported) {
   Report(kFirst, 0);
   scheduler_.AddJob(JobId("a"), JobOf(1, 1000));
