Jobs: Counts failures before a suspension as one after it

With the limit of 4 s two in series still exceed the 7 s for which users let a lasting task stand still.

Change: when a run fails after the suspension is over, what led to it counts as one failure. A runner that goes on failing is suspended for 4 s again by the first runs that it gets.

FailureAfterASuspensionSuspendsBriefly fails before.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -335,6 +335,11 @@
   // Users let a lasting task stand still beside free capacity for 7 s at most,
   // the time to recover included.
   constexpr uint32_t kMaxDoublings = 2;
+  if (runner.failure_streak > 1 && now >= runner.failing_until) {
+    // The runner may be sound by now: failures that led to a suspension which
+    // is over count as one.
+    runner.failure_streak = 1;
+  }
   ++runner.failure_streak;
   if (Entry* entry = FindOrNull(jobs_, task.job)) {
     entry->failed_on[task] = runner.report.incarnation;
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -745,6 +745,23 @@
   EXPECT_LE(*started_ms, kFailedMs + kLimitMs);
 }
 
+// Guards against a lasting task that stands still beside an empty runner: one
+// failure by a task's own fault suspended it as long as all those before.
+TEST_F(FailingRunnerTest, FailureAfterASuspensionSuspendsBriefly) {
+  constexpr uint32_t kTasks = 6;
+  constexpr int64_t kFailedMs = 500;
+  StartAll(kTasks);
+  for (uint32_t i = 0; i < kTasks; ++i) {
+    EndOne(RunEnd::kFailed, kFailedMs);
+  }
+  const auto resumed_ms = NextStart(kFailedMs);
+  ASSERT_TRUE(resumed_ms);
+  EndOne(RunEnd::kFailed, *resumed_ms + 100);
+  const auto started_ms = NextStart(*resumed_ms + 100);
+  ASSERT_TRUE(started_ms);
+  EXPECT_LE(*started_ms, kFailedMs + kLimitMs);
+}
+
 // Guards against a lasting task that stands still beside an empty runner: tasks
 // that failed by their own fault suspended it, and those that it completed
 // afterwards did not show that it is sound.
