--- a/src/libs/cluster/handover.cpp
+++ b/src/libs/cluster/handover.cpp
@@ -1,24 +1,9 @@
 #include "cluster/handover.h"
 
-#include <charconv>
 #include <string>
 #include <utility>
-#include <variant>
-
-#include "cluster/topics.h"
 
 namespace papayadrift::cluster {
-namespace {
-
-// Returns the speed in an answer; 0: it has none.
-uint64_t SpeedOf(const std::string& body) {
-  uint64_t n = 0;
-  const char* end = body.data() + body.size();
-  const auto [parsed_end, ec] = std::from_chars(body.data(), end, n);
-  return ec == std::errc() && parsed_end == end ? n : 0;
-}
-
-}  // namespace
 
 struct Handover::Round {
   Reason reason = Reason::kVmTooSmall;
@@ -95,19 +80,12 @@
 
 void Handover::Ask(const std::shared_ptr<Round>& round,
                    const FrontendRecord& standby) {
-  http::Request request;
-  request.method = "GET";
-  request.path = kStandbyPath;
-  context_.client.Send(
-      standby.address, request, context_.clock.Now() + settings_.query_timeout,
-      [this, round, standby](const http::ClientResult& result) {
-        const auto* response = std::get_if<http::Response>(&result);
-        if (response != nullptr && response->status == 200) {
-          const uint64_t speed = SpeedOf(response->body);
-          if (!round->best || speed > round->best_speed) {
-            round->best = standby;
-            round->best_speed = speed;
-          }
+  context_.peers.QueryStandby(
+      standby.address, context_.clock.Now() + settings_.query_timeout,
+      [this, round, standby](std::optional<uint64_t> speed) {
+        if (speed && (!round->best || *speed > round->best_speed)) {
+          round->best = standby;
+          round->best_speed = *speed;
         }
         if (--round->unanswered == 0) {
           Finish(*round);
--- a/src/libs/cluster/handover.h
+++ b/src/libs/cluster/handover.h
@@ -51,8 +51,8 @@
   // answered or not; returns whether it was. `behind` is unset while the leader
   // keeps up.
   bool Consider(const std::optional<Behind>& behind, Done done);
-  // Returns the body of the answer to such a question: the measured speed.
-  std::string Answer() { return std::to_string(probe_.Measure()); }
+  // Returns the answer to such a question of another leader.
+  uint64_t MeasureSpeed() { return probe_.Measure(); }
 
  private:
   // Why another frontend should lead.
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -1,7 +1,5 @@
 #include "cluster/job_frontend.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -139,16 +137,12 @@
   store_answered_at_ = std::max(store_answered_at_, started_at);
 }
 
-void JobFrontend::HandleLeaderQuery(const async_http::Respond& respond) const {
-  election_.HandleLeaderQuery(respond);
-}
-
-void JobFrontend::HandleStandbyQuery(const async_http::Respond& respond) {
-  election_.HandleStandbyQuery(respond);
+std::optional<uint64_t> JobFrontend::HandleStandbyQuery() {
+  return election_.HandleStandbyQuery();
 }
 
-void JobFrontend::HandleSuccession(const async_http::Respond& respond) {
-  election_.HandleSuccession(respond);
+bool JobFrontend::HandleSuccession() {
+  return election_.HandleSuccession();
 }
 
 void JobFrontend::Refresh(milliseconds freshness,
@@ -218,10 +212,8 @@
           Write(write);
           return;
         }
-        auto timer = std::make_shared<boost::asio::steady_timer>(
-            context_.loop, kRefusedRetryDelay);
-        timer->async_wait(
-            [this, write, timer](boost::system::error_code) { Write(write); });
+        context_.loop.RunAfter(kRefusedRetryDelay,
+                               [this, write] { Write(write); });
       });
 }
 
@@ -357,22 +349,13 @@
     election_.leader()->OnCancelled(id);
     return;
   }
-  http::Request request;
-  request.method = "POST";
-  request.path = kCancellationPath;
-  request.body = id.text();
-  context_.client.Send(election_.leader_address(), request,
-                       context_.clock.Now() + kQueryTimeout,
-                       [](const http::ClientResult&) {
-                         // Without it, the leader reads the cancellation.
-                       });
+  // Without the call, the leader reads the cancellation from the store.
+  context_.peers.NotifyOfCancellation(election_.leader_address(), id,
+                                      context_.clock.Now() + kQueryTimeout);
 }
 
-void JobFrontend::HandleCancellation(const http::Request& request,
-                                     const async_http::Respond& respond) {
-  const bool is_known = election_.leader() != nullptr &&
-                        election_.leader()->OnCancelled(JobId(request.body));
-  respond({is_known ? 200 : 404, {}, {}});
+bool JobFrontend::HandleCancellation(const JobId& id) {
+  return election_.leader() != nullptr && election_.leader()->OnCancelled(id);
 }
 
 void JobFrontend::CountQueued(const std::string& queue,
@@ -439,21 +422,14 @@
               });
 }
 
-void JobFrontend::HandleRelay(const http::Request& request,
-                              const async_http::Respond& respond) {
-  const auto call = DecodeRelayCall(request.body);
-  if (!call) {
-    respond({400, {}, {}});
-    return;
-  }
-  const auto answer = [respond](const RelayAnswer& it) {
-    respond({200, {}, Encode(it)});
-  };
+void JobFrontend::HandleRelay(const RelayCall& call,
+                              const RespondToRelay& respond) {
+  const auto answer = [respond](const RelayAnswer& it) { respond(it); };
   if (context_.log.is_out()) {
     answer(RelayAnswer{});
     return;
   }
-  if (call->kind == RelayKind::kState || call->kind == RelayKind::kCount) {
+  if (call.kind == RelayKind::kState || call.kind == RelayKind::kCount) {
     if (!election_.is_leading() && !election_.is_following()) {
       // This process would have to relay the query itself.
       answer(RelayAnswer{});
@@ -461,21 +437,21 @@
     }
   }
   const Instant deadline =
-      context_.clock.Now() + milliseconds(call->remaining_ms);
-  switch (call->kind) {
+      context_.clock.Now() + milliseconds(call.remaining_ms);
+  switch (call.kind) {
     case RelayKind::kSubmit: {
-      const auto job = jobs::Decode<jobs::Job>(call->job);
+      const auto job = jobs::Decode<jobs::Job>(call.job);
       if (!job) {
-        respond({400, {}, {}});
+        respond(std::nullopt);
         return;
       }
-      Submit(call->id, *job, deadline, [answer](SubmitResult result) {
+      Submit(call.id, *job, deadline, [answer](SubmitResult result) {
         answer({true, static_cast<uint32_t>(result), true});
       });
       return;
     }
     case RelayKind::kState:
-      FindState(call->queue, call->id, false,
+      FindState(call.queue, call.id, false,
                 [answer](const StateResult& result) {
                   const auto* state = std::get_if<jobs::JobState>(&result);
                   answer({!std::holds_alternative<std::monostate>(result),
@@ -484,12 +460,12 @@
                 });
       return;
     case RelayKind::kCancel:
-      Cancel(call->queue, call->id, deadline, [answer](CancelResult result) {
+      Cancel(call.queue, call.id, deadline, [answer](CancelResult result) {
         answer({true, static_cast<uint32_t>(result), true});
       });
       return;
     case RelayKind::kCount:
-      CountQueued(call->queue, [answer](std::optional<size_t> count) {
+      CountQueued(call.queue, [answer](std::optional<size_t> count) {
         answer({count.has_value(), static_cast<uint32_t>(count.value_or(0)),
                 true});
       });
@@ -499,23 +475,22 @@
 
 void JobFrontend::Announce() {
   const FrontendRecord& own = frontends_.own();
-  context_.log.Write(
-      {kLeaderTopic,
-       {{std::string(kFrontendPrefix) + own.node, Encode(own)}},
-       std::nullopt,
-       std::nullopt},
-      context_.clock.Now() + kQueryTimeout,
-      [this](const keyed_log::AppendResult& result) {
-        auto timer = std::make_shared<boost::asio::steady_timer>(
-            context_.loop, std::holds_alternative<keyed_log::Stored>(result)
+  context_.log.Write({kLeaderTopic,
+                      {{std::string(kFrontendPrefix) + own.node, Encode(own)}},
+                      std::nullopt,
+                      std::nullopt},
+                     context_.clock.Now() + kQueryTimeout,
+                     [this](const keyed_log::AppendResult& result) {
+                       context_.loop.RunAfter(
+                           std::holds_alternative<keyed_log::Stored>(result)
                                ? settings_.announcement_period
-                               : kAnnouncementRetryDelay);
-        timer->async_wait([this, timer](boost::system::error_code) {
-          if (!is_stopping_) {
-            Announce();
-          }
-        });
-      });
+                               : kAnnouncementRetryDelay,
+                           [this] {
+                             if (!is_stopping_) {
+                               Announce();
+                             }
+                           });
+                     });
 }
 
 void JobFrontend::AnnounceDeparture() {
@@ -539,20 +514,18 @@
     if (!std::exchange(has_read_frontends_, true)) {
       election_.CheckLeader();
     }
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-        context_.loop, settings_.frontend_poll_period);
-    timer->async_wait(
-        [this, timer](boost::system::error_code) { FollowFrontends(); });
+    context_.loop.RunAfter(settings_.frontend_poll_period,
+                           [this] { FollowFrontends(); });
   });
 }
 
-void JobFrontend::HandleReport(const http::Request& request,
-                               const async_http::Respond& respond) {
+void JobFrontend::HandleReport(const ArrivedReport& report,
+                               const RespondToReport& respond) {
   if (election_.leader() == nullptr) {
-    respond({409, {}, {}});
+    respond(ReportRejection::kNotTaken);
     return;
   }
-  election_.leader()->HandleReport(request, respond);
+  election_.leader()->HandleReport(report, respond);
 }
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -2,6 +2,7 @@
 #define PAPAYADRIFT_CLUSTER_JOB_FRONTEND_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -9,6 +10,7 @@
 #include <string>
 #include <variant>
 
+#include "cluster/arrived_report.h"
 #include "cluster/frontend_list.h"
 #include "cluster/job_replica.h"
 #include "cluster/leader.h"
@@ -74,6 +76,8 @@
   // ignored.
   void SetRoutes(const jobs::RouteTable& routes);
   const jobs::RouteTable& routes() const { return routes_; }
+  // Set while this process campaigns, leads or resigns.
+  const Leader* leader() const { return election_.leader(); }
   // Whether callers should be sent to this process.
   bool is_ready() const;
   // Time since the start of the last call that the store answered.
@@ -95,24 +99,25 @@
   // Passes nothing to `done` if the store could not be read.
   void CountQueued(const std::string& queue,
                    std::function<void(std::optional<size_t>)> done);
-  void HandleReport(const http::Request& request,
-                    const async_http::Respond& respond);
+  void HandleReport(const ArrivedReport& report,
+                    const RespondToReport& respond);
   // Handles the notification that a cancellation was stored, of which the
-  // leader need not read to stop the job.
-  void HandleCancellation(const http::Request& request,
-                          const async_http::Respond& respond);
+  // leader need not read to stop the job. Returns whether this process leads
+  // and knows the job.
+  bool HandleCancellation(const JobId& id);
   // Answers another frontend that is about to campaign whether this process
   // leads.
-  void HandleLeaderQuery(const async_http::Respond& respond) const;
-  // Answers a leader whether this process could lead at once, and how fast it
-  // computes.
-  void HandleStandbyQuery(const async_http::Respond& respond);
+  bool HandleLeaderQuery() const { return election_.is_leading(); }
+  // Answers a leader whether this process could lead at once: how fast it
+  // computes, or nothing.
+  std::optional<uint64_t> HandleStandbyQuery();
   // Handles the notification that the leader has resigned and named this
-  // process its successor.
-  void HandleSuccession(const async_http::Respond& respond);
-  // Handles a call from a frontend that can't reach the store.
-  void HandleRelay(const http::Request& request,
-                   const async_http::Respond& respond);
+  // process its successor. Returns whether it may campaign.
+  bool HandleSuccession();
+  // Handles a call from a frontend that can't reach the store. Passes nothing
+  // to `respond` if the job in it can't be decoded.
+  using RespondToRelay = std::function<void(const std::optional<RelayAnswer>&)>;
+  void HandleRelay(const RelayCall& call, const RespondToRelay& respond);
 
  private:
   struct PendingWrite;
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 #include <variant>
 
-#include "base/lookup.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
@@ -77,7 +76,7 @@
           [this] { OnTermEnded(); })),
       metrics_(metrics),
       load_(settings.load),
-      step_timer_(context.loop) {}
+      step_timer_(context.loop.MakeTimer()) {}
 
 void Leader::Campaign() {
   term_->Campaign(
@@ -162,17 +161,10 @@
 }
 
 void Leader::NotifyAgents() {
-  http::Request request;
-  request.method = "POST";
-  request.path = kLeaderPath;
-  request.body = jobs::Encode(term_->record());
   const Instant deadline = context_.clock.Now() + kNotificationTimeout;
+  // Agents that miss the notification read it from the store.
   for (const jobs::AgentAddress& agent : stored_agents_.agents) {
-    context_.client.Send(agent.address, request, deadline,
-                         [](const http::ClientResult&) {
-                           // Agents that miss the notification read it from the
-                           // store.
-                         });
+    context_.peers.NotifyAgent(agent.address, term_->record(), deadline);
   }
 }
 
@@ -224,16 +216,14 @@
   }
   is_step_due_ = true;
   step_due_ = due;
-  step_timer_.expires_after(delay);
-  step_timer_.async_wait(
-      [weak = weak_from_this()](boost::system::error_code ec) {
-        const auto self = weak.lock();
-        if (!ec && self && !self->term_->has_ended()) {
-          self->is_step_due_ = false;
-          self->UpdateLoad(self->context_.clock.Now() - self->step_due_);
-          self->Step();
-        }
-      });
+  step_timer_->Start(delay, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->term_->has_ended()) {
+      self->is_step_due_ = false;
+      self->UpdateLoad(self->context_.clock.Now() - self->step_due_);
+      self->Step();
+    }
+  });
 }
 
 void Leader::Step() {
@@ -468,48 +458,43 @@
         jobs::OrderBatch{term(), incarnation, std::move(orders),
                          scheduler_->OrderDeadlineMs(incarnation, now),
                          scheduler_->JobsViewedAtMs(incarnation)});
-    http::Request request;
-    request.method = "POST";
-    request.path = kOrdersPath;
-    request.body = jobs::Encode(*batch);
-    context_.client.Send(
-        runner->report.agent_address, request, now + settings_.order_timeout,
+    context_.peers.SendOrders(
+        runner->report.agent_address, *batch, now + settings_.order_timeout,
         [weak = weak_from_this(), batch,
-         sent_at = now](const http::ClientResult& result) {
+         sent_at = now](const std::optional<jobs::OrderAnswer>& answer) {
           const auto self = weak.lock();
-          if (!self || self->term_->has_ended()) {
-            return;
-          }
-          const Instant answered_at = self->context_.clock.Now();
-          std::optional<jobs::OrderAnswer> answer;
-          if (const auto* response = std::get_if<http::Response>(&result)) {
-            answer = jobs::Decode<jobs::OrderAnswer>(response->body);
+          if (self && !self->term_->has_ended()) {
+            self->OnOrdersAnswered(*batch, sent_at, answer);
           }
-          if (answer || self->load_.is_behind()) {
-            self->scheduler_->OnOrderLatency(answered_at - sent_at);
-          }
-          const jobs::Runner* addressee =
-              self->scheduler_->fleet().Find(batch->incarnation);
-          if (answer && addressee != nullptr &&
-              answer->agent_start_unix_ms !=
-                  addressee->report.agent_start_unix_ms) {
-            // The times in it are on another clock than those of its reports.
-            answer.reset();
-          }
-          for (size_t i = 0; i < batch->orders.size(); ++i) {
-            self->scheduler_->OnOrderResult(
-                batch->incarnation, batch->orders[i],
-                answer && i < answer->results.size() ? answer->results[i]
-                                                     : jobs::OrderResult{},
-                answered_at);
-          }
-          self->CountWork(WorkKind::kResults, batch->orders.size(),
-                          answered_at);
         });
   }
   CountWork(WorkKind::kOrders, order_count, now);
 }
 
+void Leader::OnOrdersAnswered(const jobs::OrderBatch& batch,
+                              Instant sent_at,
+                              const std::optional<jobs::OrderAnswer>& answer) {
+  const Instant answered_at = context_.clock.Now();
+  if (answer || load_.is_behind()) {
+    scheduler_->OnOrderLatency(answered_at - sent_at);
+  }
+  const jobs::Runner* addressee = scheduler_->fleet().Find(batch.incarnation);
+  // The times in the answer of another process of the agent are on another
+  // clock than those of its reports.
+  const bool is_valid =
+      answer && (addressee == nullptr ||
+                 answer->agent_start_unix_ms ==
+                     addressee->report.agent_start_unix_ms);
+  for (size_t i = 0; i < batch.orders.size(); ++i) {
+    scheduler_->OnOrderResult(batch.incarnation, batch.orders[i],
+                              is_valid && i < answer->results.size()
+                                  ? answer->results[i]
+                                  : jobs::OrderResult{},
+                              answered_at);
+  }
+  CountWork(WorkKind::kResults, batch.orders.size(), answered_at);
+}
+
 bool Leader::is_confirmed() const {
   return is_leading_ && context_.clock.Now() - term_->confirmed_at() <=
                             settings_.confirmation_timeout;
@@ -525,14 +510,13 @@
   return true;
 }
 
-void Leader::HandleReport(const http::Request& request,
-                          const async_http::Respond& respond) {
-  WaitingReport report{ValueOr(request.headers, kReporterHeader, ""), request,
-                       context_.clock.Now(), respond};
+void Leader::HandleReport(const ArrivedReport& arrived,
+                          const RespondToReport& respond) {
   if (!is_leading_) {
-    respond({409, {}, {}});
+    respond(ReportRejection::kNotTaken);
     return;
   }
+  WaitingReport report{arrived, context_.clock.Now(), respond};
   if (waiting_reports_.empty() &&
       reports_since_round_ < settings_.max_reports_per_round) {
     ++reports_since_round_;
@@ -541,7 +525,7 @@
   }
   if (const auto overtaken = waiting_reports_.Put(std::move(report))) {
     metrics_.OnReportOvertaken();
-    overtaken->respond({409, {}, {}});
+    overtaken->respond(ReportRejection::kNotTaken);
   }
   ScheduleStep(milliseconds(0));
 }
@@ -559,11 +543,11 @@
 }
 
 void Leader::ProcessReport(const WaitingReport& waiting) {
-  const async_http::Respond& respond = waiting.respond;
+  const RespondToReport& respond = waiting.respond;
   const Instant started_at = context_.clock.Now();
-  const auto report = jobs::Decode<jobs::RunnerReport>(waiting.request.body);
+  const auto report = waiting.report.decode();
   if (!report) {
-    respond({400, {}, {}});
+    respond(ReportRejection::kUnreadable);
     return;
   }
   // What it says is as old as its arrival.
@@ -573,7 +557,7 @@
   // If the store no longer confirms this leader, another one may have been
   // elected. Agents have to look it up while their leases are valid.
   if (!is_accepted || !is_confirmed()) {
-    respond({409, {}, {}});
+    respond(ReportRejection::kNotTaken);
     return;
   }
   PendingReport pending{
@@ -613,11 +597,8 @@
         std::chrono::floor<milliseconds>(lease_end - report.received_at);
     lease_until_ms = report.sent_at_ms + remaining.count();
   }
-  report.respond({200,
-                  {},
-                  jobs::Encode(jobs::ReportAnswer{
-                      term(), scheduler_->RecordedEnds(report.incarnation),
-                      lease_until_ms})});
+  report.respond(jobs::ReportAnswer{
+      term(), scheduler_->RecordedEnds(report.incarnation), lease_until_ms});
 }
 
 void Leader::AnswerReports() {
@@ -629,7 +610,7 @@
                         settings_.report_timeout;
     if (is_due && report.gone_version && !IsRecorded(report)) {
       // Another leader may be able to store it.
-      report.respond({409, {}, {}});
+      report.respond(ReportRejection::kNotTaken);
     } else if (is_due || IsRecorded(report)) {
       Answer(report);
     } else {
@@ -665,23 +646,17 @@
 }
 
 void Leader::NotifySuccessor(const FrontendRecord& successor) {
-  http::Request request;
-  request.method = "POST";
-  request.path = kSuccessionPath;
-  context_.client.Send(successor.address, request,
-                       context_.clock.Now() + kNotificationTimeout,
-                       [](const http::ClientResult&) {
-                         // If the call fails, all frontends read it from the
-                         // store a little later.
-                       });
+  // If the call fails, all frontends read it from the store a little later.
+  context_.peers.NotifySuccessor(successor.address,
+                                 context_.clock.Now() + kNotificationTimeout);
 }
 
 void Leader::RejectPendingReports() {
   while (const auto report = waiting_reports_.Take()) {
-    report->respond({409, {}, {}});
+    report->respond(ReportRejection::kNotTaken);
   }
   for (const PendingReport& report : pending_reports_) {
-    report.respond({409, {}, {}});
+    report.respond(ReportRejection::kNotTaken);
   }
   pending_reports_.clear();
 }
@@ -692,8 +667,7 @@
   RejectPendingReports();
   metrics_.UpdateLeaderGauges(0, 0, 0, {});
   replica_.SetListener({});
-  boost::system::error_code ignored;
-  step_timer_.cancel(ignored);
+  step_timer_->Cancel();
   on_end_();
 }
 
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -1,7 +1,6 @@
 #ifndef PAPAYADRIFT_CLUSTER_LEADER_H_
 #define PAPAYADRIFT_CLUSTER_LEADER_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -10,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "async_http/server.h"
+#include "cluster/arrived_report.h"
 #include "cluster/frontend_list.h"
 #include "cluster/job_replica.h"
 #include "cluster/leader_load.h"
@@ -100,8 +99,8 @@
   // Returns whether the job is known.
   bool OnCancelled(const JobId& id);
   // Answers an agent's report once the ends in it are stored.
-  void HandleReport(const http::Request& request,
-                    const async_http::Respond& respond);
+  void HandleReport(const ArrivedReport& report,
+                    const RespondToReport& respond);
 
  private:
   // A report whose answer waits for the ends in it to be stored.
@@ -115,7 +114,7 @@
     int64_t sent_at_ms = 0;
     Instant received_at;
     Instant processed_at;
-    async_http::Respond respond;
+    RespondToReport respond;
   };
 
   void ProcessReport(const WaitingReport& waiting);
@@ -146,6 +145,10 @@
   milliseconds TimeToAppend() const;
   void Flush();
   void SendOrders();
+  // Takes the agent's answer to a batch; nothing: there is none.
+  void OnOrdersAnswered(const jobs::OrderBatch& batch,
+                        Instant sent_at,
+                        const std::optional<jobs::OrderAnswer>& answer);
   // Deletes jobs that ended long ago. They are deleted from the jobs topic
   // first, so that no later leader takes one for a new job.
   void DeleteExpiredJobs();
@@ -182,7 +185,7 @@
   std::vector<JobId> deleted_jobs_;  // Jobs whose progress is still stored.
   Instant last_append_at_;
   Instant learned_appended_at_;
-  boost::asio::steady_timer step_timer_;
+  const std::unique_ptr<Timer> step_timer_;
   Instant step_due_;
   bool is_step_due_ = false;
   ReportQueue waiting_reports_;
--- a/src/libs/cluster/leader_election.cpp
+++ b/src/libs/cluster/leader_election.cpp
@@ -1,14 +1,10 @@
 #include "cluster/leader_election.h"
 
-#include <boost/asio/post.hpp>
-
 #include <algorithm>
 #include <utility>
-#include <variant>
 
 #include "base/hash.h"
 #include "cluster/cluster_metrics.h"
-#include "cluster/topics.h"
 
 namespace papayadrift::cluster {
 namespace {
@@ -33,7 +29,7 @@
       make_leader_(std::move(make_leader)),
       on_store_answered_(std::move(on_store_answered)),
       handover_(settings.handover, context, frontends),
-      leader_check_timer_(context.loop) {}
+      leader_check_timer_(context.loop.MakeTimer()) {}
 
 void LeaderElection::Start() {
   leader_seen_at_ = context_.clock.Now();
@@ -53,12 +49,7 @@
 }
 
 void LeaderElection::ScheduleLeaderCheck(milliseconds delay) {
-  leader_check_timer_.expires_after(delay);
-  leader_check_timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      CheckLeader();
-    }
-  });
+  leader_check_timer_->Start(delay, [this] { CheckLeader(); });
 }
 
 void LeaderElection::CheckLeader() {
@@ -173,15 +164,8 @@
 
 void LeaderElection::QueryLeader(milliseconds timeout,
                                  std::function<void(bool is_leader)> done) {
-  http::Request request;
-  request.method = "GET";
-  request.path = kLeaderPath;
-  context_.client.Send(
-      leader_address(), request, context_.clock.Now() + timeout,
-      [done = std::move(done)](const http::ClientResult& result) {
-        const auto* response = std::get_if<http::Response>(&result);
-        done(response != nullptr && response->status == 200);
-      });
+  context_.peers.QueryLeader(leader_address(), context_.clock.Now() + timeout,
+                             std::move(done));
 }
 
 void LeaderElection::CampaignUnlessLeaderAnswers() {
@@ -217,31 +201,24 @@
   handover_.OnTermBegun();
   leader_ = make_leader_([this] {
     leader_seen_at_ = context_.clock.Now();
-    boost::asio::post(context_.loop, [this] { leader_.reset(); });
+    context_.loop.RunAfter(microseconds(0), [this] { leader_.reset(); });
   });
   leader_->Campaign();
   ScheduleLeaderCheck(settings_.leader_check_period);
 }
 
-void LeaderElection::HandleLeaderQuery(
-    const async_http::Respond& respond) const {
-  respond({is_leading() ? 200 : 409, {}, {}});
-}
-
-void LeaderElection::HandleStandbyQuery(const async_http::Respond& respond) {
+std::optional<uint64_t> LeaderElection::HandleStandbyQuery() {
   const bool is_up_to_date =
       replica_.caught_up_at() + settings_.leader_timeout >=
       context_.clock.Now();
   const bool may_lead =
       !is_stopping_ && !leader_ && initial_state_read_at_ && is_up_to_date;
-  respond({may_lead ? 200 : 409,
-           {},
-           may_lead ? handover_.Answer() : std::string()});
+  return may_lead ? std::optional(handover_.MeasureSpeed()) : std::nullopt;
 }
 
-void LeaderElection::HandleSuccession(const async_http::Respond& respond) {
-  respond({is_stopping_ ? 409 : 200, {}, {}});
+bool LeaderElection::HandleSuccession() {
   CheckLeader();
+  return !is_stopping_;
 }
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader_election.h
+++ b/src/libs/cluster/leader_election.h
@@ -1,13 +1,12 @@
 #ifndef PAPAYADRIFT_CLUSTER_LEADER_ELECTION_H_
 #define PAPAYADRIFT_CLUSTER_LEADER_ELECTION_H_
 
-#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
-#include "async_http/server.h"
 #include "cluster/frontend_list.h"
 #include "cluster/handover.h"
 #include "cluster/job_replica.h"
@@ -82,15 +81,12 @@
   void Stop();
   // Takes who leads as published in the leader topic.
   void OnLeaderPublished(const jobs::LeaderRecord& record);
-  // Answers another frontend that is about to campaign whether this process
-  // leads.
-  void HandleLeaderQuery(const async_http::Respond& respond) const;
-  // Answers a leader whether this process could lead at once, and how fast it
-  // computes.
-  void HandleStandbyQuery(const async_http::Respond& respond);
+  // Answers a leader whether this process could lead at once: how fast it
+  // computes, or nothing.
+  std::optional<uint64_t> HandleStandbyQuery();
   // Handles the notification that the leader has resigned and named this
-  // process its successor.
-  void HandleSuccession(const async_http::Respond& respond);
+  // process its successor. Returns whether it may campaign.
+  bool HandleSuccession();
 
   // Set while this process campaigns, leads or resigns.
   Leader* leader() const { return leader_.get(); }
@@ -139,7 +135,7 @@
   jobs::LeaderRecord published_leader_;  // As published in the leader topic.
   std::shared_ptr<Leader> leader_;
   Handover handover_;
-  boost::asio::steady_timer leader_check_timer_;
+  const std::unique_ptr<Timer> leader_check_timer_;
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader_term.cpp
+++ b/src/libs/cluster/leader_term.cpp
@@ -1,7 +1,5 @@
 #include "cluster/leader_term.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <utility>
 #include <variant>
 
@@ -31,15 +29,13 @@
       on_end_(std::move(on_end)) {}
 
 void LeaderTerm::After(milliseconds delay, std::function<void()> action) {
-  auto timer =
-      std::make_shared<boost::asio::steady_timer>(context_.loop, delay);
-  timer->async_wait([weak = weak_from_this(), timer,
-                     action = std::move(action)](boost::system::error_code ec) {
-    const auto self = weak.lock();
-    if (!ec && self && !self->has_ended_) {
-      action();
-    }
-  });
+  context_.loop.RunAfter(delay,
+                         [weak = weak_from_this(), action = std::move(action)] {
+                           const auto self = weak.lock();
+                           if (self && !self->has_ended_) {
+                             action();
+                           }
+                         });
 }
 
 void LeaderTerm::Campaign(const jobs::LeaderRecord& candidate,
--- a/src/libs/cluster/relay.cpp
+++ b/src/libs/cluster/relay.cpp
@@ -1,13 +1,10 @@
 #include "cluster/relay.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <ranges>
 #include <utility>
 #include <variant>
 
-#include "cluster/topics.h"
-
 namespace papayadrift::cluster {
 namespace {
 
@@ -27,7 +24,7 @@
   Done done;
   Outcome outcome;
   // Queries only.
-  std::optional<boost::asio::steady_timer> pace_timer;
+  std::unique_ptr<Timer> pace_timer;
   size_t unanswered = 0;
   bool is_done = false;
 };
@@ -85,48 +82,37 @@
                             : std::min(attempt->deadline, now + kPeerTimeout);
   attempt->call.remaining_ms =
       std::chrono::floor<milliseconds>(limit - now).count();
-  http::Request request;
-  request.method = "POST";
-  request.path = kRelayPath;
-  request.body = Encode(attempt->call);
   ++attempt->unanswered;
   if (is_query) {
     Pace(attempt);
   }
-  context_.client.Send(address, request, limit,
-                       [this, attempt](const http::ClientResult& result) {
-                         --attempt->unanswered;
-                         if (!attempt->is_done) {
-                           OnResult(attempt, result);
-                         }
-                       });
+  context_.peers.SendRelayed(address, attempt->call, limit,
+                             [this, attempt](const RelayResult& result) {
+                               --attempt->unanswered;
+                               if (!attempt->is_done) {
+                                 OnResult(attempt, result);
+                               }
+                             });
 }
 
 void Relay::Pace(const std::shared_ptr<Attempt>& attempt) {
-  attempt->pace_timer.emplace(context_.loop, kQueryPace);
-  attempt->pace_timer->async_wait(
-      [this, attempt](boost::system::error_code ec) {
-        if (!ec && !attempt->is_done) {
-          TryNext(attempt);
-        }
-      });
+  attempt->pace_timer = context_.loop.MakeTimer();
+  attempt->pace_timer->Start(kQueryPace, [this, attempt] {
+    if (!attempt->is_done) {
+      TryNext(attempt);
+    }
+  });
 }
 
 void Relay::OnResult(const std::shared_ptr<Attempt>& attempt,
-                     const http::ClientResult& result) {
-  const auto* failure = std::get_if<http::ClientFailure>(&result);
-  if (failure == nullptr) {
-    const auto& response = std::get<http::Response>(result);
-    const auto answer = DecodeRelayAnswer(response.body);
-    if (answer && answer->is_handled) {
-      attempt->outcome.answer = answer;
+                     const RelayResult& result) {
+  if (const auto* answer = std::get_if<RelayAnswer>(&result)) {
+    if (answer->is_handled) {
+      attempt->outcome.answer = *answer;
       Finish(*attempt);
       return;
     }
-    // A frontend whose answer can't be decoded may have handled the call.
-    attempt->outcome.may_be_done |= !answer && response.status == 200;
-  } else if (*failure != http::ClientFailure::kNotConnected &&
-             *failure != http::ClientFailure::kRefused) {
+  } else if (std::get<CallFailure>(result) != CallFailure::kNotDone) {
     attempt->outcome.may_be_done = true;
   }
   TryNext(attempt);
--- a/src/libs/cluster/relay.h
+++ b/src/libs/cluster/relay.h
@@ -10,7 +10,6 @@
 #include "cluster/frontend_list.h"
 #include "cluster/process_context.h"
 #include "cluster/relay_messages.h"
-#include "http/message.h"
 
 // Calls that a frontend can't handle itself because the store refuses its
 // requests are relayed to another frontend that the store still serves.
@@ -47,7 +46,7 @@
   // Lets the next frontend be asked beside those that have not answered yet.
   void Pace(const std::shared_ptr<Attempt>& attempt);
   void OnResult(const std::shared_ptr<Attempt>& attempt,
-                const http::ClientResult& result);
+                const RelayResult& result);
   static void Finish(Attempt& attempt);
 
   const ProcessContext context_;
--- a/src/libs/cluster/report_queue.cpp
+++ b/src/libs/cluster/report_queue.cpp
@@ -12,12 +12,12 @@
 }
 
 std::optional<WaitingReport> ReportQueue::Put(WaitingReport report) {
-  const auto known = by_reporter_.find(report.reporter);
+  const auto known = by_reporter_.find(report.report.reporter);
   if (known != by_reporter_.end()) {
     return std::exchange(*known->second, std::move(report));
   }
   reports_.push_back(std::move(report));
-  if (const std::string& reporter = reports_.back().reporter;
+  if (const std::string& reporter = reports_.back().report.reporter;
       !reporter.empty()) {
     by_reporter_.emplace(reporter, std::prev(reports_.end()));
   }
@@ -30,7 +30,7 @@
   }
   WaitingReport first = std::move(reports_.front());
   reports_.pop_front();
-  by_reporter_.erase(first.reporter);
+  by_reporter_.erase(first.report.reporter);
   return first;
 }
 
--- a/src/libs/cluster/report_queue.h
+++ b/src/libs/cluster/report_queue.h
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-#include "async_http/server.h"
 #include "base/instant.h"
+#include "cluster/arrived_report.h"
 #include "jobs/runner.h"
 
 namespace papayadrift::cluster {
@@ -18,12 +18,10 @@
 // says that the runner has ended.
 std::string ReporterOf(const jobs::RunnerReport& report);
 
-// A report of an agent that has not been decoded.
 struct WaitingReport {
-  std::string reporter;  // As by ReporterOf(); empty if the agent did not say.
-  http::Request request;
+  ArrivedReport report;
   Instant received_at;
-  async_http::Respond respond;
+  RespondToReport respond;
 };
 
 // Reports that wait for their turn, in the order of their arrival. An agent
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 #include <variant>
 
-#include "cluster/report_queue.h"
 #include "cluster/topics.h"
 #include "jobs/codec.h"
 
@@ -20,13 +19,23 @@
 // Concurrent calls to the runner from one batch, so that an unanswered one does
 // not block the others. The runner accepts 64 connections.
 constexpr size_t kMaxConcurrentCalls = 8;
+
+// Returns the status that a log line of a report has; 0: there was no answer.
+int64_t StatusOf(const ReportResult& result) {
+  constexpr int64_t kAnswered = 200;
+  if (const auto* refused = std::get_if<ReportRefused>(&result)) {
+    return refused->status;
+  }
+  return std::holds_alternative<CallFailure>(result) ? 0 : kAnswered;
+}
+
 }  // namespace
 
 // A batch of orders that is being sent to the runner.
 struct RunnerAgent::PendingOrderBatch {
   jobs::OrderBatch batch;
   jobs::OrderAnswer answer;
-  async_http::Respond respond;
+  RespondToOrders respond;
   Instant deadline;  // No order is sent to the runner after it.
   size_t next = 0;   // Index of the next order to send.
   size_t in_flight = 0;
@@ -41,8 +50,8 @@
       runner_(runner),
       session_(settings, context.clock.WallNow().time_since_epoch().count()),
       report_limit_(settings.report_timeout),
-      renewal_timer_(context.loop),
-      report_timer_(context.loop) {}
+      renewal_timer_(context.loop.MakeTimer()),
+      report_timer_(context.loop.MakeTimer()) {}
 
 void RunnerAgent::Start() {
   LookUpLeader();
@@ -97,8 +106,7 @@
                       {{"change", "ended"},
                        {"subject", ToText(session_.incarnation())},
                        {"reason", std::string(reason)}});
-  boost::system::error_code ignored;
-  renewal_timer_.cancel(ignored);
+  renewal_timer_->Cancel();
   ReportNow();
 }
 
@@ -108,10 +116,7 @@
     return;
   }
   on_stopped_ = std::move(done);
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      context_.loop,
-      std::chrono::ceil<milliseconds>(deadline - context_.clock.Now()));
-  timer->async_wait([this, timer](boost::system::error_code) {
+  context_.loop.RunAfter(deadline - context_.clock.Now(), [this] {
     if (on_stopped_) {
       std::exchange(on_stopped_, nullptr)();
     }
@@ -119,12 +124,7 @@
 }
 
 void RunnerAgent::ScheduleLeaseRenewal(milliseconds delay) {
-  renewal_timer_.expires_after(delay);
-  renewal_timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      RenewLease();
-    }
-  });
+  renewal_timer_->Start(delay, [this] { RenewLease(); });
 }
 
 void RunnerAgent::RenewLease() {
@@ -171,12 +171,9 @@
     return;
   }
   report_due_ = due;
-  report_timer_.expires_after(delay);
-  report_timer_.async_wait([this](boost::system::error_code ec) {
-    if (!ec) {
-      report_due_.reset();
-      Report();
-    }
+  report_timer_->Start(delay, [this] {
+    report_due_.reset();
+    Report();
   });
 }
 
@@ -195,14 +192,9 @@
   is_report_needed_ = false;
   const Instant sent_at = context_.clock.Now();
   const ReportCall call = session_.StartReport(sent_at);
-  http::Request request;
-  request.method = "POST";
-  request.path = kReportPath;
-  request.headers = {{kReporterHeader, ReporterOf(call.report)}};
-  request.body = jobs::Encode(call.report);
-  context_.client.Send(
-      session_.leader().address, request, sent_at + report_limit_,
-      [this, ticket = call.ticket, sent_at](const http::ClientResult& result) {
+  context_.peers.SendReport(
+      session_.leader().address, call.report, sent_at + report_limit_,
+      [this, ticket = call.ticket, sent_at](const ReportResult& result) {
         if (session_.IsAwaited(ticket)) {
           UpdateReportLimit(sent_at, result);
           OnReported(ticket, result);
@@ -211,12 +203,12 @@
 }
 
 void RunnerAgent::UpdateReportLimit(Instant sent_at,
-                                    const http::ClientResult& result) {
-  const auto* failure = std::get_if<http::ClientFailure>(&result);
+                                    const ReportResult& result) {
+  const auto* failure = std::get_if<CallFailure>(&result);
   milliseconds limit(0);
   if (failure == nullptr) {
     limit = 2 * std::chrono::ceil<milliseconds>(context_.clock.Now() - sent_at);
-  } else if (*failure == http::ClientFailure::kTimedOut) {
+  } else if (*failure == CallFailure::kTimedOut) {
     limit = 2 * report_limit_;
   }
   report_limit_ = std::clamp(limit, settings_.report_timeout,
@@ -224,21 +216,17 @@
 }
 
 void RunnerAgent::OnReported(const ReportTicket& ticket,
-                             const http::ClientResult& result) {
-  const auto* response = std::get_if<http::Response>(&result);
-  std::optional<jobs::ReportAnswer> answer;
-  if (response != nullptr && response->status == 200) {
-    answer = jobs::Decode<jobs::ReportAnswer>(response->body);
-  }
+                             const ReportResult& result) {
+  const auto* received = std::get_if<jobs::ReportAnswer>(&result);
+  const auto answer =
+      received == nullptr ? std::nullopt : std::optional(*received);
   const ReportOutcome outcome = session_.OnReported(ticket, answer);
   if (!outcome.is_accepted) {
     if (!std::exchange(is_report_failing_, true)) {
       context_.logger.Log(
           Event::kReportUnanswered,
           {{"term", static_cast<int64_t>(session_.leader().term)},
-           {"status", response == nullptr
-                          ? int64_t{0}
-                          : static_cast<int64_t>(response->status)},
+           {"status", StatusOf(result)},
            {"has_lease", session_.HasLease(context_.clock.Now())}});
     }
     ScheduleLeaderLookup();
@@ -280,28 +268,19 @@
   return true;
 }
 
-void RunnerAgent::HandleLeader(const http::Request& request,
-                               const async_http::Respond& respond) {
-  const auto leader = jobs::Decode<jobs::LeaderRecord>(request.body);
-  if (!leader) {
-    respond({400, {}, {}});
-    return;
-  }
-  respond({200, {}, {}});
-  if (UpdateLeader(*leader, "leader")) {
+void RunnerAgent::HandleLeader(const jobs::LeaderRecord& leader) {
+  if (UpdateLeader(leader, "leader")) {
     ReportNow();
   }
 }
 
 void RunnerAgent::ScheduleLeaderLookup() {
-  auto timer = std::make_shared<boost::asio::steady_timer>(context_.loop,
-                                                           kLeaderLookupDelay);
-  timer->async_wait(
-      [this, timer, term = session_.leader().term](boost::system::error_code) {
-        if (session_.leader().term == term) {
-          LookUpLeader();
-        }
-      });
+  context_.loop.RunAfter(kLeaderLookupDelay,
+                         [this, term = session_.leader().term] {
+                           if (session_.leader().term == term) {
+                             LookUpLeader();
+                           }
+                         });
 }
 
 void RunnerAgent::LookUpLeader() {
@@ -337,15 +316,10 @@
       });
 }
 
-void RunnerAgent::HandleOrders(const http::Request& request,
-                               const async_http::Respond& respond) {
-  auto batch = jobs::Decode<jobs::OrderBatch>(request.body);
-  if (!batch) {
-    respond({400, {}, {}});
-    return;
-  }
+void RunnerAgent::HandleOrders(const jobs::OrderBatch& batch,
+                               const RespondToOrders& respond) {
   auto call = std::make_shared<PendingOrderBatch>();
-  call->batch = std::move(*batch);
+  call->batch = batch;
   call->respond = respond;
   call->deadline = context_.clock.Now() + settings_.batch_limit;
   call->answer.results.resize(call->batch.orders.size());
@@ -401,7 +375,7 @@
         });
   }
   if (call->next == orders.size() && call->in_flight == 0) {
-    call->respond({200, {}, jobs::Encode(call->answer)});
+    call->respond(call->answer);
     if (session_.IsRunnerUp() && !session_.HasLease(context_.clock.Now())) {
       // The leader may have been waiting for this to grant a lease.
       ReportNow();
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -1,7 +1,6 @@
 #ifndef PAPAYADRIFT_CLUSTER_RUNNER_AGENT_H_
 #define PAPAYADRIFT_CLUSTER_RUNNER_AGENT_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -9,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "async_http/server.h"
+#include "cluster/peer_api.h"
 #include "cluster/process_context.h"
 #include "cluster/runner_agent_settings.h"
 #include "cluster/runner_api.h"
@@ -38,10 +37,10 @@
   // so nothing else has to be handed over.
   void Stop(Instant deadline, std::function<void()> done);
   // Handles a leader's notification of its election.
-  void HandleLeader(const http::Request& request,
-                    const async_http::Respond& respond);
-  void HandleOrders(const http::Request& request,
-                    const async_http::Respond& respond);
+  void HandleLeader(const jobs::LeaderRecord& leader);
+  using RespondToOrders = std::function<void(const jobs::OrderAnswer&)>;
+  void HandleOrders(const jobs::OrderBatch& batch,
+                    const RespondToOrders& respond);
 
  private:
   struct PendingOrderBatch;
@@ -55,9 +54,9 @@
   void Report();
   void ReportNow();
   void ScheduleReport(milliseconds delay);
-  void OnReported(const ReportTicket& ticket, const http::ClientResult& result);
+  void OnReported(const ReportTicket& ticket, const ReportResult& result);
   // Adapts the timeout of reports to how the leader has answered one.
-  void UpdateReportLimit(Instant sent_at, const http::ClientResult& result);
+  void UpdateReportLimit(Instant sent_at, const ReportResult& result);
   // Takes over `leader` if its term is later than that of the known one.
   bool UpdateLeader(const jobs::LeaderRecord& leader, const char* source);
   // Reads the leader from the store after a delay, unless a leader notifies
@@ -77,8 +76,8 @@
   bool is_report_needed_ = false;
   bool is_report_failing_ = false;  // Whether the last report failed.
   bool is_looking_up_leader_ = false;
-  boost::asio::steady_timer renewal_timer_;
-  boost::asio::steady_timer report_timer_;
+  const std::unique_ptr<Timer> renewal_timer_;
+  const std::unique_ptr<Timer> report_timer_;
   std::optional<Instant> report_due_;
 };
 
--- a/src/libs/logging/logger.h
+++ b/src/libs/logging/logger.h
@@ -5,24 +5,15 @@
 #include <initializer_list>
 #include <memory>
 #include <string>
-#include <string_view>
-#include <variant>
 
 #include "base/clock.h"
 #include "logging/event.h"
 #include "logging/event_budget.h"
+#include "logging/event_log.h"
 #include "logging/line_writer.h"
 
 namespace papayadrift::logging {
 
-// A typed value of an event, under a name in lower case.
-struct Field {
-  std::string_view name;
-  std::variant<bool, int64_t, double, std::string> value;
-
-  friend bool operator==(const Field&, const Field&) = default;
-};
-
 struct LoggerSettings {
   EventBudgetSettings budget;  // Of each event up to the level info.
   // Of each warning and error: about 0.5 MB/s of lines at most.
@@ -41,7 +32,7 @@
 // An event that comes too often has lines left out; its next line then has
 // their number as "left_out". Where lines were dropped because the reader fell
 // behind, a line of the event "lines.dropped" has their number.
-class Logger {
+class Logger : public EventLog {
  public:
   // Writes to `descriptor`, which must outlive the logger; events below
   // `minimum` are left out.
@@ -51,11 +42,12 @@
          int descriptor,
          const LoggerSettings& settings = {});
   // Finishes.
-  ~Logger();
+  ~Logger() override;
   Logger(const Logger&) = delete;
   Logger& operator=(const Logger&) = delete;
 
-  void Log(Event event, std::initializer_list<Field> fields = {});
+  using EventLog::Log;
+  void Log(Event event, std::initializer_list<Field> fields) override;
 
   // Takes no more events and waits until the lines are written, for a second at
   // most. To be called before a process ends without destroying the logger.
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -10,6 +10,7 @@
 
 #include "async_http/server.h"
 #include "cluster/topics.h"
+#include "cluster_http/paths.h"
 #include "jobs/codec.h"
 #include "process_fixture.h"
 #include "support/free_port.h"
@@ -137,13 +138,8 @@
   log_.Settle();
   // The announcement, the candidacy and the published address.
   EXPECT_GE(log_.append_count(), before + 3);
-  int status = 0;
-  named.HandleLeaderQuery(
-      [&](const http::Response& it) { status = it.status; });
-  EXPECT_EQ(status, 200);
-  other.HandleLeaderQuery(
-      [&](const http::Response& it) { status = it.status; });
-  EXPECT_EQ(status, 409);
+  EXPECT_TRUE(named.HandleLeaderQuery());
+  EXPECT_FALSE(other.HandleLeaderQuery());
   named.Stop();
   other.Stop();
 }
@@ -196,7 +192,7 @@
   log_.Settle();
   const size_t before = log_.append_count();
   for (int i = 0; i < 2; ++i) {
-    frontend_.HandleSuccession([](const http::Response&) {});
+    frontend_.HandleSuccession();
     log_.Settle();
   }
   EXPECT_EQ(log_.append_count(), before);
@@ -209,11 +205,8 @@
   RelayCall call{RelayKind::kSubmit, "q", kId, jobs::Encode(job_), 0};
   std::optional<RelayAnswer> answer;
   const auto relay = [&] {
-    http::Request request;
-    request.body = Encode(call);
-    frontend_.HandleRelay(request, [&](const http::Response& it) {
-      answer = DecodeRelayAnswer(it.body);
-    });
+    frontend_.HandleRelay(
+        call, [&](const std::optional<RelayAnswer>& it) { answer = it; });
     log_.Settle();
   };
   relay();
@@ -360,8 +353,8 @@
   async_http::Server larger(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        query_count += request.path == kStandbyPath ? 1 : 0;
-        is_named |= request.path == kSuccessionPath;
+        query_count += request.path == cluster_http::kStandbyPath ? 1 : 0;
+        is_named |= request.path == cluster_http::kSuccessionPath;
         constexpr uint64_t kFastest = 1'000'000'000'000;
         respond({is_standby ? 200 : 409, {}, std::to_string(kFastest)});
       });
@@ -375,17 +368,11 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  const auto leader_status = [&] {
-    int status = 0;
-    frontend.HandleLeaderQuery(
-        [&](const http::Response& it) { status = it.status; });
-    return status;
-  };
   RunUntil([&] { return query_count == 2; });
-  EXPECT_EQ(leader_status(), 200);
+  EXPECT_TRUE(frontend.HandleLeaderQuery());
   is_standby = true;
   RunUntil([&] { return is_named; });
-  EXPECT_EQ(leader_status(), 409);
+  EXPECT_FALSE(frontend.HandleLeaderQuery());
   frontend.Stop();
 }
 
@@ -399,7 +386,7 @@
         const auto state = static_cast<uint32_t>(jobs::JobState::kRunning);
         respond({200,
                  {},
-                 request.path == kRelayPath
+                 request.path == cluster_http::kRelayPath
                      ? Encode(RelayAnswer{true, state, true})
                      : std::string()});
       });
@@ -438,7 +425,7 @@
         const auto state = static_cast<uint32_t>(jobs::JobState::kRunning);
         respond({200,
                  {},
-                 request.path == kRelayPath
+                 request.path == cluster_http::kRelayPath
                      ? Encode(RelayAnswer{true, state, true})
                      : std::string()});
       });
@@ -478,7 +465,7 @@
   async_http::Server standby(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        is_named |= request.path == kSuccessionPath;
+        is_named |= request.path == cluster_http::kSuccessionPath;
         respond({200, {}, std::to_string(SpeedProbe(clock_).Measure())});
       });
   ASSERT_TRUE(standby.Open());
@@ -491,13 +478,7 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  const auto leader_status = [&] {
-    int status = 0;
-    frontend.HandleLeaderQuery(
-        [&](const http::Response& it) { status = it.status; });
-    return status;
-  };
-  RunUntil([&] { return leader_status() == 200; });
+  RunUntil([&] { return frontend.HandleLeaderQuery(); });
   // Its read waits for a new record, and the store does not end the wait.
   const Instant until = clock_.Now() + milliseconds(60'000);
   RunUntil([&] { return is_named || clock_.Now() >= until; });
@@ -546,13 +527,7 @@
   JobFrontend frontend(PromptSettings(), context());
   frontend.Start();
   log_.Settle();
-  const auto leader_status = [&] {
-    int status = 0;
-    frontend.HandleLeaderQuery(
-        [&](const http::Response& it) { status = it.status; });
-    return status;
-  };
-  RunUntil([&] { return leader_status() == 200; });
+  RunUntil([&] { return frontend.HandleLeaderQuery(); });
   log_.Write({kJobsTopic,
               {{KeyOf(kJobPrefix, kId), jobs::Encode(job_)}},
               std::nullopt,
@@ -560,7 +535,7 @@
              {}, [](const keyed_log::AppendResult&) {});
   log_.AnswerNext();  // The leader's read of it is not answered yet.
   clock_.Advance(Settings().count_freshness + milliseconds(1));
-  ASSERT_EQ(leader_status(), 200);
+  ASSERT_TRUE(frontend.HandleLeaderQuery());
   std::optional<size_t> count;
   frontend.CountQueued("q", [&](std::optional<size_t> it) { count = it; });
   EXPECT_FALSE(count);
@@ -577,7 +552,7 @@
   async_http::Server leader(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        if (request.path == kCancellationPath) {
+        if (request.path == cluster_http::kCancellationPath) {
           cancelled = request.body;
         }
         respond({200, {}, {}});
--- a/tests/auto/cluster/leader_election_test.cpp
+++ b/tests/auto/cluster/leader_election_test.cpp
@@ -11,6 +11,7 @@
 #include "async_http/server.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
+#include "cluster_http/paths.h"
 #include "jobs/codec.h"
 #include "jobs/directory.h"
 #include "process_fixture.h"
@@ -92,17 +93,6 @@
     RunUntil([&] { return campaign_count_ > 0; });
     return std::chrono::floor<milliseconds>(campaigned_at_ - started_at);
   }
-  static int StatusOf(
-      const std::function<void(const async_http::Respond&)>& handle) {
-    int status = 0;
-    handle([&](const http::Response& it) { status = it.status; });
-    return status;
-  }
-  static int StandbyStatus(LeaderElection& election) {
-    return StatusOf([&](const async_http::Respond& respond) {
-      election.HandleStandbyQuery(respond);
-    });
-  }
 
   ClusterMetrics cluster_metrics_{metrics_};
   jobs::Directory directory_;
@@ -120,10 +110,6 @@
   log_.Settle();
   EXPECT_TRUE(election->is_leading());
   EXPECT_EQ(store_answered_at_, started_at);
-  EXPECT_EQ(StatusOf([&](const async_http::Respond& respond) {
-              election->HandleLeaderQuery(respond);
-            }),
-            200);
   election->Stop();
 }
 
@@ -209,7 +195,7 @@
   async_http::Server leader(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        EXPECT_EQ(request.path, kLeaderPath);
+        EXPECT_EQ(request.path, cluster_http::kLeaderPath);
         ++query_count;
         asked_at = clock_.Now();
         respond({is_leader ? 200 : 409, {}, {}});
@@ -380,19 +366,19 @@
 TEST_F(LeaderElectionTest, OnlyAnUpToDateFollowerIsAStandby) {
   Store({3, "node-9", FreeAddress()});
   const auto election = MakeElection();
-  EXPECT_EQ(StandbyStatus(*election), 409);
+  EXPECT_FALSE(election->HandleStandbyQuery());
   // A caller's query makes the replica read.
   replica_.CatchUpOnJobs([](bool) {});
   replica_.CatchUpOnProgress([](bool) {});
   log_.Settle();
-  EXPECT_EQ(StandbyStatus(*election), 409);
+  EXPECT_FALSE(election->HandleStandbyQuery());
   election->CheckLeader();
   log_.Settle();
-  EXPECT_EQ(StandbyStatus(*election), 200);
+  EXPECT_TRUE(election->HandleStandbyQuery());
   clock_.Advance(Settings().leader_timeout + milliseconds(1));
-  EXPECT_EQ(StandbyStatus(*election), 409);
+  EXPECT_FALSE(election->HandleStandbyQuery());
   RunUntil([&] { return campaign_count_ > 0; });
-  EXPECT_EQ(StandbyStatus(*election), 409);
+  EXPECT_FALSE(election->HandleStandbyQuery());
   election->Stop();
 }
 
@@ -401,13 +387,10 @@
   const auto election = MakeElection();
   election->CheckLeader();
   log_.Settle();
-  ASSERT_EQ(StandbyStatus(*election), 200);
+  ASSERT_TRUE(election->HandleStandbyQuery());
   election->Stop();
-  EXPECT_EQ(StandbyStatus(*election), 409);
-  EXPECT_EQ(StatusOf([&](const async_http::Respond& respond) {
-              election->HandleSuccession(respond);
-            }),
-            409);
+  EXPECT_FALSE(election->HandleStandbyQuery());
+  EXPECT_FALSE(election->HandleSuccession());
   clock_.Advance(Settings().leader_timeout);
   do {
     loop_.restart();
@@ -427,10 +410,7 @@
   log_.Settle();
   Store({3, "node-9", address, 0, true, kNode});
   EXPECT_EQ(campaign_count_, 0);
-  EXPECT_EQ(StatusOf([&](const async_http::Respond& respond) {
-              election->HandleSuccession(respond);
-            }),
-            200);
+  EXPECT_TRUE(election->HandleSuccession());
   log_.Settle();
   EXPECT_EQ(campaign_count_, 1);
   election->Stop();
@@ -444,7 +424,7 @@
   async_http::Server larger(
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
-        is_named |= request.path == kSuccessionPath;
+        is_named |= request.path == cluster_http::kSuccessionPath;
         constexpr uint64_t kFastest = 1'000'000'000'000;
         respond({200, {}, std::to_string(kFastest)});
       });
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -10,6 +10,8 @@
 #include "async_http/server.h"
 #include "cluster/cluster_metrics.h"
 #include "cluster/topics.h"
+#include "cluster_http/paths.h"
+#include "cluster_http/reports.h"
 #include "jobs/codec.h"
 #include "process_fixture.h"
 #include "support/free_port.h"
@@ -46,6 +48,13 @@
                                     directory_, replica_,
                                     [this] { ++end_count_; });
   }
+  // Hands a request with a report to the leader.
+  static void Report(Leader& leader,
+                     const http::Request& request,
+                     const async_http::Respond& respond) {
+    leader.HandleReport(cluster_http::ReportOf(request),
+                        cluster_http::ReplyWith(respond));
+  }
   // Reads all stored progress, as a frontend does before it campaigns.
   void CatchUp() {
     replica_.CatchUpOnProgress([](bool) {});
@@ -102,10 +111,10 @@
   request.body = jobs::Encode(report);
   int status = 0;
   const auto respond = [&](const http::Response& it) { status = it.status; };
-  leader->HandleReport(request, respond);
+  Report(*leader, request, respond);
   EXPECT_EQ(status, 200);
   clock_.Advance(LeaderSettings().confirmation_timeout + milliseconds(1));
-  leader->HandleReport(request, respond);
+  Report(*leader, request, respond);
   EXPECT_EQ(status, 409);
   EXPECT_TRUE(leader->is_leading());
   EXPECT_FALSE(leader->is_confirmed());
@@ -132,8 +141,7 @@
   http::Request request;
   request.body = jobs::Encode(report);
   std::optional<http::Response> response;
-  deposed->HandleReport(request,
-                        [&](const http::Response& it) { response = it; });
+  Report(*deposed, request, [&](const http::Response& it) { response = it; });
   clock_.Advance(LeaderSettings().report_timeout);
   while (!response) {
     // The leader's own timer triggers the next step.
@@ -168,7 +176,7 @@
   request.body = jobs::Encode(report);
   clock_.Advance(LeaderSettings().min_append_interval);
   const size_t appends = log_.append_count();
-  leader->HandleReport(request, [](const http::Response&) {});
+  Report(*leader, request, [](const http::Response&) {});
   while (log_.append_count() == appends) {
     // The leader's own timer triggers the next step.
     ASSERT_GT(loop_.run_one(), 0U);
@@ -197,8 +205,8 @@
   ASSERT_TRUE(leader->is_leading());
   int status = 0;
   log_.set_is_down(true);
-  leader->HandleReport(agent.EndedRunnerRequest(),
-                       [&](const http::Response& it) { status = it.status; });
+  Report(*leader, agent.EndedRunnerRequest(),
+         [&](const http::Response& it) { status = it.status; });
   loop_.poll();
   EXPECT_EQ(status, 0);
   clock_.Advance(LeaderSettings().report_timeout);
@@ -233,7 +241,7 @@
   http::Request request;
   request.body = jobs::Encode(report);
   const size_t appends = log_.append_count();
-  leader->HandleReport(request, [](const http::Response&) {});
+  Report(*leader, request, [](const http::Response&) {});
   while (log_.append_count() == appends) {
     ASSERT_GT(loop_.run_one(), 0U);
   }
@@ -258,8 +266,7 @@
   leader->Campaign();
   log_.Settle();
   ASSERT_TRUE(leader->is_leading());
-  leader->HandleReport(agent.EndedRunnerRequest(),
-                       [](const http::Response&) {});
+  Report(*leader, agent.EndedRunnerRequest(), [](const http::Response&) {});
   const auto lease_of = [&](const std::string& node) {
     jobs::RunnerReport report;
     report.incarnation = agent.ClaimedTask().incarnation;
@@ -268,7 +275,7 @@
     http::Request request;
     request.body = jobs::Encode(report);
     std::optional<jobs::ReportAnswer> answer;
-    leader->HandleReport(request, [&](const http::Response& it) {
+    Report(*leader, request, [&](const http::Response& it) {
       answer = jobs::Decode<jobs::ReportAnswer>(it.body);
     });
     return answer ? answer->lease_until_ms : -1;
@@ -299,7 +306,7 @@
     report.incarnation = {std::to_string(node), "instance", 1};
     http::Request request;
     request.body = jobs::Encode(report);
-    leader->HandleReport(request, [](const http::Response&) {});
+    Report(*leader, request, [](const http::Response&) {});
     loop_.poll();
   };
   clock_.Advance(LeaderSettings().heartbeat_period);
@@ -333,9 +340,9 @@
     jobs::RunnerReport report;
     report.incarnation = {node, "instance", 1};
     http::Request request;
-    request.headers[kReporterHeader] = ReporterOf(report);
+    request.headers[cluster_http::kReporterHeader] = ReporterOf(report);
     request.body = jobs::Encode(report);
-    leader->HandleReport(request, [&statuses, node](const http::Response& it) {
+    Report(*leader, request, [&statuses, node](const http::Response& it) {
       statuses[node] = it.status;
     });
   };
@@ -511,7 +518,7 @@
   report.sent_at_ms = report.listed_at_ms = 1;
   http::Request request;
   request.body = jobs::Encode(report);
-  leader->HandleReport(request, [](const http::Response&) {});
+  Report(*leader, request, [](const http::Response&) {});
   step();
   const auto run_count = [&] {
     const jobs::Runner* runner =
@@ -570,7 +577,7 @@
         viewed_at_ms + kAge.count() + kLeadMs;
     http::Request request;
     request.body = jobs::Encode(report);
-    leader->HandleReport(request, [](const http::Response&) {});
+    Report(*leader, request, [](const http::Response&) {});
     ASSERT_GT(loop_.run_one(), 0U);
     log_.Settle();
   }
@@ -617,7 +624,7 @@
     report.sent_at_ms = report.listed_at_ms = i;
     http::Request request;
     request.body = jobs::Encode(report);
-    leader->HandleReport(request, [](const http::Response&) {});
+    Report(*leader, request, [](const http::Response&) {});
     ASSERT_GT(loop_.run_one(), 0U);  // The leader's own timer.
     log_.Settle();
   }
@@ -650,11 +657,11 @@
     report.incarnation = {std::to_string(i), "instance", 1};
     http::Request request;
     request.body = jobs::Encode(report);
-    leader->HandleReport(request, [](const http::Response&) {});
+    Report(*leader, request, [](const http::Response&) {});
   }
   int status = 0;
-  leader->HandleReport(agent.EndedRunnerRequest(),
-                       [&](const http::Response& it) { status = it.status; });
+  Report(*leader, agent.EndedRunnerRequest(),
+         [&](const http::Response& it) { status = it.status; });
   clock_.Advance(LeaderSettings().report_timeout);
   ASSERT_GT(loop_.run_one(), 0U);  // The round.
   EXPECT_EQ(status, 0);
@@ -692,7 +699,7 @@
   report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
   http::Request request;
   request.body = jobs::Encode(report);
-  leader->HandleReport(request, [](const http::Response&) {});
+  Report(*leader, request, [](const http::Response&) {});
   ASSERT_EQ(leader->scheduler()->open_jobs(), 0U);
   ASSERT_GT(loop_.run_one(), 0U);  // Sends the append of the outcome.
   clock_.Advance(LeaderSettings().scheduler.retention + seconds(60));
@@ -724,9 +731,9 @@
   ASSERT_EQ(leader->scheduler()->open_jobs(), 1U);
   const auto send = [&](const jobs::RunnerReport& report) {
     http::Request request;
-    request.headers[kReporterHeader] = ReporterOf(report);
+    request.headers[cluster_http::kReporterHeader] = ReporterOf(report);
     request.body = jobs::Encode(report);
-    leader->HandleReport(request, [](const http::Response&) {});
+    Report(*leader, request, [](const http::Response&) {});
   };
   jobs::RunnerReport report;
   report.sent_at_ms = report.listed_at_ms = 1;
@@ -809,7 +816,7 @@
   report.agent_address = "127.0.0.1:2";
   http::Request request;
   request.body = jobs::Encode(report);
-  leader->HandleReport(request, [](const http::Response&) {});
+  Report(*leader, request, [](const http::Response&) {});
   leader->Stop({});
   log_.Settle();
   CatchUp();
@@ -861,7 +868,7 @@
   http::Request request;
   request.body = jobs::Encode(report);
   uint64_t recorded_ends = 0;
-  leader->HandleReport(request, [&](const http::Response& it) {
+  Report(*leader, request, [&](const http::Response& it) {
     if (const auto answer = jobs::Decode<jobs::ReportAnswer>(it.body)) {
       recorded_ends = answer->recorded_ends;
     }
@@ -900,7 +907,7 @@
   http::Request request;
   request.body = jobs::Encode(report);
   int64_t lease_until_ms = 0;
-  leader->HandleReport(request, [&](const http::Response& it) {
+  Report(*leader, request, [&](const http::Response& it) {
     if (const auto answer = jobs::Decode<jobs::ReportAnswer>(it.body)) {
       lease_until_ms = answer->lease_until_ms;
     }
@@ -944,7 +951,7 @@
   report.ended = {{1, task, 1, jobs::RunEnd::kDone, {}}};
   http::Request request;
   request.body = jobs::Encode(report);
-  leader->HandleReport(request, [](const http::Response&) {});
+  Report(*leader, request, [](const http::Response&) {});
   clock_.Advance(LeaderSettings().min_append_interval);
   const size_t appends = log_.append_count();
   while (log_.append_count() == appends) {
--- a/tests/auto/cluster/process_fixture.cpp
+++ b/tests/auto/cluster/process_fixture.cpp
@@ -8,7 +8,9 @@
 ProcessFixture::ProcessFixture()
     : descriptor_(open("/dev/null", O_WRONLY)),
       logger_("test", logging::Level::kError, clock_, descriptor_),
-      client_(loop_, async_http::ClientSettings(), clock_) {}
+      event_loop_(loop_),
+      client_(loop_, async_http::ClientSettings(), clock_),
+      peers_(client_) {}
 
 ProcessFixture::~ProcessFixture() {
   close(descriptor_);
--- a/tests/auto/cluster/process_fixture.h
+++ b/tests/auto/cluster/process_fixture.h
@@ -5,9 +5,13 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "async_http/client.h"
 #include "base/clock.h"
 #include "cluster/process_context.h"
+#include "cluster_http/asio_event_loop.h"
+#include "cluster_http/http_peers.h"
 #include "fake_keyed_log.h"
+#include "logging/logger.h"
 
 namespace papayadrift::cluster {
 
@@ -19,7 +23,7 @@
   ~ProcessFixture() override;
 
   ProcessContext context() {
-    return {loop_, clock_, log_, client_, logger_, metrics_};
+    return {event_loop_, clock_, log_, peers_, logger_, metrics_};
   }
 
   const int descriptor_;
@@ -28,7 +32,9 @@
   logging::Logger logger_;
   metrics::Registry metrics_;
   keyed_log::FakeKeyedLog log_;
+  cluster_http::AsioEventLoop event_loop_;
   async_http::Client client_;
+  cluster_http::HttpPeers peers_;
 };
 
 }  // namespace papayadrift::cluster
--- a/tests/auto/cluster/report_queue_test.cpp
+++ b/tests/auto/cluster/report_queue_test.cpp
@@ -5,21 +5,25 @@
 namespace papayadrift::cluster {
 namespace {
 
-WaitingReport ReportOf(const std::string& reporter, const std::string& body) {
-  WaitingReport report;
-  report.reporter = reporter;
-  report.request.body = body;
-  return report;
+// A report that can be told apart by the time at which it arrived.
+WaitingReport ReportOf(const std::string& reporter, int arrived_ms) {
+  return {{reporter, {}}, Instant(milliseconds(arrived_ms)), {}};
+}
+
+int ArrivedMs(const std::optional<WaitingReport>& report) {
+  return static_cast<int>(
+      std::chrono::floor<milliseconds>(report->received_at.time_since_epoch())
+          .count());
 }
 
 TEST(ReportQueueTest, TakesInTheOrderOfArrival) {
   ReportQueue queue;
   EXPECT_FALSE(queue.Take());
-  EXPECT_FALSE(queue.Put(ReportOf("a", "1")));
-  EXPECT_FALSE(queue.Put(ReportOf("b", "2")));
+  EXPECT_FALSE(queue.Put(ReportOf("a", 1)));
+  EXPECT_FALSE(queue.Put(ReportOf("b", 2)));
   EXPECT_EQ(queue.size(), 2U);
-  EXPECT_EQ(queue.Take()->request.body, "1");
-  EXPECT_EQ(queue.Take()->request.body, "2");
+  EXPECT_EQ(ArrivedMs(queue.Take()), 1);
+  EXPECT_EQ(ArrivedMs(queue.Take()), 2);
   EXPECT_TRUE(queue.empty());
 }
 
@@ -27,23 +31,23 @@
 // loses its turn by a repeat.
 TEST(ReportQueueTest, LaterReportTakesThePlaceOfTheEarlierOne) {
   ReportQueue queue;
-  queue.Put(ReportOf("a", "1"));
-  queue.Put(ReportOf("b", "2"));
-  const auto overtaken = queue.Put(ReportOf("a", "3"));
+  queue.Put(ReportOf("a", 1));
+  queue.Put(ReportOf("b", 2));
+  const auto overtaken = queue.Put(ReportOf("a", 3));
   ASSERT_TRUE(overtaken);
-  EXPECT_EQ(overtaken->request.body, "1");
-  EXPECT_EQ(queue.Take()->request.body, "3");
-  EXPECT_FALSE(queue.Put(ReportOf("a", "4")));
-  EXPECT_EQ(queue.Take()->request.body, "2");
-  EXPECT_EQ(queue.Take()->request.body, "4");
+  EXPECT_EQ(ArrivedMs(overtaken), 1);
+  EXPECT_EQ(ArrivedMs(queue.Take()), 3);
+  EXPECT_FALSE(queue.Put(ReportOf("a", 4)));
+  EXPECT_EQ(ArrivedMs(queue.Take()), 2);
+  EXPECT_EQ(ArrivedMs(queue.Take()), 4);
 }
 
 TEST(ReportQueueTest, ReportsWithoutAReporterAreAllKept) {
   ReportQueue queue;
-  queue.Put(ReportOf("", "1"));
-  EXPECT_FALSE(queue.Put(ReportOf("", "2")));
-  EXPECT_EQ(queue.Take()->request.body, "1");
-  EXPECT_EQ(queue.Take()->request.body, "2");
+  queue.Put(ReportOf("", 1));
+  EXPECT_FALSE(queue.Put(ReportOf("", 2)));
+  EXPECT_EQ(ArrivedMs(queue.Take()), 1);
+  EXPECT_EQ(ArrivedMs(queue.Take()), 2);
 }
 
 // Guards against ends that are lost with an unread report, since that of the
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -11,6 +11,7 @@
 #include "async_http/server.h"
 #include "cluster/report_queue.h"
 #include "cluster/topics.h"
+#include "cluster_http/paths.h"
 #include "jobs/codec.h"
 #include "process_fixture.h"
 #include "support/free_port.h"
@@ -145,18 +146,13 @@
       loop_, {address},
       [&](const http::Request& request, const async_http::Respond& respond) {
         is_reported =
-            request.path == kReportPath &&
-            request.headers.at(kReporterHeader) ==
+            request.path == cluster_http::kReportPath &&
+            request.headers.at(cluster_http::kReporterHeader) ==
                 ReporterOf(*jobs::Decode<jobs::RunnerReport>(request.body));
         respond({409, {}, {}});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  int status = 0;
-  agent_.HandleLeader(request,
-                      [&](const http::Response& it) { status = it.status; });
-  EXPECT_EQ(status, 200);
+  agent_.HandleLeader({1, "node-1", address});
   while (!is_reported) {
     ASSERT_GT(loop_.run_one(), 0U);
   }
@@ -205,9 +201,7 @@
         });
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   clock_.Advance(milliseconds(1000));
   Announcement announcement;
   announcement.instance = "instance";
@@ -252,14 +246,11 @@
                               respond({409, {}, {}});
                             });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", former_address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", former_address});
   while (unanswered.empty()) {
     ASSERT_GT(loop_.run_one(), 0U);
   }
-  request.body = jobs::Encode(jobs::LeaderRecord{2, "node-2", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({2, "node-2", address});
   bool is_over = false;
   constexpr milliseconds kLimit(5000);
   boost::asio::steady_timer limit(loop_, kLimit);
@@ -288,9 +279,7 @@
         respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   constexpr int64_t kAnnouncedMs = 5000;
   clock_.Advance(milliseconds(kAnnouncedMs));
   Announcement announcement;
@@ -333,9 +322,7 @@
         respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   clock_.Advance(milliseconds(1000));
   agent.OnAnnouncement({"own", 1000, 1, "127.0.0.1:3", "s"});
   while (!last || last->ended.empty()) {
@@ -398,22 +385,18 @@
         respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 5, 60'000})});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   clock_.Advance(milliseconds(1000));
   agent.OnAnnouncement({"own", 1000, 1, "127.0.0.1:3", "s"});
   const auto verdict_of_start = [&] {
-    request.body = jobs::Encode(jobs::OrderBatch{
-        1,
-        {"agent", "own", 1000},
-        {jobs::StartOrder{{JobId("a"), 0, 0, 0}, 1, {}, {}, {}}},
-        0,
-        1000});
     std::optional<jobs::OrderAnswer> answer;
-    agent.HandleOrders(request, [&](const http::Response& it) {
-      answer = jobs::Decode<jobs::OrderAnswer>(it.body);
-    });
+    agent.HandleOrders(
+        {1,
+         {"agent", "own", 1000},
+         {jobs::StartOrder{{JobId("a"), 0, 0, 0}, 1, {}, {}, {}}},
+         0,
+         1000},
+        [&](const jobs::OrderAnswer& it) { answer = it; });
     return answer->results.at(0).verdict;
   };
   while (verdict_of_start() != jobs::OrderVerdict::kDone) {
@@ -436,20 +419,15 @@
       {"agent", "instance", 0},
       {jobs::StartOrder{task, 1, {}, {}, {}}, jobs::PaceOrder{task, 1, 50}},
       999};
-  http::Request request;
-  request.body = jobs::Encode(batch);
   std::optional<jobs::OrderAnswer> answer;
-  const auto respond = [&](const http::Response& it) {
-    answer = jobs::Decode<jobs::OrderAnswer>(it.body);
-  };
-  agent_.HandleOrders(request, respond);
+  const auto respond = [&](const jobs::OrderAnswer& it) { answer = it; };
+  agent_.HandleOrders(batch, respond);
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->results[0].verdict, jobs::OrderVerdict::kExpired);
   EXPECT_EQ(answer->results[1].verdict, jobs::OrderVerdict::kExpired);
   answer.reset();
   batch.orders = {jobs::StopOrder{task, 1}};
-  request.body = jobs::Encode(batch);
-  agent_.HandleOrders(request, respond);
+  agent_.HandleOrders(batch, respond);
   EXPECT_FALSE(answer);  // The runner has been asked.
 }
 
@@ -493,18 +471,13 @@
         respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 60'000})});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   clock_.Advance(milliseconds(10'000));
   agent.OnAnnouncement({"own", 1000, 1, "127.0.0.1:3", "s"});
   const auto verdict_on = [&](const jobs::Order& order, int64_t viewed_at_ms) {
-    request.body = jobs::Encode(
-        jobs::OrderBatch{1, {"agent", "own", 1000}, {order}, 0, viewed_at_ms});
     std::optional<jobs::OrderAnswer> answer;
-    agent.HandleOrders(request, [&](const http::Response& it) {
-      answer = jobs::Decode<jobs::OrderAnswer>(it.body);
-    });
+    agent.HandleOrders({1, {"agent", "own", 1000}, {order}, 0, viewed_at_ms},
+                       [&](const jobs::OrderAnswer& it) { answer = it; });
     return answer->results.at(0).verdict;
   };
   const jobs::TaskKey task{JobId("a"), 0, 0, 0};
@@ -528,13 +501,10 @@
                     context(), runner);
   agent.OnAnnouncement({"own", 0, 1, "127.0.0.1:3", "s"});
   const jobs::StopOrder stop{{JobId("a"), 0, 0, 0}, 1};
-  http::Request request;
-  request.body = jobs::Encode(jobs::OrderBatch{
-      1, {"agent", "own", 0}, std::vector<jobs::Order>(40, stop)});
   std::optional<jobs::OrderAnswer> answer;
-  agent.HandleOrders(request, [&](const http::Response& it) {
-    answer = jobs::Decode<jobs::OrderAnswer>(it.body);
-  });
+  agent.HandleOrders(
+      {1, {"agent", "own", 0}, std::vector<jobs::Order>(40, stop)},
+      [&](const jobs::OrderAnswer& it) { answer = it; });
   ASSERT_TRUE(answer);
   EXPECT_LE(clock_.Now(), Instant(RunnerAgentSettings().batch_limit +
                                   milliseconds(kOrderMs)));
@@ -574,9 +544,7 @@
         respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   clock_.Advance(milliseconds(5000));
   agent.OnAnnouncement({"earlier", 4000, 9, "127.0.0.1:3", "s"});
   while (!last) {
@@ -613,9 +581,7 @@
         respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
       });
   ASSERT_TRUE(leader.Open());
-  http::Request request;
-  request.body = jobs::Encode(jobs::LeaderRecord{1, "node-1", address});
-  agent.HandleLeader(request, [](const http::Response&) {});
+  agent.HandleLeader({1, "node-1", address});
   constexpr int64_t kFutureMs = 9'000'000'000'000;
   Announcement odd{"odd", kFutureMs, 1, "127.0.0.1:2", "s"};
   Announcement own{"own", 1000, 1, "127.0.0.1:3", "s"};
--- a/tests/auto/run_histories/model_front.cpp
+++ b/tests/auto/run_histories/model_front.cpp
@@ -9,6 +9,8 @@
 #include "async_http/client.h"
 #include "cluster/process_context.h"
 #include "cluster/topics.h"
+#include "cluster_http/asio_event_loop.h"
+#include "cluster_http/http_peers.h"
 #include "jobs/codec.h"
 #include "logging/logger.h"
 #include "metrics/registry.h"
@@ -29,7 +31,9 @@
   Unused()
       : descriptor(open("/dev/null", O_WRONLY | O_CLOEXEC)),
         logger("unused", logging::Level::kError, clock, descriptor),
-        client(loop, async_http::ClientSettings(), clock) {}
+        event_loop(loop),
+        client(loop, async_http::ClientSettings(), clock),
+        peers(client) {}
   ~Unused() { close(descriptor); }
   Unused(const Unused&) = delete;
   Unused& operator=(const Unused&) = delete;
@@ -39,14 +43,16 @@
   boost::asio::io_context loop;
   logging::Logger logger;
   metrics::Registry metrics;
+  cluster_http::AsioEventLoop event_loop;
   async_http::Client client;
+  cluster_http::HttpPeers peers;
 };
 
 cluster::ProcessContext ContextOf(const Clock& clock,
                                   keyed_log::KeyedLog& store) {
   static Unused unused;
-  return {unused.loop,   clock,         store,
-          unused.client, unused.logger, unused.metrics};
+  return {unused.event_loop, clock,         store,
+          unused.peers,      unused.logger, unused.metrics};
 }
 
 bool IsFinal(jobs::JobState state) {
