--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -25,36 +25,6 @@
 // The store delays the answer this long while there are no new jobs: the leader
 // knows of cancellations as of one or two of these times ago.
 constexpr milliseconds kJobsPollWait(300);
-// A round of decisions that takes this long is logged: agents wait 250 ms for
-// the answer to an order.
-constexpr milliseconds kLongStep(100);
-
-Event EventOf(const jobs::JobSchedulerEvent::Kind kind) {
-  using Kind = jobs::JobSchedulerEvent::Kind;
-  switch (kind) {
-    case Kind::kRunClaimed:
-    case Kind::kRunEnded:
-    case Kind::kRunStopped:
-    case Kind::kRunPaced:
-    case Kind::kTargetMissed:
-    case Kind::kTargetMet:
-    case Kind::kEndUnmatched:
-      return Event::kRunChanged;
-    case Kind::kEndAcknowledged:
-      return Event::kRunEndAcknowledged;
-    case Kind::kEndInvalid:
-      return Event::kMessageUnreadable;
-    case Kind::kRunWithdrawn:
-    case Kind::kRunLost:
-    case Kind::kTaskGivenUp:
-    case Kind::kStopOverdue:
-      return Event::kRunInterrupted;
-    case Kind::kJobEnded:
-      return Event::kJobEnded;
-    default:
-      return Event::kRunnerChanged;
-  }
-}
 
 }  // namespace
 
@@ -75,7 +45,7 @@
           [this] { StartLeadingIfReady(); },
           [this] { OnTermEnded(); })),
       metrics_(metrics),
-      load_(settings.load),
+      monitor_({settings.load, settings.load_period}, context, metrics),
       step_timer_(context.loop.MakeTimer()) {}
 
 void Leader::Campaign() {
@@ -114,7 +84,7 @@
   const JobReplica::Content& content = replica_.content();
   scheduler_.emplace(settings_.scheduler, now,
                      [this](const jobs::JobSchedulerEvent& event) {
-                       LogSchedulerEvent(event);
+                       monitor_.OnSchedulerEvent(term(), event);
                      });
   scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
   scheduler_->SetRoutes(routes_);
@@ -191,7 +161,7 @@
       return;
     }
     self->metrics_.OnJobsRead(is_read);
-    self->load_.OnJobsRead(is_read, self->context_.clock.Now() - started_at);
+    self->monitor_.OnJobsRead(is_read, self->context_.clock.Now() - started_at);
     if (is_read) {
       self->FollowJobs();
     } else {
@@ -220,12 +190,19 @@
     const auto self = weak.lock();
     if (self && !self->term_->has_ended()) {
       self->is_step_due_ = false;
-      self->UpdateLoad(self->context_.clock.Now() - self->step_due_);
+      self->BeginRound();
       self->Step();
     }
   });
 }
 
+void Leader::BeginRound() {
+  if (is_leading_) {
+    monitor_.OnRound(term(), *scheduler_, context_.clock.Now() - step_due_,
+                     replica_.jobs_caught_up_at());
+  }
+}
+
 void Leader::Step() {
   if (!is_leading_) {
     return;
@@ -235,7 +212,7 @@
   const jobs::PlacementWork before = scheduler_->fleet().work();
   scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
   scheduler_->Advance(now, context_.clock.WallNow().time_since_epoch().count());
-  CountWork(WorkKind::kPlacement, 1, now);
+  monitor_.OnWork(WorkKind::kPlacement, 1, now);
   Flush();
   SendOrders();
   AnswerReports();
@@ -243,96 +220,12 @@
   metrics_.UpdateLeaderGauges(term(), scheduler_->open_jobs(),
                               scheduler_->waiting_tasks(),
                               scheduler_->overdue());
-  ReportStep(now, before);
+  monitor_.OnStep(term(), *scheduler_, before, now);
   const bool has_more =
       scheduler_->has_more_to_place() || !waiting_reports_.empty();
   ScheduleStep(has_more ? milliseconds(0) : settings_.max_step_interval);
 }
 
-void Leader::CountWork(WorkKind kind, uint64_t count, Instant started_at) {
-  load_.OnWork(kind, count, context_.clock.Now() - started_at);
-}
-
-void Leader::UpdateLoad(microseconds lag) {
-  if (!is_leading_) {
-    return;
-  }
-  const Instant now = context_.clock.Now();
-  const LeaderLoad::Change change =
-      load_.OnRound(now, lag, replica_.jobs_caught_up_at());
-  const bool is_due = now - load_reported_at_ >= settings_.load_period;
-  if (change == LeaderLoad::Change::kNone && !is_due) {
-    return;
-  }
-  load_reported_at_ = now;
-  const WorkSums work = load_.TakeWork();
-  for (size_t i = 0; i < kWorkKinds; ++i) {
-    metrics_.OnWork(static_cast<WorkKind>(i), work.at(i).count,
-                    work.at(i).time);
-  }
-  metrics_.UpdateLag(load_.smoothed_lag(), load_.view_age());
-  if (change == LeaderLoad::Change::kCaughtUp) {
-    LogLoad(Event::kLeaderCaughtUp, work);
-  } else if (load_.is_behind()) {
-    LogLoad(Event::kLeaderBehind, work);
-  }
-}
-
-void Leader::LogLoad(Event event, const WorkSums& work) {
-  const auto count_of = [&](WorkKind kind) {
-    return static_cast<int64_t>(work.at(static_cast<size_t>(kind)).count);
-  };
-  const auto ms_of = [&](WorkKind kind) {
-    return static_cast<int64_t>(std::chrono::floor<milliseconds>(
-                                    work.at(static_cast<size_t>(kind)).time)
-                                    .count());
-  };
-  const ReadSums reads = load_.TakeReads();
-  const auto to_ms = [](microseconds time) {
-    return static_cast<int64_t>(std::chrono::floor<milliseconds>(time).count());
-  };
-  context_.logger.Log(
-      event,
-      {{"term", static_cast<int64_t>(term())},
-       {"view_age_ms", to_ms(load_.view_age())},
-       {"lag_ms", to_ms(load_.smoothed_lag())},
-       {"reads", static_cast<int64_t>(reads.count)},
-       {"failed_reads", static_cast<int64_t>(reads.failed)},
-       {"longest_read_ms", to_ms(reads.longest)},
-       {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
-       {"waiting_tasks", static_cast<int64_t>(scheduler_->waiting_tasks())},
-       {"reports", count_of(WorkKind::kReports)},
-       {"reports_ms", ms_of(WorkKind::kReports)},
-       {"rounds", count_of(WorkKind::kPlacement)},
-       {"placement_ms", ms_of(WorkKind::kPlacement)},
-       {"records", count_of(WorkKind::kAppends)},
-       {"appends_ms", ms_of(WorkKind::kAppends)},
-       {"orders", count_of(WorkKind::kOrders)},
-       {"orders_ms", ms_of(WorkKind::kOrders)},
-       {"results", count_of(WorkKind::kResults)},
-       {"results_ms", ms_of(WorkKind::kResults)}});
-}
-
-void Leader::ReportStep(Instant started_at, const jobs::PlacementWork& before) {
-  const microseconds duration = context_.clock.Now() - started_at;
-  metrics_.OnStep(duration);
-  if (duration < kLongStep) {
-    return;
-  }
-  const jobs::PlacementWork work = scheduler_->fleet().work();
-  context_.logger.Log(
-      Event::kLeaderDelayed,
-      {{"term", static_cast<int64_t>(term())},
-       {"milliseconds",
-        static_cast<int64_t>(
-            std::chrono::floor<milliseconds>(duration).count())},
-       {"open_jobs", static_cast<int64_t>(scheduler_->open_jobs())},
-       {"waiting_tasks", static_cast<int64_t>(scheduler_->waiting_tasks())},
-       {"considered_runners",
-        static_cast<int64_t>(work.runners - before.runners)},
-       {"examined_runs", static_cast<int64_t>(work.runs - before.runs)}});
-}
-
 milliseconds Leader::TimeToAppend() const {
   if (term_->is_appending()) {
     // The store's answer brings a round at once.
@@ -377,7 +270,7 @@
     OnChangesStored(changes);
     Step();
   });
-  CountWork(WorkKind::kAppends, record_count, now);
+  monitor_.OnWork(WorkKind::kAppends, record_count, now);
 }
 
 void Leader::AppendChanges(const jobs::JobScheduler::Changes& changes,
@@ -468,23 +361,22 @@
           }
         });
   }
-  CountWork(WorkKind::kOrders, order_count, now);
+  monitor_.OnWork(WorkKind::kOrders, order_count, now);
 }
 
 void Leader::OnOrdersAnswered(const jobs::OrderBatch& batch,
                               Instant sent_at,
                               const std::optional<jobs::OrderAnswer>& answer) {
   const Instant answered_at = context_.clock.Now();
-  if (answer || load_.is_behind()) {
+  if (answer || monitor_.is_behind()) {
     scheduler_->OnOrderLatency(answered_at - sent_at);
   }
   const jobs::Runner* addressee = scheduler_->fleet().Find(batch.incarnation);
   // The times in the answer of another process of the agent are on another
   // clock than those of its reports.
-  const bool is_valid =
-      answer && (addressee == nullptr ||
-                 answer->agent_start_unix_ms ==
-                     addressee->report.agent_start_unix_ms);
+  const bool is_valid = answer && (addressee == nullptr ||
+                                   answer->agent_start_unix_ms ==
+                                       addressee->report.agent_start_unix_ms);
   for (size_t i = 0; i < batch.orders.size(); ++i) {
     scheduler_->OnOrderResult(batch.incarnation, batch.orders[i],
                               is_valid && i < answer->results.size()
@@ -492,7 +384,7 @@
                                   : jobs::OrderResult{},
                               answered_at);
   }
-  CountWork(WorkKind::kResults, batch.orders.size(), answered_at);
+  monitor_.OnWork(WorkKind::kResults, batch.orders.size(), answered_at);
 }
 
 bool Leader::is_confirmed() const {
@@ -553,7 +445,7 @@
   // What it says is as old as its arrival.
   const Instant now = waiting.received_at;
   const bool is_accepted = scheduler_->OnReport(*report, now);
-  CountWork(WorkKind::kReports, 1, started_at);
+  monitor_.OnWork(WorkKind::kReports, 1, started_at);
   // If the store no longer confirms this leader, another one may have been
   // elected. Agents have to look it up while their leases are valid.
   if (!is_accepted || !is_confirmed()) {
@@ -671,15 +563,4 @@
   on_end_();
 }
 
-void Leader::LogSchedulerEvent(const jobs::JobSchedulerEvent& event) const {
-  metrics_.OnSchedulerEvent(event);
-  context_.logger.Log(EventOf(event.kind),
-                      {{"change", std::string(ToText(event.kind))},
-                       {"subject", event.subject},
-                       {"run", static_cast<int64_t>(event.run)},
-                       {"runner", event.runner},
-                       {"reason", event.reason},
-                       {"term", static_cast<int64_t>(term())}});
-}
-
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -12,7 +12,7 @@
 #include "cluster/arrived_report.h"
 #include "cluster/frontend_list.h"
 #include "cluster/job_replica.h"
-#include "cluster/leader_load.h"
+#include "cluster/leader_monitor.h"
 #include "cluster/leader_term.h"
 #include "cluster/process_context.h"
 #include "cluster/report_queue.h"
@@ -90,7 +90,7 @@
   bool is_confirmed() const;
   uint64_t term() const { return term_->record().term; }
   // Unset while this leader keeps up with its work.
-  std::optional<Behind> behind() const { return load_.behind(); }
+  std::optional<Behind> behind() const { return monitor_.behind(); }
   const jobs::JobScheduler* scheduler() const {
     return scheduler_ ? &*scheduler_ : nullptr;
   }
@@ -129,16 +129,9 @@
   void NotifyAgents();
   jobs::AgentList KnownAgents() const;
   void ScheduleStep(milliseconds delay);
+  // Notes how late a round of decisions begins.
+  void BeginRound();
   void Step();
-  // Notes how late a round begins, and logs when the leader falls behind or has
-  // caught up.
-  void UpdateLoad(microseconds lag);
-  void LogLoad(logging::Event event, const WorkSums& work);
-  // Adds the time since `started_at` to the work of that kind.
-  void CountWork(WorkKind kind, uint64_t count, Instant started_at);
-  // Logs a round of decisions that took long; `before` is the work of placement
-  // until its start.
-  void ReportStep(Instant started_at, const jobs::PlacementWork& before);
   // Returns how long it takes until an append may begin. Claims made earlier
   // wait for it anyway, so that rounds of decisions before it gain nothing but
   // cost processor time.
@@ -164,7 +157,6 @@
   void RejectPendingReports();
   void NotifySuccessor(const FrontendRecord& successor);
   void OnTermEnded();
-  void LogSchedulerEvent(const jobs::JobSchedulerEvent& event) const;
 
   const LeaderSettings settings_;
   const ProcessContext context_;
@@ -180,8 +172,7 @@
   ClusterMetrics& metrics_;
   bool is_deleting_jobs_ = false;
   Instant expiry_checked_at_;
-  LeaderLoad load_;
-  Instant load_reported_at_;
+  LeaderMonitor monitor_;
   std::vector<JobId> deleted_jobs_;  // Jobs whose progress is still stored.
   Instant last_append_at_;
   Instant learned_appended_at_;
