Tests: Plays the real leader, agent and frontend in histories of runs

FrontProcess and AgentProcess hold the real JobFrontend (with election, terms, leader, handover and relay) and RunnerAgent on a ProcessLoop, a clock of their own, and calls over the simulated network. A process that is destroyed runs nothing more; one that is frozen or slow runs what waits in order, later. Log lines are the trace of a history. Runner, store and network stay models.

Steps that forced a campaign or a resignation are gone, since no frontend does that: FreezeFront makes two leaders, StopFront hands over. New are SlowFront, FreezeAgent, StopAgent, MoveFrontClock and MoveRunnerClock (the time of day; by 20 s at most, as it is close to the true time), a link between frontends, and a store that counts as out. The referee counts cancellations that were refused, and takes the time at which a caller asked for the answer to it.

Named tests: Campaign{1} became FreezeFront{0, 2.5 s}, Resign{0} StopFront{0}.

--- a/tests/auto/run_histories/model_runner.cpp
+++ b/tests/auto/run_histories/model_runner.cpp
@@ -17,9 +17,11 @@
 }  // namespace
 
 ModelRunner::ModelRunner(const ModelRunnerSettings& settings,
+                         const milliseconds& wall_lead,
                          Simulation& simulation,
                          Referee& referee)
     : settings_(settings),
+      wall_lead_(wall_lead),
       simulation_(simulation),
       referee_(referee),
       capacity_(settings.capacity),
@@ -30,7 +32,7 @@
   instance_ = instance;
   ++life_;
   started_at_ = simulation_.Now();
-  born_ms_ = simulation_.UnixMs();
+  born_ms_ = simulation_.UnixMs() + wall_lead_.count();
   announcements_ = 0;
   term_ = 0;
   lease_until_ms_ = 0;
--- a/tests/auto/run_histories/model_runner.h
+++ b/tests/auto/run_histories/model_runner.h
@@ -37,7 +37,9 @@
  public:
   using OnHeld = std::function<void(const cluster::LeaseRenewalResult&)>;
 
+  // `wall_lead` is how much the time of day on its VM is ahead.
   ModelRunner(const ModelRunnerSettings& settings,
+              const milliseconds& wall_lead,
               Simulation& simulation,
               Referee& referee);
 
@@ -94,6 +96,7 @@
   Resources Used() const;
 
   const ModelRunnerSettings settings_;
+  const milliseconds& wall_lead_;
   Simulation& simulation_;
   Referee& referee_;
   bool is_up_ = false;
--- a/tests/auto/run_histories/network.h
+++ b/tests/auto/run_histories/network.h
@@ -27,8 +27,9 @@
   kStoreWrite,    // From a frontend to the store.
   kStoreRead,
   kAgentRead,  // From an agent to the store.
+  kFrontend,   // From a frontend to another one.
 };
-inline constexpr size_t kLinkKinds = 10;
+inline constexpr size_t kLinkKinds = 11;
 inline constexpr size_t kLinksOfKind = 2;
 
 struct Link {
--- a/tests/auto/run_histories/random_history.cpp
+++ b/tests/auto/run_histories/random_history.cpp
@@ -74,9 +74,21 @@
                      milliseconds(OneOf(random, kDown))};
 }
 
-Step AnyAgentRestart(Random& random, size_t index) {
+milliseconds AnyLead(Random& random) {
   static constexpr std::array<int64_t, 4> kLeads{0, 700, 100'000, -50'000};
-  return RestartAgent{index, milliseconds(OneOf(random, kLeads))};
+  return milliseconds(OneOf(random, kLeads));
+}
+
+milliseconds AnyClockStep(Random& random) {
+  static constexpr std::array<int64_t, 4> kSteps{-5000, -1500, 700, 5000};
+  return milliseconds(OneOf(random, kSteps));
+}
+
+// Shorter and longer than it takes to elect another leader, and than a lease.
+milliseconds AnyFreeze(Random& random) {
+  static constexpr std::array<int64_t, 6> kSpans{200,  700,  1600,
+                                                 2500, 4000, 8000};
+  return milliseconds(OneOf(random, kSpans));
 }
 
 Step AnyResize(Random& random, size_t index) {
@@ -90,7 +102,8 @@
   if (Below(random, 2) == 0) {
     return {{LinkKind::kStoreRead, index},
             {LinkKind::kStoreWrite, index},
-            {LinkKind::kCancellation, index}};
+            {LinkKind::kCancellation, index},
+            {LinkKind::kFrontend, index}};
   }
   return {{LinkKind::kReport, index},
           {LinkKind::kOrders, index},
@@ -151,7 +164,7 @@
   }
 
  private:
-  static constexpr size_t kKinds = 14;
+  static constexpr size_t kKinds = 19;
 
   Step StepOf(Random& random, size_t kind) const {
     const size_t job = Below(random, kJobs);
@@ -165,15 +178,15 @@
       case 2:
         return Query{job, index};
       case 3:
-        return Campaign{index};
+        return FreezeFront{index, AnyFreeze(random)};
       case 4:
-        return Resign{index};
+        return StopFront{index};
       case 5:
         return RestartFront{index};
       case 6:
         return AnyRunnerCrash(random, index);
       case 7:
-        return AnyAgentRestart(random, index);
+        return RestartAgent{index, AnyLead(random)};
       case 8:
         return AnyResize(random, index);
       case 9:
@@ -184,6 +197,16 @@
         return DropHistory{};
       case 12:
         return Cut{link, AnyCut(random)};
+      case 13:
+        return SlowFront{index, AnyCut(random)};
+      case 14:
+        return FreezeAgent{index, AnyFreeze(random)};
+      case 15:
+        return StopAgent{index};
+      case 16:
+        return MoveFrontClock{index, AnyClockStep(random)};
+      case 17:
+        return MoveRunnerClock{index, AnyClockStep(random)};
       default:
         return Disturb{link, AnyFault(random, link)};
     }
--- a/tests/auto/run_histories/referee.cpp
+++ b/tests/auto/run_histories/referee.cpp
@@ -174,7 +174,11 @@
 }
 
 void Referee::OnCancelSent(size_t job) {
-  jobs_.at(job).is_cancel_sent = true;
+  ++jobs_.at(job).cancels_sent;
+}
+
+void Referee::OnCancelRefused(size_t job) {
+  --jobs_.at(job).cancels_sent;
 }
 
 void Referee::OnCancelled(size_t job) {
@@ -193,12 +197,14 @@
          });
 }
 
-void Referee::OnShown(size_t job, std::optional<jobs::JobState> state) {
+void Referee::OnShown(size_t job,
+                      std::optional<jobs::JobState> state,
+                      Instant asked_at) {
   JobFacts& facts = jobs_.at(job);
   const Instant now = simulation_.Now();
   const std::string name = "job " + IdOf(job).text();
   if (!state) {
-    if (facts.accepted_at && now - *facts.accepted_at > kVisibilityLimit) {
+    if (facts.accepted_at && asked_at - *facts.accepted_at > kVisibilityLimit) {
       Break("LOST", name + " is not known");
     }
     return;
@@ -206,7 +212,7 @@
   if (!facts.is_submitted) {
     Break("MIXED", name + " is shown, and nobody submitted it");
   }
-  if (*state == jobs::JobState::kCancelled && !facts.is_cancel_sent) {
+  if (*state == jobs::JobState::kCancelled && facts.cancels_sent == 0) {
     Break("LOST", name + " is shown as cancelled without cause");
   }
   if (*state == jobs::JobState::kFailed && !HasFailed(job)) {
--- a/tests/auto/run_histories/referee.h
+++ b/tests/auto/run_histories/referee.h
@@ -48,9 +48,14 @@
   void OnSubmitted(size_t job);
   void OnAccepted(size_t job);
   void OnCancelSent(size_t job);
+  // The cancellation was certainly not stored.
+  void OnCancelRefused(size_t job);
   void OnCancelled(size_t job);
-  // A caller was told this state, or that there is no such job.
-  void OnShown(size_t job, std::optional<jobs::JobState> state);
+  // A caller that asked at `asked_at` is told this state, or that there is no
+  // such job.
+  void OnShown(size_t job,
+               std::optional<jobs::JobState> state,
+               Instant asked_at);
   // Something did not happen in time.
   void OnOverdue(const std::string& what);
 
@@ -59,7 +64,7 @@
   bool IsCancelled(size_t job) const {
     return jobs_.at(job).cancelled_at.has_value();
   }
-  bool IsCancelSent(size_t job) const { return jobs_.at(job).is_cancel_sent; }
+  bool IsCancelSent(size_t job) const { return jobs_.at(job).cancels_sent > 0; }
   bool IsAccepted(size_t job) const {
     return jobs_.at(job).accepted_at.has_value();
   }
@@ -87,7 +92,7 @@
   };
   struct JobFacts {
     bool is_submitted = false;
-    bool is_cancel_sent = false;
+    size_t cancels_sent = 0;  // That may be stored.
     std::optional<Instant> accepted_at;
     std::optional<Instant> cancelled_at;
     std::optional<Instant> shown_completed_at;
--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -56,7 +56,7 @@
   ExpectSound({
       Submit{1, 1},
       Cancel{2, 1},
-      Campaign{1},
+      FreezeFront{0, milliseconds(2500)},
       Pass{milliseconds(100)},
       Pass{milliseconds(2500)},
   });
@@ -83,7 +83,7 @@
       Submit{2, 1},
       Pass{milliseconds(1000)},
       Cut{Link{LinkKind::kReport, 0}, milliseconds(15000)},
-      Resign{0},
+      StopFront{0},
       CrashRunner{0, true, milliseconds(2500)},
       Pass{milliseconds(400)},
       Pass{milliseconds(1000)},
@@ -112,9 +112,9 @@
   ExpectSound({
       Submit{1, 1},
       Pass{milliseconds(250)},
-      Campaign{1},
+      FreezeFront{0, milliseconds(2500)},
       Pass{milliseconds(400)},
-      Campaign{0},
+      FreezeFront{1, milliseconds(2500)},
       Pass{milliseconds(400)},
   });
 }
@@ -131,7 +131,7 @@
       Submit{1, 1},
       Pass{milliseconds(75)},
       Pass{milliseconds(150)},
-      Campaign{1},
+      FreezeFront{0, milliseconds(2500)},
       Pass{milliseconds(500)},
       Pass{milliseconds(1000)},
   });
@@ -141,7 +141,7 @@
 TEST(RunHistoryTest, CandidateHasReadAllProgress) {
   ExpectSound({
       Submit{0, 1},
-      Campaign{1},
+      FreezeFront{0, milliseconds(2500)},
       Cut{Link{LinkKind::kStoreWrite, 1}, milliseconds(600)},
       Pass{milliseconds(7000)},
   });
--- a/tests/auto/run_histories/step.cpp
+++ b/tests/auto/run_histories/step.cpp
@@ -13,7 +13,7 @@
   static const std::array<const char*, kLinkKinds> names{
       "kReport",    "kOrders",       "kNotification", "kHold",
       "kOrder",     "kAnnouncement", "kCancellation", "kStoreWrite",
-      "kStoreRead", "kAgentRead"};
+      "kStoreRead", "kAgentRead",    "kFrontend"};
   return "Link{LinkKind::" +
          std::string(names.at(static_cast<size_t>(link.kind))) + ", " +
          std::to_string(link.index) + "}";
@@ -41,11 +41,26 @@
   std::string operator()(const Query& it) const {
     return Call("Query", it.job, it.front);
   }
-  std::string operator()(const Campaign& it) const {
-    return "Campaign{" + std::to_string(it.front) + "}";
+  std::string operator()(const FreezeFront& it) const {
+    return Call("FreezeFront", it.front, it.span);
   }
-  std::string operator()(const Resign& it) const {
-    return "Resign{" + std::to_string(it.front) + "}";
+  std::string operator()(const SlowFront& it) const {
+    return Call("SlowFront", it.front, it.span);
+  }
+  std::string operator()(const StopFront& it) const {
+    return "StopFront{" + std::to_string(it.front) + "}";
+  }
+  std::string operator()(const FreezeAgent& it) const {
+    return Call("FreezeAgent", it.agent, it.span);
+  }
+  std::string operator()(const StopAgent& it) const {
+    return "StopAgent{" + std::to_string(it.agent) + "}";
+  }
+  std::string operator()(const MoveFrontClock& it) const {
+    return Call("MoveFrontClock", it.front, it.by);
+  }
+  std::string operator()(const MoveRunnerClock& it) const {
+    return Call("MoveRunnerClock", it.runner, it.by);
   }
   std::string operator()(const RestartFront& it) const {
     return "RestartFront{" + std::to_string(it.front) + "}";
@@ -75,6 +90,11 @@
   }
 
  private:
+  static std::string Call(const std::string& name,
+                          size_t index,
+                          milliseconds time) {
+    return name + "{" + std::to_string(index) + ", " + Quote(time) + "}";
+  }
   static std::string Call(const std::string& name, size_t job, size_t front) {
     return name + "{" + std::to_string(job) + ", " + std::to_string(front) +
            "}";
--- a/tests/auto/run_histories/step.h
+++ b/tests/auto/run_histories/step.h
@@ -38,16 +38,53 @@
 
   friend bool operator==(const Query&, const Query&) = default;
 };
-// The frontend campaigns, whether there is a leader or not.
-struct Campaign {
+// The process of the frontend does nothing for a while, and then goes on.
+struct FreezeFront {
   size_t front = 0;
+  milliseconds span{0};
+
+  friend bool operator==(const FreezeFront&, const FreezeFront&) = default;
+};
+// Each turn of the frontend's event loop takes 20 ms for a while.
+struct SlowFront {
+  size_t front = 0;
+  milliseconds span{0};
+
+  friend bool operator==(const SlowFront&, const SlowFront&) = default;
+};
+// The frontend is shut down in order; its next process starts after the drain.
+struct StopFront {
+  size_t front = 0;
+
+  friend bool operator==(const StopFront&, const StopFront&) = default;
+};
+struct FreezeAgent {
+  size_t agent = 0;
+  milliseconds span{0};
 
-  friend bool operator==(const Campaign&, const Campaign&) = default;
+  friend bool operator==(const FreezeAgent&, const FreezeAgent&) = default;
 };
-struct Resign {
+// The agent is shut down in order; its next process starts at once.
+struct StopAgent {
+  size_t agent = 0;
+
+  friend bool operator==(const StopAgent&, const StopAgent&) = default;
+};
+// The time of day on the frontend's VM jumps.
+struct MoveFrontClock {
   size_t front = 0;
+  milliseconds by{0};
+
+  friend bool operator==(const MoveFrontClock&,
+                         const MoveFrontClock&) = default;
+};
+// The time of day on the VM of the runner and its agent jumps.
+struct MoveRunnerClock {
+  size_t runner = 0;
+  milliseconds by{0};
 
-  friend bool operator==(const Resign&, const Resign&) = default;
+  friend bool operator==(const MoveRunnerClock&,
+                         const MoveRunnerClock&) = default;
 };
 struct RestartFront {
   size_t front = 0;
@@ -102,8 +139,13 @@
                           Submit,
                           Cancel,
                           Query,
-                          Campaign,
-                          Resign,
+                          FreezeFront,
+                          SlowFront,
+                          StopFront,
+                          FreezeAgent,
+                          StopAgent,
+                          MoveFrontClock,
+                          MoveRunnerClock,
                           RestartFront,
                           CrashRunner,
                           RestartAgent,
--- a/tests/auto/run_histories/wiring.h
+++ b/tests/auto/run_histories/wiring.h
@@ -4,32 +4,19 @@
 #include <cstddef>
 #include <string>
 
-#include "jobs/leader_record.h"
-#include "jobs/runner.h"
-#include "network.h"
-
 namespace papayadrift::run_histories {
 
-// An answer to a report; one that isn't accepted has no content.
-struct ReportReply {
-  bool is_accepted = false;
-  jobs::ReportAnswer answer;
-
-  friend bool operator==(const ReportReply&, const ReportReply&) = default;
-};
+class AgentProcess;
+class FrontProcess;
 
-// Where calls arrive: whoever is there at that time.
+// Where calls arrive: the process that is there at that time. An address is the
+// number of a frontend or an agent.
 class Wiring {
  public:
   virtual ~Wiring() = default;
 
-  virtual void OnReport(const std::string& address,
-                        const jobs::RunnerReport& report,
-                        const Network::Respond<ReportReply>& respond) = 0;
-  virtual void OnOrders(size_t agent,
-                        const jobs::OrderBatch& batch,
-                        const Network::Respond<jobs::OrderAnswer>& respond) = 0;
-  virtual void OnLeader(size_t agent, const jobs::LeaderRecord& leader) = 0;
+  virtual FrontProcess& FrontAt(size_t index) = 0;
+  virtual AgentProcess& AgentAt(size_t index) = 0;
 };
 
 }  // namespace papayadrift::run_histories
--- a/tests/auto/run_histories/world.cpp
+++ b/tests/auto/run_histories/world.cpp
@@ -12,10 +12,12 @@
 namespace {
 
 constexpr milliseconds kHeartbeatPeriod(1000);
-constexpr milliseconds kWatchPeriod(400);
-constexpr milliseconds kLeaderTimeout(1300);
-constexpr milliseconds kCandidacySpread(400);
-constexpr milliseconds kNotificationTimeout(1000);
+// Of a frontend, from its shutdown to its end; and for which an agent may wait.
+constexpr milliseconds kDrainTime(2500);
+constexpr milliseconds kAgentGrace(4000);
+constexpr microseconds kSlowTurn(20'000);
+// The time of day is close to the true time.
+constexpr milliseconds kMaxWallLead(20'000);
 // For the first leader to serve and to know the runners.
 constexpr milliseconds kBeginning(900);
 constexpr int64_t kFullMillicores = 2000;
@@ -32,32 +34,27 @@
 constexpr size_t kPageSize = 3;
 constexpr size_t kReadSize = 4;
 
+void MoveClock(milliseconds& lead, milliseconds by) {
+  lead = std::clamp(lead + by, -kMaxWallLead, kMaxWallLead);
+}
+
 }  // namespace
 
 World::World(Trace trace) : trace_(std::move(trace)) {
   store_.set_page_size(kPageSize);
   store_.set_read_size(kReadSize);
   for (size_t i = 0; i < kPairs; ++i) {
-    front_stores_[i].emplace(simulation_, network_, store_,
-                             Link{LinkKind::kStoreWrite, i},
-                             Link{LinkKind::kStoreRead, i});
-    agent_stores_[i].emplace(simulation_, network_, store_,
-                             Link{LinkKind::kAgentRead, i},
-                             Link{LinkKind::kAgentRead, i});
     ModelRunnerSettings settings;
     settings.index = i;
     settings.clock_rate_percent = kClockRates.at(i);
-    runners_[i].emplace(settings, simulation_, referee_);
+    runners_[i].emplace(settings, runner_wall_leads_[i], simulation_, referee_);
     StartFront(i);
   }
-  fronts_[0]->Campaign();
   for (size_t i = 0; i < kPairs; ++i) {
     StartAgent(i, milliseconds(0));
     StartRunner(i, "r" + std::to_string(++instances_));
   }
-  led_at_ = simulation_.Now();
   SendHeartbeats();
-  WatchLeader();
   simulation_.RunFor(kBeginning);
 }
 
@@ -67,31 +64,22 @@
   }
 }
 
-jobs::JobSchedulerEventListener World::ListenerOf(size_t front) const {
-  if (!trace_) {
-    return nullptr;
-  }
-  return [this, front](const jobs::JobSchedulerEvent& event) {
-    Log("  front " + std::to_string(front) + ": " + event.subject + " run " +
-        std::to_string(event.run) + " " + std::string(ToText(event.kind)) +
-        " " + event.runner + " " + event.reason);
-  };
+TraceLog::Trace World::LogTrace() const {
+  return trace_
+             ? TraceLog::Trace([this](const std::string& line) { Log(line); })
+             : nullptr;
 }
 
 void World::StartFront(size_t front) {
-  fronts_.at(front) = std::make_shared<ModelFront>(
-      front, simulation_, network_, *front_stores_.at(front), *this, referee_,
-      [this](const std::string& address, const JobId& id) {
-        NotifyLeader(address, id);
-      },
-      ListenerOf(front));
+  fronts_.at(front) = std::make_unique<FrontProcess>(
+      front, front_wall_leads_.at(front), simulation_, network_, store_, *this,
+      referee_, LogTrace());
 }
 
 void World::StartAgent(size_t agent, milliseconds clock_lead) {
-  agents_.at(agent) = std::make_shared<ModelAgent>(
-      agent, clock_lead, simulation_, network_, *agent_stores_.at(agent), *this,
-      *runners_.at(agent));
-  agents_.at(agent)->Start();
+  agents_.at(agent) = std::make_unique<AgentProcess>(
+      agent, clock_lead, runner_wall_leads_.at(agent), simulation_, network_,
+      store_, *this, *runners_.at(agent), LogTrace());
 }
 
 void World::StartRunner(size_t runner, const std::string& instance) {
@@ -101,21 +89,6 @@
   }
 }
 
-void World::NotifyLeader(const std::string& address, const JobId& id) {
-  if (address.empty()) {
-    return;
-  }
-  const size_t front = std::stoul(address);
-  network_.Call<bool>(
-      {LinkKind::kCancellation, front}, kNotificationTimeout,
-      [this, front, id](const Delivery&,
-                        const Network::Respond<bool>& respond) {
-        fronts_.at(front)->OnCancelled(id);
-        respond(true);
-      },
-      [](const std::optional<bool>&) {});
-}
-
 void World::SendHeartbeats() {
   for (size_t i = 0; i < kPairs; ++i) {
     SendHeartbeat(i);
@@ -131,45 +104,17 @@
       {LinkKind::kAnnouncement, runner}, kHeartbeatPeriod,
       [this, runner, announcement = runners_.at(runner)->Announce()](
           const Delivery&, const Network::Respond<bool>&) {
-        agents_.at(runner)->OnAnnouncement(announcement);
-        if (announcement.capacity == runners_.at(runner)->capacity()) {
-          referee_.OnCapacityKnown(runner);
-        }
+        AgentProcess& process = *agents_.at(runner);
+        process.loop().Run([this, &process, runner, announcement] {
+          process.agent().OnAnnouncement(announcement);
+          if (announcement.capacity == runners_.at(runner)->capacity()) {
+            referee_.OnCapacityKnown(runner);
+          }
+        });
       },
       [](const std::optional<bool>&) {});
 }
 
-void World::WatchLeader() {
-  const Instant now = simulation_.Now();
-  if (std::ranges::any_of(
-          fronts_, [](const auto& front) { return front->is_confirmed(); })) {
-    led_at_ = now;
-  }
-  for (size_t i = 0; i < kPairs; ++i) {
-    const milliseconds spread = kCandidacySpread * static_cast<int64_t>(i);
-    if (now - led_at_ >= kLeaderTimeout + spread) {
-      fronts_.at(i)->Campaign();
-    }
-  }
-  simulation_.After(kWatchPeriod, [this] { WatchLeader(); });
-}
-
-void World::OnReport(const std::string& address,
-                     const jobs::RunnerReport& report,
-                     const Network::Respond<ReportReply>& respond) {
-  fronts_.at(std::stoul(address))->OnReport(report, respond);
-}
-
-void World::OnOrders(size_t agent,
-                     const jobs::OrderBatch& batch,
-                     const Network::Respond<jobs::OrderAnswer>& respond) {
-  agents_.at(agent)->OnOrders(batch, respond);
-}
-
-void World::OnLeader(size_t agent, const jobs::LeaderRecord& leader) {
-  agents_.at(agent)->OnLeader(leader);
-}
-
 void World::Apply(const Step& step) {
   Log(ToText(step));
   std::visit([this](const auto& it) { Do(it); }, step);
@@ -191,12 +136,43 @@
   fronts_.at(step.front)->Query(step.job);
 }
 
-void World::Do(const run_histories::Campaign& step) {
-  fronts_.at(step.front)->Campaign();
+void World::Do(const FreezeFront& step) {
+  fronts_.at(step.front)->loop().Freeze(simulation_.Now() + step.span);
+}
+
+void World::Do(const SlowFront& step) {
+  fronts_.at(step.front)->loop().Slow(simulation_.Now() + step.span, kSlowTurn);
+}
+
+void World::Do(const StopFront& step) {
+  FrontProcess& front = *fronts_.at(step.front);
+  front.loop().Run([&front] { front.frontend().Stop(); });
+  front.loop().RunAfter(kDrainTime, [this, index = step.front] {
+    // The next process can't replace this one within its own turn.
+    simulation_.After(microseconds(0), [this, index] { StartFront(index); });
+  });
 }
 
-void World::Do(const Resign& step) {
-  fronts_.at(step.front)->Resign("f" + std::to_string(kPairs - 1 - step.front));
+void World::Do(const FreezeAgent& step) {
+  agents_.at(step.agent)->loop().Freeze(simulation_.Now() + step.span);
+}
+
+void World::Do(const StopAgent& step) {
+  AgentProcess& agent = *agents_.at(step.agent);
+  agent.loop().Run([this, &agent, index = step.agent] {
+    agent.agent().Stop(agent.clock().Now() + kAgentGrace, [this, index] {
+      simulation_.After(milliseconds(1),
+                        [this, index] { StartAgent(index, milliseconds(0)); });
+    });
+  });
+}
+
+void World::Do(const MoveFrontClock& step) {
+  MoveClock(front_wall_leads_.at(step.front), step.by);
+}
+
+void World::Do(const MoveRunnerClock& step) {
+  MoveClock(runner_wall_leads_.at(step.runner), step.by);
 }
 
 void World::Do(const RestartFront& step) {
@@ -292,11 +268,12 @@
   const Instant now = simulation_.Now();
   std::map<StoppedRun, Instant> kept;
   for (size_t i = 0; i < kPairs; ++i) {
-    if (!fronts_.at(i)->is_confirmed()) {
+    const cluster::Leader* leader = fronts_.at(i)->confirmed_leader();
+    if (leader == nullptr) {
       continue;
     }
     for (const auto& [incarnation, runner] :
-         fronts_.at(i)->leader()->scheduler()->fleet().runners()) {
+         leader->scheduler()->fleet().runners()) {
       for (const auto& [task, run] : runner.runs) {
         if (run.is_withdrawn && run.accepted_stops > 0) {
           const StoppedRun key{i, incarnation, task, run.number};
@@ -317,6 +294,10 @@
 void World::Settle() {
   Log("Settle");
   network_.Heal();
+  for (size_t i = 0; i < kPairs; ++i) {
+    fronts_.at(i)->loop().Heal();
+    agents_.at(i)->loop().Heal();
+  }
   for (auto& runner : runners_) {
     runner->set_capacity({kFullMillicores, kMemory, 0});
   }
--- a/tests/auto/run_histories/world.h
+++ b/tests/auto/run_histories/world.h
@@ -9,16 +9,17 @@
 #include <optional>
 #include <string>
 
+#include "agent_process.h"
 #include "fake_keyed_log.h"
+#include "front_process.h"
 #include "jobs/job_scheduler.h"
-#include "model_agent.h"
-#include "model_front.h"
 #include "model_runner.h"
 #include "network.h"
 #include "referee.h"
 #include "simulation.h"
 #include "step.h"
 #include "store_client.h"
+#include "trace_log.h"
 #include "wiring.h"
 
 namespace papayadrift::run_histories {
@@ -27,7 +28,7 @@
 // beginning of a day: a leader is elected and knows the runners.
 class World : public Wiring {
  public:
-  using Trace = std::function<void(const std::string& line)>;
+  using Trace = TraceLog::Trace;
 
   // Tells `trace` of steps and of the leaders' decisions, if there is one.
   explicit World(Trace trace = nullptr);
@@ -43,13 +44,8 @@
   uint64_t event_count() const { return simulation_.event_count(); }
   Instant Now() const { return simulation_.Now(); }
 
-  void OnReport(const std::string& address,
-                const jobs::RunnerReport& report,
-                const Network::Respond<ReportReply>& respond) override;
-  void OnOrders(size_t agent,
-                const jobs::OrderBatch& batch,
-                const Network::Respond<jobs::OrderAnswer>& respond) override;
-  void OnLeader(size_t agent, const jobs::LeaderRecord& leader) override;
+  FrontProcess& FrontAt(size_t index) override { return *fronts_.at(index); }
+  AgentProcess& AgentAt(size_t index) override { return *agents_.at(index); }
 
  private:
   static constexpr size_t kPairs = kLinksOfKind;
@@ -67,8 +63,13 @@
   void Do(const Submit& step);
   void Do(const Cancel& step);
   void Do(const Query& step);
-  void Do(const run_histories::Campaign& step);
-  void Do(const Resign& step);
+  void Do(const FreezeFront& step);
+  void Do(const SlowFront& step);
+  void Do(const StopFront& step);
+  void Do(const FreezeAgent& step);
+  void Do(const StopAgent& step);
+  void Do(const MoveFrontClock& step);
+  void Do(const MoveRunnerClock& step);
   void Do(const RestartFront& step);
   void Do(const CrashRunner& step);
   void Do(const RestartAgent& step);
@@ -79,15 +80,13 @@
   void Do(const Cut& step);
 
   void Log(const std::string& line) const;
-  jobs::JobSchedulerEventListener ListenerOf(size_t front) const;
+  // Passes on what processes log.
+  TraceLog::Trace LogTrace() const;
   void StartFront(size_t front);
   void StartAgent(size_t agent, milliseconds clock_lead);
   void StartRunner(size_t runner, const std::string& instance);
-  void NotifyLeader(const std::string& address, const JobId& id);
   void SendHeartbeats();
   void SendHeartbeat(size_t runner);
-  // Lets a frontend campaign if there has been no leader for a while.
-  void WatchLeader();
   // Notes which withdrawn runs the leader keeps although their stops are
   // executed; one that it keeps for long breaks a rule.
   void CheckStoppedRuns();
@@ -101,13 +100,13 @@
   Network network_{simulation_};
   Referee referee_{simulation_};
   keyed_log::FakeKeyedLog store_;
-  std::array<std::optional<StoreClient>, kPairs> front_stores_;
-  std::array<std::optional<StoreClient>, kPairs> agent_stores_;
   std::array<std::optional<ModelRunner>, kPairs> runners_;
-  std::array<std::shared_ptr<ModelAgent>, kPairs> agents_;
-  std::array<std::shared_ptr<ModelFront>, kPairs> fronts_;
+  std::array<std::unique_ptr<AgentProcess>, kPairs> agents_;
+  std::array<std::unique_ptr<FrontProcess>, kPairs> fronts_;
+  // By how much the time of day on each VM is ahead.
+  std::array<milliseconds, kPairs> front_wall_leads_{};
+  std::array<milliseconds, kPairs> runner_wall_leads_{};
   uint64_t instances_ = 0;  // Names of runners given so far.
-  Instant led_at_;          // When there was a leader last.
   std::map<StoppedRun, Instant> stopped_runs_;  // Since when.
 };
 
