Cluster: Follows a runner's process that started after its clock was set back

What callers saw: tasks of the runner ran twice (TWICE), or a withdrawn run and its ends stayed for as long as the agent ran, once a runner had started again after its VM's time of day was set back.

Cause: the agent orders the processes of its runner by their start times, which are by that clock. It took the later process for an earlier one whose announcements come late, went on with that, and its renewals and starts, which name only the runner, reached the later process with a lease on the earlier one's clock. That process took it, and held the task after the leader had started it elsewhere.

Change: evidence from calls goes before the order of start times. Another process is followed if it is the one that answered in place of the announced one, or if that has ended; a late announcement of any other earlier process is still ignored. A start or renewal carries the lease, and a count of ends, only while the process is confirmed: it answered a call within 1.5 s and no call has failed since. A renewal that carries none is answered at once, so a sound runner loses one call.

Why it works: the announced process is not there if its address answers as another one or refuses connections twice, whatever the clocks say; and a call that can't extend a lease does no harm to whoever takes it.

--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -72,12 +72,26 @@
           announcement.sequence <= announced_->sequence + kMaxSequenceStep);
 }
 
+bool RunnerSession::HasReplacedAnnounced(
+    const Announcement& announcement) const {
+  if (IsSameProcess(announcement, *announced_)) {
+    return false;
+  }
+  if (has_ended_ || !replaced_by_start_ms_) {
+    return has_ended_;
+  }
+  return *replaced_by_start_ms_ == 0
+             ? announcement.instance != announced_->instance
+             : announcement.start_unix_ms == *replaced_by_start_ms_;
+}
+
 AnnouncementVerdict RunnerSession::OnAnnouncement(
     const Announcement& announcement,
     Instant now,
     WallInstant wall_now) {
   if (announcement.service != settings_.service ||
-      (announced_ && !IsNewer(announcement, *announced_))) {
+      (announced_ && !IsNewer(announcement, *announced_) &&
+       !HasReplacedAnnounced(announcement))) {
     return AnnouncementVerdict::kNotNewer;
   }
   if (!IsPlausible(announcement, wall_now)) {
@@ -106,6 +120,7 @@
   answered_at_ms_ = ToMs(now);
   left_at_.reset();
   confirmed_at_.reset();
+  replaced_by_start_ms_.reset();
   runner_clock_ms_.reset();
   listed_at_ms_ = 0;
   active_.clear();
@@ -170,11 +185,13 @@
   call.request.term = term_;
   call.generation = generation_;
   call.sent_at = now;
-  if (IsProcessConfirmed(now)) {
-    // Each process numbers its ends anew. One that may not be the announced one
-    // must not take ends for recorded that are not.
-    call.request.recorded_ends = RecordedEnds();
+  if (!IsProcessConfirmed(now)) {
+    // Each process numbers its ends and counts its time anew. One that may not
+    // be the announced one must not take ends for recorded that are not, nor a
+    // lease on the clock of the announced one.
+    return call;
   }
+  call.request.recorded_ends = RecordedEnds();
   if (HasLease(now)) {
     call.request.lease_until_ms = LeaseEndOnRunnerClock();
     call.request.wait = settings_.renewal_wait;
@@ -198,6 +215,9 @@
                                               Instant sent_at,
                                               Instant now) {
   const bool is_superseded = failure == RunnerFailure::kSuperseded;
+  if (failure == RunnerFailure::kOtherIncarnation) {
+    replaced_by_start_ms_ = 0;
+  }
   // A refusal does not tell which process it is from.
   confirmed_at_.reset();
   if (is_superseded) {
@@ -237,6 +257,7 @@
     // one, nor start what was meant for that.
     confirmed_at_.reset();
     runner_clock_ms_.reset();
+    replaced_by_start_ms_ = renewal.start_unix_ms;
     return {.next_renewal = kRetryDelay};
   }
   confirmed_at_ = call.sent_at;
@@ -357,7 +378,8 @@
   if (is_void || now > deadline) {
     return jobs::OrderVerdict::kExpired;
   }
-  if (is_start && !HasLease(now)) {
+  if (is_start && !(HasLease(now) && IsProcessConfirmed(now))) {
+    // A start carries the lease, which a later process would take on its clock.
     return jobs::OrderVerdict::kLeaseExpired;
   }
   return is_start ? ViewVerdict(batch.jobs_viewed_at_ms, now) : std::nullopt;
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -149,6 +149,10 @@
  private:
   bool IsPlausible(const Announcement& announcement,
                    WallInstant wall_now) const;
+  // Whether the announced process is gone and this may be the one after it,
+  // although it has not started later by the VM's time of day, which may have
+  // been set back.
+  bool HasReplacedAnnounced(const Announcement& announcement) const;
   void OnRunnerStarted(const Announcement& announcement, Instant now);
   // `crash` is unset if the end was announced.
   void OnRunnerEnded(std::optional<jobs::CrashTime> crash);
@@ -199,6 +203,9 @@
   // When the last call that the announced process has answered was sent, if
   // none has failed since.
   std::optional<Instant> confirmed_at_;
+  // Start of the process that has answered a call in place of the announced
+  // one, by its VM's time of day; 0: not reported.
+  std::optional<int64_t> replaced_by_start_ms_;
   // Time on the runner's clock, and on the agent's clock when it was read.
   std::optional<int64_t> runner_clock_ms_;
   int64_t runner_clock_read_ms_ = 0;
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -316,6 +316,58 @@
 
 // Guards against a count for which there can be no reason: the leader has been
 // told of three ends.
+// Guards against a task that runs twice: after a call that nobody answered, the
+// next one may reach a later process of the runner, which takes the lease on
+// its own clock.
+TEST_F(RunnerSessionTest, ProcessThatDoesNotAnswerGetsNoLease) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  ASSERT_TRUE(session_.StartRenewal(now_).request.lease_until_ms);
+  FailToRenew(RunnerFailure::kUnanswered);
+  ASSERT_TRUE(session_.HasLease(now_));
+  EXPECT_EQ(VerdictOn(kStart), jobs::OrderVerdict::kLeaseExpired);
+  EXPECT_FALSE(session_.StartRenewal(now_).request.lease_until_ms);
+  Renew();
+  EXPECT_EQ(VerdictOn(kStart), std::nullopt);
+  EXPECT_TRUE(session_.StartRenewal(now_).request.lease_until_ms);
+}
+
+// The same after the agent was frozen, during which its runner may have started
+// again.
+TEST_F(RunnerSessionTest, ProcessThatHasNotAnsweredForLongGetsNoLease) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  now_ += milliseconds(1600);
+  ASSERT_TRUE(session_.HasLease(now_));
+  EXPECT_EQ(VerdictOn(kStart), jobs::OrderVerdict::kLeaseExpired);
+  EXPECT_FALSE(session_.StartRenewal(now_).request.lease_until_ms);
+}
+
+// Guards against a runner that isn't followed since its VM's time of day was
+// set back before it started again under its name.
+TEST_F(RunnerSessionTest,
+       FollowsTheProcessThatAnswersAlthoughItStartedEarlier) {
+  const Announcement late{"own", kStartUnixMs - 500, 9, "127.0.0.1:3", "s"};
+  const Announcement later{"own", kStartUnixMs - 100, 1, "127.0.0.1:3", "s"};
+  session_.OnTerm(kTerm);
+  LeaseRenewalResponse response;
+  response.start_unix_ms = later.start_unix_ms;
+  session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  EXPECT_EQ(Announce(late), AnnouncementVerdict::kNotNewer);
+  EXPECT_EQ(Announce(later), AnnouncementVerdict::kStarted);
+  EXPECT_EQ(session_.incarnation().start_unix_ms, later.start_unix_ms);
+}
+
+TEST_F(RunnerSessionTest, FollowsTheProcessAfterOneThatHasEnded) {
+  const Announcement later{"own", kStartUnixMs - 100, 1, "127.0.0.1:3", "s"};
+  FailToRenew(RunnerFailure::kNotListening);
+  FailToRenew(RunnerFailure::kNotListening);
+  ASSERT_FALSE(session_.IsRunnerUp());
+  EXPECT_EQ(Announce({"own", kStartUnixMs, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kNotNewer);
+  EXPECT_EQ(Announce(later), AnnouncementVerdict::kStarted);
+}
+
 TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
   session_.OnTerm(kTerm);
   Renew(3);
