Jobs: Orders a runner's processes by its agent's reports

A report of a runner's process whose start time is earlier than the last one's was refused until that one's lease had expired: the runner stood empty for 6.6 s after its VM's time of day had been set back.

Two reports of one process of an agent are in the order of the agent's clock, and the agent knows which process is present; so the later report counts. Start times still order what different processes of an agent, or of none, have said: there a report may be late.

--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -9,10 +9,19 @@
 namespace papayadrift::jobs {
 namespace {
 
-// For incarnations of one node. Those without a start time can't be ordered:
-// the last one to report wins.
-bool IsLater(const RunnerIncarnation& left, const RunnerIncarnation& right) {
-  return left.start_unix_ms > right.start_unix_ms;
+// Whether `other`, of the same node, is a later incarnation than that of
+// `report`. An agent knows which one is present, and its reports are in the
+// order of its clock. The start times are by the VM's time of day, which may be
+// set back; without them, the last one to report wins.
+bool IsLater(const RunnerIncarnation& other,
+             const Runner& runner,
+             const RunnerReport& report) {
+  const bool is_of_same_agent =
+      runner.has_report &&
+      runner.report.agent_start_unix_ms == report.agent_start_unix_ms;
+  return is_of_same_agent && runner.report.sent_at_ms != report.sent_at_ms
+             ? runner.report.sent_at_ms > report.sent_at_ms
+             : other.start_unix_ms > report.incarnation.start_unix_ms;
 }
 
 }  // namespace
@@ -91,10 +100,10 @@
   return others;
 }
 
-bool Fleet::IsSuperseded(const RunnerIncarnation& incarnation) const {
-  return std::ranges::any_of(IncarnationsOf(incarnation.node),
+bool Fleet::IsSuperseded(const RunnerReport& report) const {
+  return std::ranges::any_of(OtherIncarnations(report.incarnation),
                              [&](const RunnerIncarnation& other) {
-                               return IsLater(other, incarnation);
+                               return IsLater(other, *Find(other), report);
                              });
 }
 
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -127,7 +127,7 @@
   std::vector<RunnerIncarnation> OtherIncarnations(
       const RunnerIncarnation& incarnation) const;
   // Returns whether a later incarnation of the same node is known.
-  bool IsSuperseded(const RunnerIncarnation& incarnation) const;
+  bool IsSuperseded(const RunnerReport& report) const;
 
   // Runners considered so far for tasks, and runs looked at to compute what
   // they have left: what placement costs.
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -30,7 +30,7 @@
 
 bool JobScheduler::OnReport(const RunnerReport& report, Instant now) {
   const RunnerIncarnation& incarnation = report.incarnation;
-  if (fleet_.IsSuperseded(incarnation)) {
+  if (fleet_.IsSuperseded(report)) {
     return false;
   }
   if (report.state == RunnerState::kGone) {
--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -47,6 +47,29 @@
   });
 }
 
+// A runner started again under its name after its VM's time of day had been set
+// back: its agent went on with the earlier process, whose lease it gave to the
+// later one.
+TEST(RunHistoryTest, ProcessAfterAClockWasSetBackGetsNoEarlierLease) {
+  ExpectSound({
+      Submit{2, 0},
+      MoveRunnerClock{0, milliseconds(-1500)},
+      FreezeAgent{0, milliseconds(1600)},
+      CrashRunner{0, true, milliseconds(400)},
+      Pass{milliseconds(7000)},
+  });
+}
+
+// The same without a lease: the run was stopped in vain for as long as the
+// agent did not follow the later process.
+TEST(RunHistoryTest, ProcessAfterAClockWasSetBackIsFollowed) {
+  ExpectSound({
+      Submit{0, 1},
+      CrashRunner{1, true, milliseconds(0)},
+      MoveRunnerClock{1, milliseconds(-1500)},
+  });
+}
+
 // The following are the shortest histories that the checker finds when a
 // mechanism is taken out.
 
