--- a/src/libs/cluster/runner_api.h
+++ b/src/libs/cluster/runner_api.h
@@ -48,6 +48,8 @@
   std::vector<jobs::ActiveRun> active;
   std::vector<jobs::EndedRun> ended;
   bool has_all_ends = true;  // See jobs::RunnerReport.
+  // An end could not be decoded; `ended` has those before it.
+  bool has_unreadable_end = false;
 
   friend bool operator==(const LeaseRenewalResponse&,
                          const LeaseRenewalResponse&) = default;
--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -268,7 +268,11 @@
   runner_clock_ms_ = renewal.clock_ms;
   runner_clock_read_ms_ = ToMs(now);
   const bool is_first = listed_at_ms_ == 0;
-  listed_at_ms_ = ToMs(call.sent_at);
+  if (!renewal.has_unreadable_end) {
+    // Otherwise the lists become too old for another lease, since nothing else
+    // ends the wait for the end of that run.
+    listed_at_ms_ = ToMs(call.sent_at);
+  }
   active_ = std::move(renewal.active);
   ended_ = std::move(renewal.ended);
   has_all_ends_ = renewal.has_all_ends;
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -368,6 +368,26 @@
   EXPECT_EQ(Announce(later), AnnouncementVerdict::kStarted);
 }
 
+// Guards against a task that waits for ever for an end that can't be decoded:
+// the runner gets no further lease once its lists are old.
+TEST_F(RunnerSessionTest, ListWithAnUnreadableEndIsNotANewOne) {
+  Renew(1);
+  const int64_t listed_at_ms = session_.StartReport(now_).report.listed_at_ms;
+  session_.OnLeader({kTerm + 1, "node-1", "127.0.0.1:1"});
+  now_ += seconds(1);
+  LeaseRenewalResponse response;
+  response.ended = Ends(2);
+  response.has_all_ends = false;
+  response.has_unreadable_end = true;
+  const RenewalOutcome outcome =
+      session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  EXPECT_TRUE(outcome.is_report_due);
+  const jobs::RunnerReport report = session_.StartReport(now_).report;
+  EXPECT_EQ(report.listed_at_ms, listed_at_ms);
+  EXPECT_EQ(report.ended, Ends(2));
+  EXPECT_FALSE(report.has_all_ends);
+}
+
 TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
   session_.OnTerm(kTerm);
   Renew(3);
