Cluster: Confirms a term as of the first try of an append

A repeated append that the store answered confirmed the term as of the repeat.

The confirmation is now the start of the first try, for candidacies too.

RepeatConfirmsTheTermAsOfItsOwnStart held the opposite and became RepeatConfirmsTheTermAsOfTheFirstTry: the check is as strict, on the earlier time; a second one is for candidacies. Both failed before.

--- a/src/libs/cluster/leader_term.cpp
+++ b/src/libs/cluster/leader_term.cpp
@@ -50,30 +50,29 @@
                  static_cast<uint64_t>(
                      context_.clock.WallNow().time_since_epoch().count())) >>
       (64 - kSequenceBits);
-  SendCandidacy(kMaxCandidacyAttempts);
+  SendCandidacy(context_.clock.Now(), kMaxCandidacyAttempts);
 }
 
-void LeaderTerm::SendCandidacy(int attempts_left) {
-  const Instant started_at = context_.clock.Now();
+void LeaderTerm::SendCandidacy(Instant begun_at, int attempts_left) {
   context_.log.Write(
       keyed_log::Append{
           kProgressTopic,
           {{kLeaderKey, jobs::Encode(record_)}},
           expected_end_,
           keyed_log::Writer{kLeaderWriter, record_.term, sequence_}},
-      started_at + kAppendTimeout,
-      [weak = weak_from_this(), started_at,
+      context_.clock.Now() + kAppendTimeout,
+      [weak = weak_from_this(), begun_at,
        attempts_left](const keyed_log::AppendResult& result) {
         const auto self = weak.lock();
         if (!self || self->has_ended_) {
           return;
         }
         if (std::holds_alternative<keyed_log::Stored>(result)) {
-          self->confirmed_at_ = started_at;
+          self->confirmed_at_ = begun_at;
           self->OnCandidacyStored();
         } else if (std::holds_alternative<keyed_log::Unanswered>(result) &&
                    attempts_left > 1) {
-          self->SendCandidacy(attempts_left - 1);
+          self->SendCandidacy(begun_at, attempts_left - 1);
         } else {
           self->End("The store rejected the candidacy or did not answer.");
         }
@@ -119,26 +118,25 @@
              keyed_log::Writer{kLeaderWriter, record_.term, sequence_}};
   on_stored_ = std::move(on_stored);
   is_appending_ = true;
+  append_begun_at_ = context_.clock.Now();
   Write();
 }
 
 void LeaderTerm::Write() {
-  const Instant started_at = context_.clock.Now();
-  context_.log.Write(append_, started_at + kAppendTimeout,
-                     [weak = weak_from_this(),
-                      started_at](const keyed_log::AppendResult& result) {
-                       const auto self = weak.lock();
-                       if (self && !self->has_ended_) {
-                         self->OnWritten(started_at, result);
-                       }
-                     });
+  context_.log.Write(
+      append_, context_.clock.Now() + kAppendTimeout,
+      [weak = weak_from_this()](const keyed_log::AppendResult& result) {
+        const auto self = weak.lock();
+        if (self && !self->has_ended_) {
+          self->OnWritten(result);
+        }
+      });
 }
 
-void LeaderTerm::OnWritten(Instant started_at,
-                           const keyed_log::AppendResult& result) {
+void LeaderTerm::OnWritten(const keyed_log::AppendResult& result) {
   if (std::holds_alternative<keyed_log::Stored>(result)) {
-    confirmed_at_ = started_at;
-    metrics_.OnAppendStored(context_.clock.Now() - started_at);
+    confirmed_at_ = append_begun_at_;
+    metrics_.OnAppendStored(context_.clock.Now() - append_begun_at_);
     ++sequence_;
     is_appending_ = false;
     std::exchange(on_stored_, {})();
--- a/src/libs/cluster/leader_term.h
+++ b/src/libs/cluster/leader_term.h
@@ -60,7 +60,8 @@
   void After(milliseconds delay, std::function<void()> action);
 
   const jobs::LeaderRecord& record() const { return record_; }
-  // Start of the last append by which the store confirmed the term.
+  // Start of the last append by which the store confirmed the term: of its
+  // first try, since it may have been stored then.
   Instant confirmed_at() const { return confirmed_at_; }
   bool is_elected() const { return is_elected_; }
   bool is_appending() const { return is_appending_; }
@@ -73,11 +74,11 @@
     OnResigned on_resigned;
   };
 
-  void SendCandidacy(int attempts_left);
+  void SendCandidacy(Instant begun_at, int attempts_left);
   void OnCandidacyStored();
   void PublishAddress();
   void Write();
-  void OnWritten(Instant started_at, const keyed_log::AppendResult& result);
+  void OnWritten(const keyed_log::AppendResult& result);
   void AppendResignation();
 
   const ProcessContext context_;
@@ -92,7 +93,8 @@
   bool is_appending_ = false;
   bool has_ended_ = false;
   keyed_log::Append append_;  // The one under way.
-  OnStored on_stored_;        // Of the append under way.
+  Instant append_begun_at_;
+  OnStored on_stored_;  // Of the append under way.
   std::optional<Resignation> resignation_;
 };
 
--- a/tests/auto/cluster/leader_term_test.cpp
+++ b/tests/auto/cluster/leader_term_test.cpp
@@ -210,19 +210,33 @@
   EXPECT_EQ(candidate->term->confirmed_at(), appended_at);
 }
 
-// The answer to a repeat tells that no later leader had been there when the
-// repeat was sent.
-TEST_F(LeaderTermTest, RepeatConfirmsTheTermAsOfItsOwnStart) {
+// Guards against leases granted after the last record of this leader, from
+// which the next one counts them: the first try may have been stored.
+TEST_F(LeaderTermTest, RepeatConfirmsTheTermAsOfTheFirstTry) {
   const auto elected = MakeElected();
+  const Instant begun_at = clock_.Now();
   log_.set_loses_answers(true);
   elected->term->Append({{"o/a", "x"}}, [] {});
   clock_.Advance(kAnswerTime);
   log_.AnswerNext();
-  const Instant repeated_at = clock_.Now();
   log_.set_loses_answers(false);
   clock_.Advance(kAnswerTime);
   log_.Settle();
-  EXPECT_EQ(elected->term->confirmed_at(), repeated_at);
+  EXPECT_EQ(elected->term->confirmed_at(), begun_at);
+}
+
+TEST_F(LeaderTermTest, RepeatedCandidacyConfirmsTheTermAsOfTheFirstTry) {
+  const auto candidate = MakeCandidate();
+  const Instant begun_at = clock_.Now();
+  log_.set_loses_answers(true);
+  candidate->term->Campaign(Record("node-1", 1), 0);
+  clock_.Advance(kAnswerTime);
+  log_.AnswerNext();
+  log_.set_loses_answers(false);
+  clock_.Advance(kAnswerTime);
+  log_.Settle();
+  EXPECT_TRUE(candidate->term->is_elected());
+  EXPECT_EQ(candidate->term->confirmed_at(), begun_at);
 }
 
 TEST_F(LeaderTermTest, HeartbeatsAreNumbered) {
