Jobs: Counts leases of the last leader from its last record

What callers could see: a task on a runner that was lost together with its agent stood still for 11.65 s after the runner's last report when the leader changed in between, where one leader needs 6.62 s; users allow 7 s after the last disruption.

Cause: each new leader waited for a whole lease from its own election, since the last one may have granted one until then. But a leader grants leases from the start of an append that is stored, and a candidate has read all that is stored: no lease began after it read the last record.

The job scheduler takes that time and counts from there.

JobSchedulerTest.LeaseOfARunnerThatIsGoneEndsAfterTheLastLeader fails without it.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -82,10 +82,14 @@
 void Leader::StartLeading() {
   const Instant now = context_.clock.Now();
   const JobReplica::Content& content = replica_.content();
-  scheduler_.emplace(settings_.scheduler, now,
-                     [this](const jobs::JobSchedulerEvent& event) {
-                       monitor_.OnSchedulerEvent(term(), event);
-                     });
+  // The last leader grants leases from the start of an append that is stored,
+  // and this process has read all of them.
+  scheduler_.emplace(
+      settings_.scheduler, now,
+      [this](const jobs::JobSchedulerEvent& event) {
+        monitor_.OnSchedulerEvent(term(), event);
+      },
+      replica_.leader_seen_at());
   scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
   scheduler_->SetRoutes(routes_);
   scheduler_->ImportLearned(content.learned);
@@ -481,8 +485,8 @@
 void Leader::Answer(const PendingReport& report) {
   int64_t lease_until_ms = 0;
   if (scheduler_->MayLease(report.incarnation, context_.clock.Now())) {
-    // A new leader waits for a whole lease after its election, which comes
-    // after the store last confirmed this one.
+    // The next leader waits for a whole lease after it has read the last record
+    // of this one, which comes after the store last confirmed it.
     const Instant lease_end = term_->confirmed_at() + settings_.scheduler.lease;
     scheduler_->OnLeaseGranted(report.incarnation, lease_end);
     const auto remaining =
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -101,9 +101,11 @@
 
 JobScheduler::JobScheduler(const JobSchedulerSettings& settings,
                            Instant now,
-                           JobSchedulerEventListener event_listener)
+                           JobSchedulerEventListener event_listener,
+                           std::optional<Instant> last_granted_at)
     : settings_(settings),
       created_at_(now),
+      last_granted_at_(std::min(now, last_granted_at.value_or(now))),
       event_listener_(std::move(event_listener)) {}
 
 void JobScheduler::Emit(JobSchedulerEvent::Kind kind,
@@ -192,7 +194,7 @@
     }
     Runner& runner = fleet_.Get(task.incarnation);
     runner.report.incarnation = task.incarnation;
-    runner.lease_expires_at = LeaseExpiry(created_at_ + settings_.lease);
+    runner.lease_expires_at = LeaseExpiry(last_granted_at_ + settings_.lease);
     Run run = RunOf(entry->job.steps[key.step], task.run);
     run.sends = 2;
     run.is_withdrawn = stored.outcome != JobOutcome::kOpen;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -183,10 +183,12 @@
   };
 
   // Starts at `now`. Runners with claims of an earlier leader may be running
-  // them until the longest lease after `now` has expired.
+  // them until the longest lease after `last_granted_at` has expired: no
+  // earlier leader has granted one later; unset: not before `now`.
   JobScheduler(const JobSchedulerSettings& settings,
                Instant now,
-               JobSchedulerEventListener event_listener);
+               JobSchedulerEventListener event_listener,
+               std::optional<Instant> last_granted_at = std::nullopt);
 
   void SetRoutes(RouteTable routes);
   // Adds a stored job; does nothing if it is already known.
@@ -499,6 +501,7 @@
 
   const JobSchedulerSettings settings_;
   const Instant created_at_;
+  const Instant last_granted_at_;  // By an earlier leader, at the latest.
   Instant jobs_viewed_at_;
   microseconds order_latency_{0};  // Smoothed.
   const JobSchedulerEventListener event_listener_;
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -135,10 +135,9 @@
 
 std::optional<std::string> JobScheduler::LossOf(const Runner& runner,
                                                 Instant now) const {
-  // An earlier leader may have granted a lease until this one was elected.
   if (now <= runner.lease_expires_at ||
       (!runner.runs.empty() &&
-       now <= LeaseExpiry(created_at_ + settings_.lease))) {
+       now <= LeaseExpiry(last_granted_at_ + settings_.lease))) {
     return std::nullopt;
   }
   if (!runner.has_report || now - runner.reported_at > kMaxReportAge) {
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -552,6 +552,28 @@
   EXPECT_EQ(placed[0].first, kSecond);
 }
 
+// Guards against a task that stands still for 11.65 s after a takeover: the
+// wait for the lease of a runner that is gone began anew with the leader.
+TEST_F(JobSchedulerTest, LeaseOfARunnerThatIsGoneEndsAfterTheLastLeader) {
+  constexpr int64_t kLastGrantMs = 3700;
+  constexpr int64_t kTakeoverMs = 5000;
+  const JobSchedulerSettings settings;
+  const int64_t expiry_ms =
+      kLastGrantMs +
+      (settings.lease * (100 + settings.clock_error_percent) / 100 +
+       settings.lease_expiry_margin)
+          .count();
+  JobScheduler next(settings, At(kTakeoverMs), nullptr, At(kLastGrantMs));
+  next.AddJob(JobId("a"), JobOf(1, 1000));
+  next.Restore(JobId("a"),
+               {JobOutcome::kOpen,
+                {{Task(0), {TaskPhase::kClaimed, 3, 0, kFirst, ""}}}});
+  next.Advance(At(expiry_ms), 0);
+  EXPECT_NE(next.fleet().Find(kFirst), nullptr);
+  next.Advance(At(expiry_ms + 1), 0);
+  EXPECT_EQ(next.fleet().Find(kFirst), nullptr);
+}
+
 // Guards against a new leader that stops runs of the last one because their
 // agents have restarted with it.
 TEST_F(JobSchedulerTest, RunOfTheLastLeaderOutlivesARefusalForWantOfALease) {
