Tests: Searches histories of runs on several cores, and checks the arguments

A seed and a number stand for the same history whatever N is, and the lowest number that breaks a rule is reported (CheckRunsTest.SameHistoriesWithAnyNumberOfThreads).

--- a/tests/auto/run_histories/check_runs_main.cpp
+++ b/tests/auto/run_histories/check_runs_main.cpp
@@ -1,57 +1,24 @@
 // Plays random histories of runs for a time; see
 // docs/design/23-run-histories.md.
 
-#include <tclap/CmdLine.h>
-
-#include <cstdint>
+#include <algorithm>
 #include <cstdlib>
 #include <ctime>
 #include <iostream>
-#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
 
 #include "base/clock.h"
+#include "check_runs_arguments.h"
+#include "parallel_search.h"
 #include "search.h"
 
 namespace papayadrift::run_histories {
 namespace {
 
 constexpr int kViolated = 1;
-constexpr int kBadArguments = 2;
 constexpr seconds kProgressPeriod(10);
-// Histories between two looks at the clock.
-constexpr uint64_t kLookPeriod = 64;
-
-struct Arguments {
-  double minutes = 10;
-  uint64_t seed = 1;
-  uint64_t histories = 0;  // 0: no limit.
-};
-
-// Returns std::nullopt after it has said what is wrong.
-std::optional<Arguments> ReadArguments(int count, char** values) {
-  TCLAP::CmdLine line(
-      "Plays random histories of runs until one breaks a rule. Exit codes: "
-      "0 none did, 1 one did, 2 bad arguments.");
-  line.setExceptionHandling(false);
-  TCLAP::ValueArg<double> minutes("m", "minutes", "For how long.", false, 10,
-                                  "minutes", line);
-  TCLAP::ValueArg<uint64_t> seed("s", "seed", "Which histories.", false, 1,
-                                 "number", line);
-  TCLAP::ValueArg<uint64_t> histories("n", "histories",
-                                      "How many at most; 0: no limit.", false,
-                                      0, "number", line);
-  try {
-    line.parse(count, values);
-  } catch (const TCLAP::ArgException& e) {
-    std::cerr << e.error() << " " << e.argId() << "\n";
-    return std::nullopt;
-  }
-  if (!(minutes.getValue() > 0)) {
-    std::cerr << "The number of minutes must be above 0.\n";
-    return std::nullopt;
-  }
-  return Arguments{minutes.getValue(), seed.getValue(), histories.getValue()};
-}
 
 // Rates are also given for the processor time, which doesn't depend on what
 // else the machine does.
@@ -65,12 +32,13 @@
             << ",\"histories_per_processor_s\":" << histories / used
             << ",\"states_per_s\":"
             << static_cast<double>(totals.states) / elapsed
-            << ",\"states_per_history\":" << totals.states / totals.histories
+            << ",\"states_per_history\":"
+            << totals.states / std::max<uint64_t>(1, totals.histories)
             << ",\"longest_simulated_ms\":" << totals.longest.count() << "}"
             << std::endl;
 }
 
-int Run(const Arguments& arguments) {
+int Run(const CheckRunsArguments& arguments) {
   const SystemClock clock;
   const Instant begin = clock.Now();
   const Instant end =
@@ -78,39 +46,36 @@
       std::chrono::floor<microseconds>(
           std::chrono::duration<double, std::ratio<60>>(arguments.minutes));
   Instant progress_due = begin + kProgressPeriod;
-  SearchTotals totals;
-  for (uint64_t i = 0;; ++i) {
-    if (const auto finding = Search(arguments.seed, i, totals)) {
-      PrintProgress(totals, clock.Now() - begin);
-      std::cout << Describe(*finding);
-      return kViolated;
-    }
-    const bool is_last = totals.histories == arguments.histories;
-    if (i % kLookPeriod != 0 && !is_last) {
-      continue;
-    }
-    const Instant now = clock.Now();
-    if (now >= end || is_last) {
-      PrintProgress(totals, now - begin);
-      return EXIT_SUCCESS;
-    }
-    if (now >= progress_due) {
-      progress_due = now + kProgressPeriod;
-      PrintProgress(totals, now - begin);
-    }
+  ParallelSearch search({arguments.seed, arguments.first, arguments.histories,
+                         arguments.jobs, end},
+                        clock, [&](const SearchTotals& totals) {
+                          const Instant now = clock.Now();
+                          if (now >= progress_due) {
+                            progress_due = now + kProgressPeriod;
+                            PrintProgress(totals, now - begin);
+                          }
+                        });
+  const auto broken = search.Run();
+  PrintProgress(search.totals(), clock.Now() - begin);
+  if (!broken) {
+    return EXIT_SUCCESS;
   }
+  std::cout << Describe(FindShortest(arguments.seed, *broken));
+  return kViolated;
 }
 
 }  // namespace
 }  // namespace papayadrift::run_histories
 
 int main(int argc, char** argv) {
-  try {
-    const auto arguments =
-        papayadrift::run_histories::ReadArguments(argc, argv);
-    return arguments ? papayadrift::run_histories::Run(*arguments)
-                     : papayadrift::run_histories::kBadArguments;
-  } catch (const TCLAP::ExitException& e) {
-    return e.getExitStatus();
+  using papayadrift::run_histories::CheckRunsArguments;
+  using papayadrift::run_histories::CheckRunsExit;
+  const auto arguments = papayadrift::run_histories::ReadCheckRunsArguments(
+      std::vector<std::string>(argv, argv + argc));
+  if (const auto* exit = std::get_if<CheckRunsExit>(&arguments)) {
+    std::cerr << exit->message << "\n";
+    return exit->code;
   }
+  return papayadrift::run_histories::Run(
+      std::get<CheckRunsArguments>(arguments));
 }
--- a/tests/auto/run_histories/search.cpp
+++ b/tests/auto/run_histories/search.cpp
@@ -7,24 +7,36 @@
 
 namespace papayadrift::run_histories {
 
-std::optional<Finding> Search(uint64_t seed,
-                              uint64_t number,
-                              SearchTotals& totals) {
+void SearchTotals::Add(const SearchTotals& other) {
+  histories += other.histories;
+  states += other.states;
+  longest = std::max(longest, other.longest);
+}
+
+bool BreaksRule(uint64_t seed, uint64_t number, SearchTotals& totals) {
+  const Outcome outcome =
+      Play(RandomHistory(seed, number), number % kSettledPart == 0);
+  totals.Add({1, outcome.states, outcome.span});
+  return outcome.violation.has_value();
+}
+
+Finding FindShortest(uint64_t seed, uint64_t number) {
   const History history = RandomHistory(seed, number);
   const bool settles = number % kSettledPart == 0;
-  const Outcome outcome = Play(history, settles);
-  ++totals.histories;
-  totals.states += outcome.states;
-  totals.longest = std::max(totals.longest, outcome.span);
-  if (!outcome.violation) {
-    return std::nullopt;
-  }
-  const std::string rule = RuleOf(*outcome.violation);
+  const std::string rule = RuleOf(*Play(history, settles).violation);
   const History shortest = Shrink(history, [&](const History& trial) {
     const auto found = Play(trial, settles).violation;
     return found && RuleOf(*found) == rule;
   });
-  return Finding{number, *Play(shortest, settles).violation, shortest, settles};
+  return {number, *Play(shortest, settles).violation, shortest, settles};
+}
+
+std::optional<Finding> Search(uint64_t seed,
+                              uint64_t number,
+                              SearchTotals& totals) {
+  return BreaksRule(seed, number, totals)
+             ? std::optional(FindShortest(seed, number))
+             : std::nullopt;
 }
 
 std::string Describe(const Finding& finding) {
--- a/tests/auto/run_histories/search.h
+++ b/tests/auto/run_histories/search.h
@@ -28,11 +28,18 @@
   uint64_t states = 0;
   milliseconds longest{0};  // Simulated time of one history.
 
+  void Add(const SearchTotals& other);
+
   friend bool operator==(const SearchTotals&, const SearchTotals&) = default;
 };
 
-// Plays the random history of this number and adds it to `totals`; returns what
-// it breaks, with the history made as short as possible.
+// Plays the random history of this number and adds it to `totals`; returns
+// whether it breaks a rule.
+bool BreaksRule(uint64_t seed, uint64_t number, SearchTotals& totals);
+// Returns what the random history of this number breaks, with the history made
+// as short as possible. Requires that it breaks a rule.
+Finding FindShortest(uint64_t seed, uint64_t number);
+// Both of them.
 std::optional<Finding> Search(uint64_t seed,
                               uint64_t number,
                               SearchTotals& totals);
