Tests: Lets the search learn from histories in which something new happens

Blind drawing finds what takes five steps and misses what takes twelve. Half of the histories are now changed ones of earlier histories that reached something new: two log events in a row that no history had (who logged what, without names and numbers). Steps are inserted, replaced, repeated and left out, or two histories spliced.

Features of three events in a row made four of ten histories new, which chooses nothing; pairs make one in ten.

--- a/tests/auto/run_histories/agent_process.cpp
+++ b/tests/auto/run_histories/agent_process.cpp
@@ -26,7 +26,8 @@
                            keyed_log::FakeKeyedLog& store,
                            Wiring& wiring,
                            ModelRunner& runner,
-                           const TraceLog::Trace& trace)
+                           const TraceLog::Trace& trace,
+                           Coverage* coverage)
     : loop_(simulation),
       clock_(simulation, clock_lead, wall_lead),
       store_(simulation,
@@ -38,7 +39,7 @@
              {LinkKind::kAgentRead, index}),
       peers_(index, clock_, loop_, network, wiring),
       runner_(index, clock_, loop_, network, runner),
-      log_("agent " + std::to_string(index), trace),
+      log_("agent " + std::to_string(index), trace, coverage),
       agent_(SettingsOf(index),
              {loop_, clock_, store_, peers_, log_, UnusedRegistry()},
              runner_) {
--- a/tests/auto/run_histories/agent_process.h
+++ b/tests/auto/run_histories/agent_process.h
@@ -27,7 +27,8 @@
                keyed_log::FakeKeyedLog& store,
                Wiring& wiring,
                ModelRunner& runner,
-               const TraceLog::Trace& trace);
+               const TraceLog::Trace& trace,
+               Coverage* coverage);
 
   cluster::RunnerAgent& agent() { return agent_; }
   ProcessLoop& loop() { return loop_; }
--- a/tests/auto/run_histories/check_runs_arguments.cpp
+++ b/tests/auto/run_histories/check_runs_arguments.cpp
@@ -45,19 +45,18 @@
   using Text = TCLAP::ValueArg<std::string>;
   Text minutes("m", "minutes", "For how long.", false, "10", "number", line);
   Text seed("s", "seed", "Which histories.", false, "1", "number", line);
-  Text first("f", "first", "Number of the first history.", false, "0", "number",
-             line);
   Text histories("n", "histories", "How many at most; 0: no limit.", false, "0",
                  "number", line);
   Text jobs("j", "jobs", "How many at a time.", false, "1", "number", line);
+  TCLAP::SwitchArg blind("b", "blind",
+                         "Learn nothing from the histories before.", line);
   try {
     line.parse(arguments);
     return CheckRunsArguments{
         ReadNumber<double>(minutes, 1.0 / 1000, kMaxMinutes),
         ReadNumber<uint64_t>(seed, 0, kMaxNumber),
-        ReadNumber<uint64_t>(first, 0, kMaxNumber),
         ReadNumber<uint64_t>(histories, 0, kMaxNumber),
-        ReadNumber<size_t>(jobs, 1, kMaxJobs)};
+        ReadNumber<size_t>(jobs, 1, kMaxJobs), !blind.getValue()};
   } catch (const TCLAP::ArgException& e) {
     return CheckRunsExit{kBadArgumentsExitCode, e.error() + " " + e.argId()};
   } catch (const TCLAP::ExitException& e) {
--- a/tests/auto/run_histories/check_runs_arguments.h
+++ b/tests/auto/run_histories/check_runs_arguments.h
@@ -12,9 +12,9 @@
 struct CheckRunsArguments {
   double minutes = 10;
   uint64_t seed = 1;
-  uint64_t first = 0;
   uint64_t histories = 0;  // 0: no limit.
   size_t jobs = 1;
+  bool is_guided = true;
 
   friend bool operator==(const CheckRunsArguments&,
                          const CheckRunsArguments&) = default;
--- a/tests/auto/run_histories/check_runs_main.cpp
+++ b/tests/auto/run_histories/check_runs_main.cpp
@@ -11,7 +11,6 @@
 
 #include "base/clock.h"
 #include "check_runs_arguments.h"
-#include "parallel_search.h"
 #include "search.h"
 
 namespace papayadrift::run_histories {
@@ -34,6 +33,7 @@
             << static_cast<double>(totals.states) / elapsed
             << ",\"states_per_history\":"
             << totals.states / std::max<uint64_t>(1, totals.histories)
+            << ",\"corpus\":" << totals.corpus
             << ",\"longest_simulated_ms\":" << totals.longest.count() << "}"
             << std::endl;
 }
@@ -46,21 +46,21 @@
       std::chrono::floor<microseconds>(
           std::chrono::duration<double, std::ratio<60>>(arguments.minutes));
   Instant progress_due = begin + kProgressPeriod;
-  ParallelSearch search({arguments.seed, arguments.first, arguments.histories,
-                         arguments.jobs, end},
-                        clock, [&](const SearchTotals& totals) {
-                          const Instant now = clock.Now();
-                          if (now >= progress_due) {
-                            progress_due = now + kProgressPeriod;
-                            PrintProgress(totals, now - begin);
-                          }
-                        });
-  const auto broken = search.Run();
+  Search search({arguments.seed, arguments.histories, arguments.jobs, end,
+                 arguments.is_guided},
+                clock, [&](const SearchTotals& totals) {
+                  const Instant now = clock.Now();
+                  if (now >= progress_due) {
+                    progress_due = now + kProgressPeriod;
+                    PrintProgress(totals, now - begin);
+                  }
+                });
+  const auto finding = search.Run();
   PrintProgress(search.totals(), clock.Now() - begin);
-  if (!broken) {
+  if (!finding) {
     return EXIT_SUCCESS;
   }
-  std::cout << Describe(FindShortest(arguments.seed, *broken));
+  std::cout << Describe(*finding);
   return kViolated;
 }
 
--- a/tests/auto/run_histories/check_runs_test.cpp
+++ b/tests/auto/run_histories/check_runs_test.cpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "check_runs_arguments.h"
-#include "parallel_search.h"
+#include "search.h"
 
 namespace papayadrift::run_histories {
 namespace {
@@ -19,9 +19,9 @@
 TEST(CheckRunsTest, ReadsItsArguments) {
   EXPECT_EQ(std::get<CheckRunsArguments>(Read({})), CheckRunsArguments());
   EXPECT_EQ(std::get<CheckRunsArguments>(
-                Read({"--minutes", "0.5", "--seed", "7", "--first", "64",
-                      "--histories", "9", "--jobs", "6"})),
-            (CheckRunsArguments{0.5, 7, 64, 9, 6}));
+                Read({"--minutes", "0.5", "--seed", "7", "--histories", "9",
+                      "--jobs", "6", "--blind"})),
+            (CheckRunsArguments{0.5, 7, 9, 6, false}));
 }
 
 TEST(CheckRunsTest, RefusesArgumentsThatAreNoNumbersOrOutOfRange) {
@@ -39,7 +39,6 @@
       {"--jobs", "65"},
       {"--jobs", "2x"},
       {"--histories", ""},
-      {"--first", "-3"},
       {"--unknown"}};
   for (const auto& arguments : all) {
     SCOPED_TRACE(arguments.back());
@@ -55,9 +54,8 @@
 TEST(CheckRunsTest, SameHistoriesWithAnyNumberOfThreads) {
   const SystemClock clock;
   const auto totals = [&](size_t threads) {
-    constexpr uint64_t kHistories = 200;
-    ParallelSearch search({5, 100, kHistories, threads, Instant::max()}, clock,
-                          [](const SearchTotals&) {});
+    constexpr uint64_t kHistories = 1100;  // Three generations.
+    Search search({5, kHistories, threads}, clock);
     EXPECT_EQ(search.Run(), std::nullopt);
     return search.totals();
   };
--- a/tests/auto/run_histories/front_process.cpp
+++ b/tests/auto/run_histories/front_process.cpp
@@ -37,7 +37,8 @@
                            keyed_log::FakeKeyedLog& store,
                            Wiring& wiring,
                            Referee& referee,
-                           const TraceLog::Trace& trace)
+                           const TraceLog::Trace& trace,
+                           Coverage* coverage)
     : referee_(referee),
       loop_(simulation),
       clock_(simulation, milliseconds(0), wall_lead),
@@ -49,7 +50,7 @@
              {LinkKind::kStoreWrite, index},
              {LinkKind::kStoreRead, index}),
       peers_(index, clock_, loop_, network, wiring),
-      log_("front " + std::to_string(index), trace),
+      log_("front " + std::to_string(index), trace, coverage),
       frontend_(SettingsOf(index, clock_),
                 {loop_, clock_, store_, peers_, log_, UnusedRegistry()}) {
   frontend_.SetRoutes(Routes());
--- a/tests/auto/run_histories/front_process.h
+++ b/tests/auto/run_histories/front_process.h
@@ -26,7 +26,8 @@
                keyed_log::FakeKeyedLog& store,
                Wiring& wiring,
                Referee& referee,
-               const TraceLog::Trace& trace);
+               const TraceLog::Trace& trace,
+               Coverage* coverage);
 
   void Submit(size_t job);
   void Cancel(size_t job);
--- a/tests/auto/run_histories/model_runner.h
+++ b/tests/auto/run_histories/model_runner.h
@@ -25,7 +25,7 @@
   // As the lease that leaders grant.
   milliseconds longest_lease{6000};
   milliseconds stop_time{150};
-  size_t ends_in_list = 2;
+  size_t ends_in_list = 1;  // Small, so that lists are incomplete.
 
   friend bool operator==(const ModelRunnerSettings&,
                          const ModelRunnerSettings&) = default;
--- a/tests/auto/run_histories/random_history.cpp
+++ b/tests/auto/run_histories/random_history.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 #include <numeric>
 #include <random>
 #include <utility>
@@ -258,13 +259,67 @@
   return is_shorter;
 }
 
-}  // namespace
-
-History RandomHistory(uint64_t seed, uint64_t number) {
+Random RandomOf(uint64_t seed, uint64_t number) {
   std::seed_seq seeds{
       static_cast<uint32_t>(seed), static_cast<uint32_t>(seed >> 32U),
       static_cast<uint32_t>(number), static_cast<uint32_t>(number >> 32U)};
-  Random random(seeds);
+  return Random(seeds);
+}
+
+// The beginning of `first` and the end of `second`.
+History Spliced(Random& random, const History& first, const History& second) {
+  const auto cut = static_cast<ptrdiff_t>(Below(random, first.size() + 1));
+  const auto rest = static_cast<ptrdiff_t>(Below(random, second.size() + 1));
+  History history(first.begin(), first.begin() + cut);
+  history.insert(history.end(), second.begin() + rest, second.end());
+  return history;
+}
+
+void ChangeStep(Random& random, const Theme& theme, History& history) {
+  const auto at =
+      history.begin() + static_cast<ptrdiff_t>(Below(random, history.size()));
+  switch (Below(random, 4)) {
+    case 0:
+      history.insert(at, theme.Next(random));
+      return;
+    case 1:
+      *at = theme.Next(random);
+      return;
+    case 2:
+      history.insert(at, history[Below(random, history.size())]);
+      return;
+    default:
+      history.erase(at);
+      return;
+  }
+}
+
+}  // namespace
+
+History MutatedHistory(const std::vector<History>& corpus,
+                       uint64_t seed,
+                       uint64_t number) {
+  constexpr size_t kMaxChanges = 8;
+  constexpr size_t kSplicedPart = 4;  // One in so many.
+  Random random = RandomOf(seed, number);
+  const Theme theme(random);
+  History history = corpus[Below(random, corpus.size())];
+  if (Below(random, kSplicedPart) == 0) {
+    history = Spliced(random, history, corpus[Below(random, corpus.size())]);
+  }
+  const size_t changes = 1 + Below(random, kMaxChanges);
+  for (size_t i = 0; i < changes; ++i) {
+    if (history.empty()) {
+      history = theme.First(random);
+    }
+    ChangeStep(random, theme, history);
+  }
+  history.resize(std::min(history.size(), kHistorySteps));
+  return history;
+}
+
+History RandomHistory(uint64_t seed, uint64_t number) {
+  Random random = RandomOf(seed, number);
   const Theme theme(random);
   History history = theme.First(random);
   while (history.size() < kHistorySteps) {
--- a/tests/auto/run_histories/random_history.h
+++ b/tests/auto/run_histories/random_history.h
@@ -15,6 +15,11 @@
 
 // Returns the history of this number, the same at each call.
 History RandomHistory(uint64_t seed, uint64_t number);
+// Returns a history made of one or two of `corpus` by changing some steps. The
+// same corpus, seed and number always give the same one. Requires a corpus.
+History MutatedHistory(const std::vector<History>& corpus,
+                       uint64_t seed,
+                       uint64_t number);
 
 // Returns whether a history still breaks the rule in question.
 using IsBroken = std::function<bool(const History&)>;
--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -189,11 +189,10 @@
 }
 
 TEST(RunHistoryTest, RandomHistoriesAreSound) {
-  SearchTotals totals;
-  for (uint64_t i = 0; i < kHistories; ++i) {
-    if (const auto finding = Search(kSeed, i, totals)) {
-      FAIL() << Describe(*finding);
-    }
+  const SystemClock clock;
+  Search search({kSeed, kHistories}, clock);
+  if (const auto finding = search.Run()) {
+    FAIL() << Describe(*finding);
   }
 }
 
--- a/tests/auto/run_histories/trace_log.cpp
+++ b/tests/auto/run_histories/trace_log.cpp
@@ -1,10 +1,12 @@
 #include "trace_log.h"
 
+#include <cstdint>
 #include <string_view>
-#include <type_traits>
 #include <utility>
 #include <variant>
 
+#include "base/hash.h"
+
 namespace papayadrift::run_histories {
 namespace {
 
@@ -17,13 +19,31 @@
   }
 };
 
+// Returns a hash of who logs what, without names, numbers and reasons.
+uint64_t HashOf(const std::string& process,
+                logging::Event event,
+                std::initializer_list<logging::Field> fields) {
+  uint64_t hash = StableHash(process, static_cast<uint64_t>(event));
+  for (const logging::Field& it : fields) {
+    if (it.name == "change") {
+      hash = StableHash(std::get<std::string>(it.value), hash);
+    }
+  }
+  return hash;
+}
+
 }  // namespace
 
-TraceLog::TraceLog(std::string process, Trace trace)
-    : process_(std::move(process)), trace_(std::move(trace)) {}
+TraceLog::TraceLog(std::string process, Trace trace, Coverage* coverage)
+    : process_(std::move(process)),
+      trace_(std::move(trace)),
+      coverage_(coverage) {}
 
 void TraceLog::Log(logging::Event event,
                    std::initializer_list<logging::Field> fields) {
+  if (coverage_ != nullptr) {
+    coverage_->OnEvent(HashOf(process_, event, fields));
+  }
   if (!trace_) {
     return;
   }
--- a/tests/auto/run_histories/trace_log.h
+++ b/tests/auto/run_histories/trace_log.h
@@ -5,16 +5,19 @@
 #include <initializer_list>
 #include <string>
 
+#include "coverage.h"
 #include "logging/event_log.h"
 
 namespace papayadrift::run_histories {
 
-// Passes the log lines of one process to a trace, if there is one.
+// Passes the log lines of one process to a trace and to the coverage of a
+// history, if there are such.
 class TraceLog : public logging::EventLog {
  public:
   using Trace = std::function<void(const std::string& line)>;
 
-  TraceLog(std::string process, Trace trace);
+  // `coverage` may be null.
+  TraceLog(std::string process, Trace trace, Coverage* coverage);
 
   void Log(logging::Event event,
            std::initializer_list<logging::Field> fields) override;
@@ -22,6 +25,7 @@
  private:
   const std::string process_;
   const Trace trace_;
+  Coverage* const coverage_;
 };
 
 }  // namespace papayadrift::run_histories
--- a/tests/auto/run_histories/world.cpp
+++ b/tests/auto/run_histories/world.cpp
@@ -43,7 +43,8 @@
 
 }  // namespace
 
-World::World(Trace trace) : trace_(std::move(trace)) {
+World::World(Trace trace, Coverage* coverage)
+    : trace_(std::move(trace)), coverage_(coverage) {
   store_.set_page_size(kPageSize);
   store_.set_read_size(kReadSize);
   for (size_t i = 0; i < kPairs; ++i) {
@@ -76,13 +77,13 @@
 void World::StartFront(size_t front) {
   fronts_.at(front) = std::make_unique<FrontProcess>(
       front, front_wall_leads_.at(front), simulation_, network_, store_, *this,
-      referee_, LogTrace());
+      referee_, LogTrace(), coverage_);
 }
 
 void World::StartAgent(size_t agent, milliseconds clock_lead) {
   agents_.at(agent) = std::make_unique<AgentProcess>(
       agent, clock_lead, runner_wall_leads_.at(agent), simulation_, network_,
-      store_, *this, *runners_.at(agent), LogTrace());
+      store_, *this, *runners_.at(agent), LogTrace(), coverage_);
 }
 
 void World::StartRunner(size_t runner, const std::string& instance) {
@@ -316,8 +317,11 @@
   referee_.OnOverdue(missing);
 }
 
-Outcome Play(const History& history, bool settles, const World::Trace& trace) {
-  World world(trace);
+Outcome Play(const History& history,
+             bool settles,
+             const World::Trace& trace,
+             Coverage* coverage) {
+  World world(trace, coverage);
   const Instant begin = world.Now();
   for (const Step& step : history) {
     world.Apply(step);
--- a/tests/auto/run_histories/world.h
+++ b/tests/auto/run_histories/world.h
@@ -31,7 +31,8 @@
   using Trace = TraceLog::Trace;
 
   // Tells `trace` of steps and of the leaders' decisions, if there is one.
-  explicit World(Trace trace = nullptr);
+  // `coverage` may be null.
+  explicit World(Trace trace = nullptr, Coverage* coverage = nullptr);
 
   void Apply(const Step& step);
   // Ends all faults and lets time pass until everything that was asked for is
@@ -96,6 +97,7 @@
   bool IsRunning(const jobs::TaskKey& task) const;
 
   const Trace trace_;
+  Coverage* const coverage_;
   Simulation simulation_;
   Network network_{simulation_};
   Referee referee_{simulation_};
@@ -122,7 +124,8 @@
 // done in the end.
 Outcome Play(const History& history,
              bool settles,
-             const World::Trace& trace = nullptr);
+             const World::Trace& trace = nullptr,
+             Coverage* coverage = nullptr);
 
 }  // namespace papayadrift::run_histories
 
