--- a/tests/auto/run_histories/front_process.cpp
+++ b/tests/auto/run_histories/front_process.cpp
@@ -69,6 +69,8 @@
                      [this, job](cluster::SubmitResult result) {
                        if (result == cluster::SubmitResult::kAccepted) {
                          referee_.OnAccepted(job);
+                       } else if (result == cluster::SubmitResult::kNotStored) {
+                         referee_.OnRejected(job);
                        }
                      });
   });
--- a/tests/auto/run_histories/referee.cpp
+++ b/tests/auto/run_histories/referee.cpp
@@ -49,10 +49,12 @@
 
 void Referee::CheckJob(const jobs::TaskKey& task, Instant sent_at) {
   const Instant now = simulation_.Now();
-  const JobFacts& job = jobs_.at(JobOf(task));
-  if (!job.is_submitted) {
+  JobFacts& job = jobs_.at(JobOf(task));
+  if (job.submissions == 0) {
     Break("UNASKED", ToText(task) + " starts, and nobody submitted its job");
   }
+  job.has_started = true;
+  CheckRejected(JobOf(task));
   if (now - sent_at > kPromptOrder) {
     return;  // Rules with a time bound don't hold for it.
   }
@@ -165,7 +167,20 @@
 }
 
 void Referee::OnSubmitted(size_t job) {
-  jobs_.at(job).is_submitted = true;
+  ++jobs_.at(job).submissions;
+}
+
+void Referee::OnRejected(size_t job) {
+  ++jobs_.at(job).rejected;
+  CheckRejected(job);
+}
+
+void Referee::CheckRejected(size_t job) {
+  const JobFacts& facts = jobs_.at(job);
+  if (facts.has_started && facts.rejected == facts.submissions) {
+    Break("REFUSED", "job " + IdOf(job).text() +
+                         " has started, and each submission was rejected");
+  }
 }
 
 void Referee::OnAccepted(size_t job) {
@@ -209,7 +224,7 @@
     }
     return;
   }
-  if (!facts.is_submitted) {
+  if (facts.submissions == 0) {
     Break("MIXED", name + " is shown, and nobody submitted it");
   }
   if (*state == jobs::JobState::kCancelled && facts.cancels_sent == 0) {
--- a/tests/auto/run_histories/referee.h
+++ b/tests/auto/run_histories/referee.h
@@ -47,6 +47,8 @@
 
   void OnSubmitted(size_t job);
   void OnAccepted(size_t job);
+  // A submission was answered as not stored.
+  void OnRejected(size_t job);
   void OnCancelSent(size_t job);
   // The cancellation was certainly not stored.
   void OnCancelRefused(size_t job);
@@ -91,7 +93,9 @@
     std::vector<Instant> starts;
   };
   struct JobFacts {
-    bool is_submitted = false;
+    size_t submissions = 0;
+    size_t rejected = 0;  // Of these.
+    bool has_started = false;
     size_t cancels_sent = 0;  // That may be stored.
     std::optional<Instant> accepted_at;
     std::optional<Instant> cancelled_at;
@@ -101,6 +105,8 @@
   void Break(const std::string& rule, const std::string& how);
   void CheckOrder(const jobs::TaskKey& task);
   void CheckJob(const jobs::TaskKey& task, Instant sent_at);
+  // Checks that a job that was rejected at each attempt has not started.
+  void CheckRejected(size_t job);
   // Checks starts of the task against its ends that have been noted.
   void CheckNotedEnds(const jobs::TaskKey& task, const Task& facts);
 
