Cluster: Ignores late announcements and reports of replaced processes

The agent keeps the last 64 processes that it followed and ignores what they announce, unless it is one of them that answers. A runner's later process takes over which processes of the agent are former ones.

RunnerSessionTest.LateAnnouncementOfAReplacedProcessIsIgnored and JobSchedulerTest.LateReportOfAFormerAgentReplacesNoProcess fail without it.

--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -20,6 +20,9 @@
 // Longest time by which the clock of the VM may be set back after its runner
 // has started, with room to spare.
 constexpr milliseconds kMaxClockStep(60'000);
+// Processes of the runner whose late announcements are recognized: those of
+// more than a minute, also if each one crashes at once.
+constexpr size_t kMaxFormerProcesses = 64;
 // Announcements by which the sequence number of one process may advance at
 // once: two weeks of them.
 constexpr uint64_t kMaxSequenceStep = 1'000'000;
@@ -72,6 +75,13 @@
           announcement.sequence <= announced_->sequence + kMaxSequenceStep);
 }
 
+bool RunnerSession::IsFormer(const Announcement& announcement) const {
+  const jobs::RunnerIncarnation process{settings_.node, announcement.instance,
+                                        announcement.start_unix_ms};
+  return std::ranges::find(former_processes_, process) !=
+         former_processes_.end();
+}
+
 bool RunnerSession::HasReplacedAnnounced(
     const Announcement& announcement) const {
   if (IsSameProcess(announcement, *announced_)) {
@@ -90,8 +100,8 @@
     Instant now,
     WallInstant wall_now) {
   if (announcement.service != settings_.service ||
-      (announced_ && !IsNewer(announcement, *announced_) &&
-       !HasReplacedAnnounced(announcement))) {
+      (announced_ && !HasReplacedAnnounced(announcement) &&
+       (!IsNewer(announcement, *announced_) || IsFormer(announcement)))) {
     return AnnouncementVerdict::kNotNewer;
   }
   if (!IsPlausible(announcement, wall_now)) {
@@ -110,7 +120,14 @@
 
 void RunnerSession::OnRunnerStarted(const Announcement& announcement,
                                     Instant now) {
+  if (announced_ && !IsSameProcess(announcement, *announced_)) {
+    former_processes_.push_back(incarnation());
+    if (former_processes_.size() > kMaxFormerProcesses) {
+      former_processes_.pop_front();
+    }
+  }
   announced_ = announcement;
+  std::erase(former_processes_, incarnation());
   has_ended_ = false;
   ++generation_;
   is_renewing_ = false;
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -2,6 +2,7 @@
 #define PAPAYADRIFT_CLUSTER_RUNNER_SESSION_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -149,6 +150,8 @@
  private:
   bool IsPlausible(const Announcement& announcement,
                    WallInstant wall_now) const;
+  // Whether this is a late announcement of a process before the announced one.
+  bool IsFormer(const Announcement& announcement) const;
   // Whether the announced process is gone and this may be the one after it,
   // although it has not started later by the VM's time of day, which may have
   // been set back.
@@ -190,6 +193,8 @@
   RunnerAgentSettings settings_;
   int64_t agent_start_unix_ms_;
   std::optional<Announcement> announced_;
+  // Processes before it, the last ones.
+  std::deque<jobs::RunnerIncarnation> former_processes_;
   bool has_ended_ = false;  // Whether the announced process has ended.
   bool is_end_recorded_ = false;
   uint64_t generation_ = 0;
--- a/src/libs/jobs/fleet.cpp
+++ b/src/libs/jobs/fleet.cpp
@@ -16,6 +16,9 @@
 bool IsLater(const RunnerIncarnation& other,
              const Runner& runner,
              const RunnerReport& report) {
+  if (runner.former_agents.contains(report.agent_start_unix_ms)) {
+    return true;
+  }
   const bool is_of_same_agent =
       runner.has_report &&
       runner.report.agent_start_unix_ms == report.agent_start_unix_ms;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -305,6 +305,9 @@
 
   // Whether the runner has ended since the report was sent.
   bool IsOvertakenByEnd(const RunnerReport& report) const;
+  // Lets the runner know the processes of the agent that reported the other
+  // incarnations of its node: what they say is late.
+  void InheritFormerAgents(Runner& runner, const RunnerReport& report) const;
   Instant LeaseExpiry(Instant lease_end) const;
   milliseconds ResendPeriod() const;
   // Whether cancellations are known as they were so recently that a start may
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -55,6 +55,7 @@
     return false;
   }
   runner.report.incarnation = incarnation;
+  InheritFormerAgents(runner, report);
   RemoveEarlierIncarnations(incarnation, &runner, now);
   const bool is_new = !runner.has_report;
   if (!is_new &&
@@ -96,6 +97,20 @@
   return true;
 }
 
+void JobScheduler::InheritFormerAgents(Runner& runner,
+                                       const RunnerReport& report) const {
+  for (const RunnerIncarnation& it :
+       fleet_.OtherIncarnations(report.incarnation)) {
+    const Runner& other = *fleet_.Find(it);
+    runner.former_agents.insert(other.former_agents.begin(),
+                                other.former_agents.end());
+    if (other.has_report &&
+        other.report.agent_start_unix_ms != report.agent_start_unix_ms) {
+      runner.former_agents.insert(other.report.agent_start_unix_ms);
+    }
+  }
+}
+
 bool JobScheduler::IsOvertakenByEnd(const RunnerReport& report) const {
   const EndReport* end = FindOrNull(end_reports_, report.incarnation);
   return end != nullptr &&
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -358,6 +358,24 @@
   EXPECT_EQ(session_.incarnation().start_unix_ms, later.start_unix_ms);
 }
 
+// Guards against a runner whose tasks run twice: a late announcement of the
+// process before, which started later by the time of day, replaced the one that
+// holds them.
+TEST_F(RunnerSessionTest, LateAnnouncementOfAReplacedProcessIsIgnored) {
+  const Announcement replaced{"own", kStartUnixMs, 9, "127.0.0.1:3", "s"};
+  const Announcement later{"own", kStartUnixMs - 100, 1, "127.0.0.1:3", "s"};
+  session_.OnTerm(kTerm);
+  LeaseRenewalResponse response;
+  response.start_unix_ms = later.start_unix_ms;
+  session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  ASSERT_EQ(Announce(later), AnnouncementVerdict::kStarted);
+  EXPECT_EQ(Announce(replaced), AnnouncementVerdict::kNotNewer);
+  // Unless it is the one that answers.
+  response.start_unix_ms = replaced.start_unix_ms;
+  session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  EXPECT_EQ(Announce(replaced), AnnouncementVerdict::kStarted);
+}
+
 TEST_F(RunnerSessionTest, FollowsTheProcessAfterOneThatHasEnded) {
   const Announcement later{"own", kStartUnixMs - 100, 1, "127.0.0.1:3", "s"};
   FailToRenew(RunnerFailure::kNotListening);
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -697,6 +697,28 @@
   EXPECT_EQ(CountStarts(Orders(1000)), 1U);
 }
 
+// Guards against a runner whose tasks run twice: a late report of an agent's
+// former process on a runner's former process, which started later by the time
+// of day, replaced the one that holds them.
+TEST_F(JobSchedulerTest, LateReportOfAFormerAgentReplacesNoProcess) {
+  RunnerIncarnation later = kFirst;
+  later.instance = "i-2";
+  later.start_unix_ms = kFirst.start_unix_ms - 1;
+  RunnerReport former = ReportOf(kFirst);
+  former.agent_start_unix_ms = 1;
+  former.sent_at_ms = 500;
+  RunnerReport present = ReportOf(later);
+  present.agent_start_unix_ms = 1;
+  present.sent_at_ms = 600;
+  EXPECT_TRUE(scheduler_.OnReport(former, At(500)));
+  EXPECT_TRUE(scheduler_.OnReport(present, At(600)));
+  present.agent_start_unix_ms = 2;
+  present.sent_at_ms = 10;  // On the clock of the next process of the agent.
+  EXPECT_TRUE(scheduler_.OnReport(present, At(900)));
+  EXPECT_FALSE(scheduler_.OnReport(former, At(901)));
+  EXPECT_NE(scheduler_.fleet().Find(later), nullptr);
+}
+
 // A runner that fails what it is given, and a task that is to last.
 class FailingRunnerTest : public JobSchedulerTest {
  protected:
