Jobs: Gives agents a second to report after a takeover

Found by the review: a leader that takes over more than 6.6 s after the last record of the one before counted all its leases as over and gave up every run that it had taken over in its first round, before an agent had reported. No task could run twice by that, but checkpoints of ends listed meanwhile were lost, and work was done again.

The leases of the last leader now count for 1 s after the takeover at least.

--- a/src/libs/cluster/leader_term.cpp
+++ b/src/libs/cluster/leader_term.cpp
@@ -123,8 +123,9 @@
 }
 
 void LeaderTerm::Write() {
+  written_at_ = context_.clock.Now();
   context_.log.Write(
-      append_, context_.clock.Now() + kAppendTimeout,
+      append_, written_at_ + kAppendTimeout,
       [weak = weak_from_this()](const keyed_log::AppendResult& result) {
         const auto self = weak.lock();
         if (self && !self->has_ended_) {
@@ -136,7 +137,7 @@
 void LeaderTerm::OnWritten(const keyed_log::AppendResult& result) {
   if (std::holds_alternative<keyed_log::Stored>(result)) {
     confirmed_at_ = append_begun_at_;
-    metrics_.OnAppendStored(context_.clock.Now() - append_begun_at_);
+    metrics_.OnAppendStored(context_.clock.Now() - written_at_);
     ++sequence_;
     is_appending_ = false;
     std::exchange(on_stored_, {})();
--- a/src/libs/cluster/leader_term.h
+++ b/src/libs/cluster/leader_term.h
@@ -94,6 +94,7 @@
   bool has_ended_ = false;
   keyed_log::Append append_;  // The one under way.
   Instant append_begun_at_;
+  Instant written_at_;  // Start of its last try.
   OnStored on_stored_;  // Of the append under way.
   std::optional<Resignation> resignation_;
 };
--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -298,11 +298,14 @@
       std::ranges::any_of(ended_, [recorded_ends](const jobs::EndedRun& ended) {
         return ended.number > recorded_ends;
       });
-  milliseconds delay = HasLease(now) ? milliseconds(0) : kRetryDelay;
+  milliseconds delay = HasLease(now) && !renewal.has_unreadable_end
+                           ? milliseconds(0)
+                           : kRetryDelay;
   if (has_unrecorded_ends) {
     delay = kEndsRecordingDelay;
   }
-  return {.is_report_due = has_unrecorded_ends || is_first,
+  return {.is_report_due = has_unrecorded_ends ||
+                           (is_first && !renewal.has_unreadable_end),
           .next_renewal = delay};
 }
 
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -124,6 +124,11 @@
          settings_.lease_expiry_margin;
 }
 
+Instant JobScheduler::ExpiryOfEarlierLeases() const {
+  return std::max(LeaseExpiry(last_granted_at_ + settings_.lease),
+                  created_at_ + settings_.takeover_report_time);
+}
+
 void JobScheduler::OnJobsViewed(Instant viewed_at) {
   jobs_viewed_at_ = std::max(jobs_viewed_at_, viewed_at);
 }
@@ -194,7 +199,7 @@
     }
     Runner& runner = fleet_.Get(task.incarnation);
     runner.report.incarnation = task.incarnation;
-    runner.lease_expires_at = LeaseExpiry(last_granted_at_ + settings_.lease);
+    runner.lease_expires_at = ExpiryOfEarlierLeases();
     Run run = RunOf(entry->job.steps[key.step], task.run);
     run.sends = 2;
     run.is_withdrawn = stored.outcome != JobOutcome::kOpen;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -37,6 +37,9 @@
   int64_t clock_error_percent = 2;
   // Added to the lease for calls in progress and timers that fire late.
   milliseconds lease_expiry_margin{500};
+  // Time after a takeover in which agents find the new leader and report,
+  // however long ago the last one granted leases.
+  milliseconds takeover_report_time{1000};
   // Interval between two sends of an unanswered order: several round trips to a
   // busy agent. It follows the latency of answers up to the longest one, so
   // that a leader that handles them late doesn't add to its work.
@@ -309,6 +312,8 @@
   // incarnations of its node: what they say is late.
   void InheritFormerAgents(Runner& runner, const RunnerReport& report) const;
   Instant LeaseExpiry(Instant lease_end) const;
+  // Until then, runners may run what the last leader claimed for them.
+  Instant ExpiryOfEarlierLeases() const;
   milliseconds ResendPeriod() const;
   // Whether cancellations are known as they were so recently that a start may
   // be sent, or a run be claimed.
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -137,7 +137,7 @@
                                                 Instant now) const {
   if (now <= runner.lease_expires_at ||
       (!runner.runs.empty() &&
-       now <= LeaseExpiry(last_granted_at_ + settings_.lease))) {
+       now <= ExpiryOfEarlierLeases())) {
     return std::nullopt;
   }
   if (!runner.has_report || now - runner.reported_at > kMaxReportAge) {
