Cluster: Forgets who answered in place of a process that answers again

An answer by another process lets that one's announcement replace the announced process, whatever its start time. The mark stayed when the announced process answered a later call with its own start time: from then on, for as long as it ran, a late announcement of the other one would have taken its place, and the leader would have given its runs to others while it held them.

Found by reading; no history shows it. The mark is now reset by each answer of the announced process, which is the newer evidence.

RunnerSessionTest.ProcessThatAnswersAgainIsNotReplaced failed before. The comment of IgnoresACountOfEndsThatItHasNotReported is beside its test again.

--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -278,6 +278,7 @@
     return {.next_renewal = kRetryDelay};
   }
   confirmed_at_ = call.sent_at;
+  replaced_by_start_ms_.reset();
   if (left_at_ && *left_at_ < call.sent_at) {
     left_at_.reset();
   }
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -52,6 +52,13 @@
     response.ended = Ends(ends);
     return session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
   }
+  // The same, answered by the process that started at `start_unix_ms`.
+  RenewalOutcome RenewAs(int64_t start_unix_ms) {
+    LeaseRenewalResponse response;
+    response.clock_ms = kRunnerClockMs;
+    response.start_unix_ms = start_unix_ms;
+    return session_.OnLeaseRenewed(session_.StartRenewal(now_), response, now_);
+  }
   RenewalOutcome FailToRenew(RunnerFailure failure) {
     return session_.OnLeaseRenewed(session_.StartRenewal(now_), failure, now_);
   }
@@ -314,8 +321,6 @@
   EXPECT_EQ(session_.StartRenewal(now_).request.recorded_ends, 4U);
 }
 
-// Guards against a count for which there can be no reason: the leader has been
-// told of three ends.
 // Guards against a task that runs twice: after a call that nobody answered, the
 // next one may reach a later process of the runner, which takes the lease on
 // its own clock.
@@ -406,6 +411,17 @@
   EXPECT_FALSE(report.has_all_ends);
 }
 
+// What another process answered counts until the announced one answers again.
+TEST_F(RunnerSessionTest, ProcessThatAnswersAgainIsNotReplaced) {
+  const int64_t start_unix_ms = kStartUnixMs - 100;
+  RenewAs(start_unix_ms);
+  RenewAs(kStartUnixMs);
+  EXPECT_EQ(Announce({"own", start_unix_ms, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kNotNewer);
+}
+
+// Guards against a count for which there can be no reason: the leader has been
+// told of three ends.
 TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
   session_.OnTerm(kTerm);
   Renew(3);
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -574,6 +574,23 @@
   EXPECT_EQ(next.fleet().Find(kFirst), nullptr);
 }
 
+// Guards against a fleet that is given up before its agents could report: the
+// takeover came long after the last leader.
+TEST_F(JobSchedulerTest, AgentsMayReportAfterALateTakeover) {
+  constexpr int64_t kTakeoverMs = 60'000;
+  const JobSchedulerSettings settings;
+  JobScheduler next(settings, At(kTakeoverMs), nullptr, At(0));
+  next.AddJob(JobId("a"), JobOf(1, 1000));
+  next.Restore(JobId("a"),
+               {JobOutcome::kOpen,
+                {{Task(0), {TaskPhase::kClaimed, 3, 0, kFirst, ""}}}});
+  const int64_t limit_ms = kTakeoverMs + settings.takeover_report_time.count();
+  next.Advance(At(limit_ms), 0);
+  EXPECT_NE(next.fleet().Find(kFirst), nullptr);
+  next.Advance(At(limit_ms + 1), 0);
+  EXPECT_EQ(next.fleet().Find(kFirst), nullptr);
+}
+
 // Guards against a new leader that stops runs of the last one because their
 // agents have restarted with it.
 TEST_F(JobSchedulerTest, RunOfTheLastLeaderOutlivesARefusalForWantOfALease) {
