Tests: Checks that a leader counts earlier leases from the last record

The leader passes the time of the last record that it has read to its job scheduler, which counts the leases of the last leader from there. Only the scheduler's part was tested: without the leader's, all tests of the cluster and of the histories passed.

LeaderTest.LeaseOfTheLastLeaderIsCountedFromItsLastRecord fails without it.

--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -305,8 +305,8 @@
   if (has_unrecorded_ends) {
     delay = kEndsRecordingDelay;
   }
-  return {.is_report_due = has_unrecorded_ends ||
-                           (is_first && !renewal.has_unreadable_end),
+  return {.is_report_due =
+              has_unrecorded_ends || (is_first && !renewal.has_unreadable_end),
           .next_renewal = delay};
 }
 
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -136,8 +136,7 @@
 std::optional<std::string> JobScheduler::LossOf(const Runner& runner,
                                                 Instant now) const {
   if (now <= runner.lease_expires_at ||
-      (!runner.runs.empty() &&
-       now <= ExpiryOfEarlierLeases())) {
+      (!runner.runs.empty() && now <= ExpiryOfEarlierLeases())) {
     return std::nullopt;
   }
   if (!runner.has_report || now - runner.reported_at > kMaxReportAge) {
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -187,6 +187,37 @@
   leader->Stop({});
 }
 
+// Guards against a task that stands still for longer than users allow: the next
+// leader waited for a lease from its election on, though the last one can have
+// granted none after its last record.
+TEST_F(LeaderTest, LeaseOfTheLastLeaderIsCountedFromItsLastRecord) {
+  const jobs::TaskKey task{JobId("a"), 0, 0, 0};
+  jobs::Job job;
+  job.steps.resize(1);
+  Store(kJobsTopic, {KeyOf(kJobPrefix, task.job), jobs::Encode(job)});
+  Store(kProgressTopic,
+        {KeyOf(task), jobs::Encode(AgentOfEndedRunner().ClaimedTask())});
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  const jobs::JobSchedulerSettings settings;
+  clock_.Advance(settings.lease * (100 + settings.clock_error_percent) / 100 +
+                 settings.lease_expiry_margin - settings.takeover_report_time);
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  clock_.Advance(settings.takeover_report_time + milliseconds(1));
+  constexpr int kSteps = 5;
+  for (int i = 0; i < kSteps; ++i) {
+    // The leader's own timer triggers the next step.
+    ASSERT_GT(loop_.run_one(), 0U);
+    log_.Settle();
+  }
+  CatchUp();
+  EXPECT_EQ(replica_.content().progress.at(task.job).tasks.at(task).phase,
+            jobs::TaskPhase::kWaiting);
+  leader->Stop({});
+}
+
 // Guards against an agent that exits after telling a leader without connection
 // to the store that its runner has ended: the next leaders had to wait until
 // the lease expired.
