--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -14,8 +14,8 @@
 // of runs.
 constexpr milliseconds kEndsRecordingDelay(300);
 // Longest time after a call that the announced process has answered for which
-// the next one is taken to reach the same process. Calls follow each other
-// faster, also if they are answered late, unless the agent is held up.
+// the next one is taken to reach the same process. Calls that are answered in
+// time follow each other faster, unless the agent is held up.
 constexpr milliseconds kConfirmationTimeout(1500);
 // Longest time by which the clock of the VM may be set back after its runner
 // has started, with room to spare.
