Tests: Checks the answers of standbys and to cancellations at the edge

The review of the flow without its I/O found that no test read the 200 with the speed of a standby, nor the 200 to the cancellation of a known job, since these became typed answers. FrontendServiceTest has both.

--- a/tests/auto/cluster_http/frontend_service_test.cpp
+++ b/tests/auto/cluster_http/frontend_service_test.cpp
@@ -53,6 +53,32 @@
   EXPECT_EQ(answer->term, 1U);
 }
 
+TEST_F(FrontendServiceTest, LeaderKnowsTheJobOfACancellation) {
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  frontend_.Submit(JobId("a"), job, clock_.Now() + seconds(4),
+                   [](cluster::SubmitResult) {});
+  log_.Settle();
+  EXPECT_EQ(Call(kCancellationPath, "a").status, 200);
+}
+
+TEST_F(FrontendServiceTest, StandbyTellsItsSpeed) {
+  cluster::JobFrontendSettings settings = Settings();
+  settings.leader.node = "standby";
+  cluster::JobFrontend standby(settings, context());
+  FrontendService service(standby);
+  standby.Start();
+  log_.Settle();
+  http::Request request;
+  request.path = kStandbyPath;
+  http::Response response{0, {}, {}};
+  service.Handle(request, [&](const http::Response& it) { response = it; });
+  EXPECT_EQ(response.status, 200);
+  EXPECT_GT(std::stoull(response.body), 0U);
+  standby.Stop();
+}
+
 TEST_F(FrontendServiceTest, AnswersRelayedCalls) {
   const http::Response response = Call(
       kRelayPath, Encode(cluster::RelayCall{
