Tests: Adds a stopped run that is kept while an answer is lost

Trace: an answer to a report is lost twice. The agent's timeout of reports, which adapts to how the leader answers, has grown from 1.2 to 2.4 s, and the next report, with the list that ends the run, waits for it. The models of before had a fixed timeout. Nothing runs, and no rule of the users is broken; the room of the run stays taken for so long.

--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -72,6 +72,25 @@
   });
 }
 
+// A stopped run stays in the leader's table for as long as the agent waits for
+// the answer to a report, which is lost: its timeout has grown to 2.4 s.
+TEST(RunHistoryTest, StoppedRunIsReleasedAfterALostAnswer) {
+  ExpectSound({
+      Submit{2, 1},
+      Pass{milliseconds(150)},
+      Cut{Link{LinkKind::kReport, 0}, milliseconds(1500)},
+      Disturb{Link{LinkKind::kReport, 0},
+              Fault{Fault::Kind::kLoseAnswer, milliseconds(0)}},
+      Cancel{2, 1},
+      Pass{milliseconds(400)},
+      Pass{milliseconds(400)},
+      Pass{milliseconds(400)},
+      Submit{0, 0},
+      Pass{milliseconds(2500)},
+      Pass{milliseconds(150)},
+  });
+}
+
 // The following are the shortest histories that the checker finds when a
 // mechanism is taken out.
 
