--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,46 +1,50 @@
-"""A job with 65,536 tasks blocks each leader once its tasks are done."""
+"""A runner whose connections are refused for 5 s runs on, and so do its
+tasks on other runners."""
 
 import asyncio
+import collections
 import pathlib
 import sys
-import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
 import cluster
 
-TASKS_PER_STEP = 4096
-STEPS = 16 if cluster.is_enabled() else 8
-WORK_MS = 1
-RUN_LIMIT_S = 60
-CHAIN, CHAIN_MS = 5, 300  # The steps of the small job, one after the other.
-WATCH_S = 20
-IDLE_LIMIT_S = 3.0  # RULES, LOST: "for 3 s, a job has nothing running".
+RUNNERS = 6
+TASKS = 12
+WORK_MS = 4_000
+CUT_S = 5.0
+END_S = 8
+
+
+def runs_beside_others(events):
+    """Returns a line for each start beside another run of the task."""
+    at_work, broken = collections.defaultdict(dict), []
+    for event in events:
+        if event.what == "starts":
+            broken += [f"TWICE: {event.at:.2f} s: {event} beside run {number} on "
+                       f"{name}" for name, number in at_work[event.task].items()]
+            at_work[event.task][event.runner] = event.run
+        elif event.what in ("ends", "loses"):
+            at_work[event.task].pop(event.runner, None)
+    return broken
 
 
 async def case(it):
-    first, second = it.fronts
-    large, small = cluster.job_id(), cluster.job_id()
-    step = {"count": TASKS_PER_STEP, "cpu": 10, "mem_mb": 1,
-            "estimated_ms": WORK_MS}
-    if await it.submit(first, large, [step] * STEPS, {"work_ms": WORK_MS}) != 200:
-        raise RuntimeError("the large job was not accepted")
-    end = time.monotonic() + RUN_LIMIT_S
-    while len(it.ends(large, "done")) < TASKS_PER_STEP * STEPS:
-        if time.monotonic() > end:
-            raise RuntimeError("the tasks of the large job are not done in time")
-        await asyncio.sleep(1)
-    it.record(f"all {TASKS_PER_STEP * STEPS} tasks of {large} have ended done")
-    chain = [{"count": 2, "cpu": 500, "mem_mb": 256, "estimated_ms": CHAIN_MS}
-             | ({"depends_on": [i - 1]} if i else {}) for i in range(CHAIN)]
-    if await it.submit(first, small, chain, {"work_ms": CHAIN_MS}) != 200:
-        raise RuntimeError("the small job was not accepted")
-    await asyncio.sleep(cluster.BOUNDS["finish_s"])  # After the end of traffic.
-    idle = await it.watch_idle(small, second, WATCH_S, IDLE_LIMIT_S)
-    await it.state(second, large)
-    return idle
+    job = cluster.job_id()
+    step = {"count": TASKS, "cpu": 500, "mem_mb": 256, "estimated_ms": WORK_MS}
+    if await it.submit(it.fronts[0], job, [step], {"work_ms": WORK_MS}) != 200:
+        raise RuntimeError("the job was not accepted")
+    await asyncio.sleep(1)
+    if cluster.is_enabled():
+        it.runners[0].cut_off()
+        await asyncio.sleep(CUT_S)
+        await it.runners[0].heal()
+    await asyncio.sleep(END_S)
+    await it.state(it.fronts[1], job)
+    return runs_beside_others(it.events)
 
 
 if __name__ == "__main__":
-    sys.exit(cluster.play(case, FOLDER, fronts=2, runners=4, is_brief=True))
+    sys.exit(cluster.play(case, FOLDER, fronts=2, runners=RUNNERS))
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -69,6 +69,7 @@
         self.fails_starts = False
         self.lives = 0
         self.is_up = False
+        self.is_cut_off = False
 
     async def start(self):
         self.lives += 1
@@ -88,6 +89,18 @@
         self.tasks = [asyncio.ensure_future(self._work()),
                       asyncio.ensure_future(self._beat())]
 
+    def cut_off(self):
+        """Cuts the paths to and from the agent: connections are refused. What
+        runs goes on."""
+        self.is_cut_off = True
+        self.server.close()
+        self.record("is cut off", "", self.lives)
+
+    async def heal(self):
+        self.is_cut_off = False
+        await self.server.open()
+        self.record("is no longer cut off", "", self.lives)
+
     def crash(self):
         if not self.is_up:
             return
@@ -154,6 +167,9 @@
 
     async def _beat(self):
         while True:
+            if self.is_cut_off:
+                await asyncio.sleep(STEP_S)
+                continue
             status, _ = await wire.call(
                 self.settings["agent"], "PUT", f"/v1/instances/{self.instance}",
                 self.beat(), timeout_s=1.0)
