Jobs: Starts nothing in evacuated availability zones

Frontends take the zones from the operators' topic, which they follow anyway, and replace them as a whole after a gap in the history. The leader claims nothing for runners of these zones, releases claims that were not sent, repeats no start there, and claims nothing before it has read the topic. Work that lasts leaves a zone that has been evacuated for 10 s, one task of a step at a time. Without the setting nothing changes.

--- a/benchmarks/cluster/leader_replay.cpp
+++ b/benchmarks/cluster/leader_replay.cpp
@@ -204,7 +204,7 @@
   const std::string body = meter_.Measure(CostKind::kEncodeOrders, [&] {
     batch = {kTerm, incarnation, std::move(orders),
              scheduler_.OrderDeadlineMs(incarnation, clock_.Now()),
-             scheduler_.JobsViewedAtMs(incarnation)};
+             scheduler_.ViewedAtMs(incarnation)};
     return jobs::Encode(batch);
   });
   const auto received = jobs::Decode<jobs::OrderBatch>(body);
--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -44,6 +44,12 @@
       overdue_leases_(
           registry.AddGauge("papayadrift_runners_without_lease",
                             "Runners that report and have no lease.")),
+      evacuated_zones_(
+          registry.AddGauge("papayadrift_evacuated_zones",
+                            "Availability zones that operators evacuate.")),
+      evacuated_runs_(registry.AddGauge(
+          "papayadrift_runs_in_evacuated_zones",
+          "Runs on runners of evacuated availability zones.")),
       leaderless_(
           registry.AddGauge("papayadrift_leaderless_milliseconds",
                             "Time for which this process has seen no leader.")),
@@ -95,6 +101,11 @@
   overdue_leases_.Set(static_cast<int64_t>(overdue.leases));
 }
 
+void ClusterMetrics::UpdateEvacuations(size_t zones, size_t runs) {
+  evacuated_zones_.Set(static_cast<int64_t>(zones));
+  evacuated_runs_.Set(static_cast<int64_t>(runs));
+}
+
 void ClusterMetrics::UpdateLeaderless(milliseconds duration) {
   leaderless_.Set(duration.count());
 }
--- a/src/libs/cluster/cluster_metrics.h
+++ b/src/libs/cluster/cluster_metrics.h
@@ -23,6 +23,8 @@
                           size_t open_jobs,
                           size_t waiting_tasks,
                           const jobs::OverdueCounts& overdue);
+  // Sets the gauges of evacuated zones and of runs that are left there.
+  void UpdateEvacuations(size_t zones, size_t runs);
   // Sets for how long no leader has been seen.
   void UpdateLeaderless(milliseconds duration);
   void OnAppendStored(microseconds duration);
@@ -46,6 +48,8 @@
   metrics::Gauge& overdue_starts_;
   metrics::Gauge& overdue_stops_;
   metrics::Gauge& overdue_leases_;
+  metrics::Gauge& evacuated_zones_;
+  metrics::Gauge& evacuated_runs_;
   metrics::Gauge& leaderless_;
   metrics::Gauge& lag_;
   metrics::Gauge& view_age_;
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -70,6 +70,7 @@
                                                    *metrics_, directory_,
                                                    replica_, std::move(on_end));
             leader->SetRoutes(routes_);
+            leader->SetZones(zones_);
             return leader;
           },
           [this](Instant started_at) { OnStoreAnswered(started_at); }) {}
@@ -112,6 +113,13 @@
   }
 }
 
+void JobFrontend::SetZones(const ZonesView& zones) {
+  zones_ = zones;
+  if (election_.leader() != nullptr) {
+    election_.leader()->SetZones(zones_);
+  }
+}
+
 void JobFrontend::OnFrontendRecord(const keyed_log::Record& record) {
   if (record.key == kLeaderKey) {
     const auto leader = jobs::Decode<jobs::LeaderRecord>(record.value);
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -17,6 +17,7 @@
 #include "cluster/leader_election.h"
 #include "cluster/process_context.h"
 #include "cluster/relay.h"
+#include "cluster/zones_view.h"
 #include "jobs/directory.h"
 #include "jobs/job.h"
 #include "jobs/route_table.h"
@@ -76,6 +77,8 @@
   // ignored.
   void SetRoutes(const jobs::RouteTable& routes);
   const jobs::RouteTable& routes() const { return routes_; }
+  // Takes the evacuated zones with each read of the operators' records.
+  void SetZones(const ZonesView& zones);
   // Set while this process campaigns, leads or resigns.
   const Leader* leader() const { return election_.leader(); }
   // Whether callers should be sent to this process.
@@ -166,6 +169,7 @@
   const std::unique_ptr<ClusterMetrics> metrics_;
   keyed_log::GroupWriter job_writer_;
   jobs::RouteTable routes_;
+  ZonesView zones_;
   jobs::Directory directory_;
   JobReplica replica_;
   // The list of other frontends has been read.
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -92,6 +92,8 @@
       replica_.leader_seen_at());
   scheduler_->OnJobsViewed(replica_.jobs_caught_up_at());
   scheduler_->SetRoutes(routes_);
+  scheduler_->SetEvacuatedZones(zones_.evacuated, now);
+  scheduler_->OnZonesViewed(zones_.viewed_at);
   scheduler_->ImportLearned(content.learned);
   learned_appended_at_ = now;
   for (const auto& [id, job] : content.jobs) {
@@ -183,6 +185,18 @@
   }
 }
 
+void Leader::SetZones(const ZonesView& zones) {
+  const bool is_changed = zones.evacuated != zones_.evacuated;
+  zones_ = zones;
+  if (scheduler_) {
+    scheduler_->SetEvacuatedZones(zones.evacuated, context_.clock.Now());
+    scheduler_->OnZonesViewed(zones.viewed_at);
+  }
+  if (scheduler_ && is_changed) {
+    ScheduleStep(milliseconds(0));
+  }
+}
+
 void Leader::ScheduleStep(milliseconds delay) {
   const Instant due = context_.clock.Now() + delay;
   if (term_->has_ended() || (is_step_due_ && step_due_ <= due)) {
@@ -224,6 +238,8 @@
   metrics_.UpdateLeaderGauges(term(), scheduler_->open_jobs(),
                               scheduler_->waiting_tasks(),
                               scheduler_->overdue());
+  metrics_.UpdateEvacuations(scheduler_->evacuated_zones(),
+                             scheduler_->CountRunsInEvacuatedZones());
   monitor_.OnStep(term(), *scheduler_, before, now);
   const bool has_more =
       scheduler_->has_more_to_place() || !waiting_reports_.empty();
@@ -354,7 +370,7 @@
     auto batch = std::make_shared<jobs::OrderBatch>(
         jobs::OrderBatch{term(), incarnation, std::move(orders),
                          scheduler_->OrderDeadlineMs(incarnation, now),
-                         scheduler_->JobsViewedAtMs(incarnation)});
+                         scheduler_->ViewedAtMs(incarnation)});
     context_.peers.SendOrders(
         runner->report.agent_address, *batch, now + settings_.order_timeout,
         [weak = weak_from_this(), batch,
@@ -562,6 +578,7 @@
   is_leading_ = false;
   RejectPendingReports();
   metrics_.UpdateLeaderGauges(0, 0, 0, {});
+  metrics_.UpdateEvacuations(0, 0);
   replica_.SetListener({});
   step_timer_->Cancel();
   on_end_();
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -16,6 +16,7 @@
 #include "cluster/leader_term.h"
 #include "cluster/process_context.h"
 #include "cluster/report_queue.h"
+#include "cluster/zones_view.h"
 #include "jobs/directory.h"
 #include "jobs/job_scheduler.h"
 #include "jobs/leader_record.h"
@@ -80,6 +81,7 @@
   // was appended to the progress topic after what the replica has read.
   void Campaign();
   void SetRoutes(const jobs::RouteTable& routes);
+  void SetZones(const ZonesView& zones);
   // Stops sending orders, and resigns once all decisions of this leader are
   // stored. `successor` is then notified to campaign.
   void Stop(const std::optional<FrontendRecord>& successor);
@@ -165,6 +167,7 @@
   OnEnd on_end_;
   const std::shared_ptr<LeaderTerm> term_;
   jobs::RouteTable routes_;
+  ZonesView zones_;
   bool has_read_jobs_ = false;  // All jobs stored before the candidacy.
   bool is_leading_ = false;
   jobs::AgentList stored_agents_;
--- a/src/libs/cluster/leader_monitor.cpp
+++ b/src/libs/cluster/leader_monitor.cpp
@@ -33,6 +33,9 @@
       return Event::kRunInterrupted;
     case Kind::kJobEnded:
       return Event::kJobEnded;
+    case Kind::kZoneEvacuated:
+    case Kind::kZoneReopened:
+      return Event::kZoneChanged;
     default:
       return Event::kRunnerChanged;
   }
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -41,6 +41,8 @@
   RunnerReport report;  // The last one, without its lists.
   Instant reported_at;  // Of the last report; unset before the first.
   bool has_report = false;
+  // Operators have evacuated its availability zone; it gets no new runs.
+  bool is_evacuated = false;
   Instant joined_at;  // Of the first report.
   // How far the agent's clock is ahead of this process's: at least, as reports
   // take time. The greatest lead of the reports in this window of time and in
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -95,6 +95,10 @@
       return "end_unmatched";
     case Kind::kEndInvalid:
       return "end_invalid";
+    case Kind::kZoneEvacuated:
+      return "evacuated";
+    case Kind::kZoneReopened:
+      return "reopened";
   }
   return "unknown";
 }
@@ -133,13 +137,20 @@
   jobs_viewed_at_ = std::max(jobs_viewed_at_, viewed_at);
 }
 
+Instant JobScheduler::ViewedAt() const {
+  return settings_.zones_view_limit
+             ? std::min(jobs_viewed_at_,
+                        zones_viewed_at_ + (*settings_.zones_view_limit -
+                                            settings_.view_limit))
+             : jobs_viewed_at_;
+}
+
 bool JobScheduler::MaySendStarts(Instant now) const {
-  return now - jobs_viewed_at_ < settings_.view_limit;
+  return now - ViewedAt() < settings_.view_limit;
 }
 
 bool JobScheduler::MayClaim(Instant now) const {
-  return now - jobs_viewed_at_ <
-         settings_.view_limit - settings_.start_delivery;
+  return now - ViewedAt() < settings_.view_limit - settings_.start_delivery;
 }
 
 uint64_t JobScheduler::Change(const TaskKey& task) {
@@ -379,6 +390,7 @@
   if (!MayClaim(now)) {
     return;
   }
+  MoveFromEvacuatedZones(now);
   RelocateFillers(now);
   RegroupServing(now);
   waiting_in_round_ = 0;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -26,6 +26,7 @@
 #include "jobs/runner.h"
 #include "jobs/runner_choice.h"
 #include "jobs/runner_crash.h"
+#include "jobs/zone_evacuations.h"
 
 namespace papayadrift::jobs {
 
@@ -53,6 +54,16 @@
   // told to start a run: less than callers allow from the acknowledgement of a
   // cancellation to the last start of its job.
   milliseconds view_limit{2500};
+  // The same for the leader's view of the evacuated zones: less than operators
+  // allow from the acknowledgement of an evacuation to the last start in its
+  // zone. Unset: no zone is ever evacuated, and the view isn't needed.
+  std::optional<milliseconds> zones_view_limit;
+  // Work that never ends by itself leaves an evacuated zone only after this
+  // time: each move interrupts a task for a second or two, and a short
+  // evacuation is over before.
+  milliseconds short_evacuation{10000};
+  // Interval between two moves out of evacuated zones.
+  milliseconds evacuation_move_period{100};
   // Part of it that is left for a claim to be stored and its order to arrive.
   milliseconds start_delivery{1000};
   // Number of runs claimed in one round of decisions. What callers and agents
@@ -148,9 +159,11 @@
     kEndAcknowledged,
     kEndUnmatched,
     kEndInvalid,
+    kZoneEvacuated,
+    kZoneReopened,
   };
   Kind kind;
-  std::string subject;  // The task, job or runner.
+  std::string subject;  // The task, job, runner or availability zone.
   uint32_t run = 0;
   std::string runner;  // Empty if no runner is involved.
   std::string reason;  // Why it happened.
@@ -194,6 +207,8 @@
                std::optional<Instant> last_granted_at = std::nullopt);
 
   void SetRoutes(RouteTable routes);
+  // Takes all availability zones that operators have evacuated.
+  void SetEvacuatedZones(const std::set<std::string>& zones, Instant now);
   // Adds a stored job; does nothing if it is already known.
   void AddJob(const JobId& id, Job job);
   void Restore(const JobId& id, const StoredProgress& stored);
@@ -220,6 +235,8 @@
   void OnOrderLatency(microseconds latency);
   // All jobs and cancellations that were stored by `viewed_at` are known.
   void OnJobsViewed(Instant viewed_at);
+  // All evacuations that were stored by `viewed_at` are known.
+  void OnZonesViewed(Instant viewed_at);
   // Everything up to `version` is stored.
   void OnStored(uint64_t version);
 
@@ -252,15 +269,18 @@
   // are sent now are valid.
   int64_t OrderDeadlineMs(const RunnerIncarnation& incarnation,
                           Instant now) const;
-  // Returns the time of OnJobsViewed() on the clock of the runner's agent, or
-  // an earlier one.
-  int64_t JobsViewedAtMs(const RunnerIncarnation& incarnation) const;
+  // Returns the time on the clock of the runner's agent, or an earlier one, up
+  // to which the stored jobs and evacuations are known: starts that are sent
+  // now hold for `view_limit` from then on.
+  int64_t ViewedAtMs(const RunnerIncarnation& incarnation) const;
   uint64_t RecordedEnds(const RunnerIncarnation& incarnation) const;
   // As of the last TakeOrders().
   const OverdueCounts& overdue() const { return overdue_; }
   const Fleet& fleet() const { return fleet_; }
   size_t open_jobs() const { return open_.size(); }
   size_t waiting_tasks() const { return waiting_tasks_; }
+  size_t evacuated_zones() const { return evacuations_.size(); }
+  size_t CountRunsInEvacuatedZones() const;
   // Tasks looked at so far to find the steps that are ready: what rounds cost
   // beside placement.
   uint64_t tallied_tasks() const { return tallied_tasks_; }
@@ -315,8 +335,10 @@
   // Until then, runners may run what the last leader claimed for them.
   Instant ExpiryOfEarlierLeases() const;
   milliseconds ResendPeriod() const;
-  // Whether cancellations are known as they were so recently that a start may
-  // be sent, or a run be claimed.
+  // See ViewedAtMs(), on this process's clock.
+  Instant ViewedAt() const;
+  // Whether cancellations and evacuations are known as they were so recently
+  // that a start may be sent, or a run be claimed.
   bool MaySendStarts(Instant now) const;
   bool MayClaim(Instant now) const;
   uint64_t Change(const TaskKey& task);
@@ -397,6 +419,12 @@
   void CheckProgress(Runner& runner, Instant now);
   void ProcessOrphans(Runner& runner, const RunnerReport& report, Instant now);
   void UpdatePaces(Runner& runner, Instant now);
+  // Stops a run that never ends by itself in a zone that has been evacuated for
+  // long, if it has a place elsewhere: one task of a step at a time.
+  void MoveFromEvacuatedZones(Instant now);
+  bool HasRunnerElsewhere(const Runner& runner,
+                          const TaskKey& task,
+                          Instant now) const;
   // Stops a slow filler that would run faster on another runner.
   void RelocateFillers(Instant now);
   bool WouldRunFasterElsewhere(const Runner& runner,
@@ -511,6 +539,9 @@
   const Instant created_at_;
   const Instant last_granted_at_;  // By an earlier leader, at the latest.
   Instant jobs_viewed_at_;
+  ZoneEvacuations evacuations_;
+  Instant zones_viewed_at_;
+  Instant evacuated_at_;  // When a move out of a zone was last considered.
   microseconds order_latency_{0};  // Smoothed.
   const JobSchedulerEventListener event_listener_;
   RouteTable routes_;  // Its queues are sorted by name.
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -228,14 +228,13 @@
                    .count();
 }
 
-int64_t JobScheduler::JobsViewedAtMs(
-    const RunnerIncarnation& incarnation) const {
+int64_t JobScheduler::ViewedAtMs(const RunnerIncarnation& incarnation) const {
   const Runner* runner = fleet_.Find(incarnation);
-  return runner == nullptr ? 0
-                           : std::chrono::floor<milliseconds>(
-                                 jobs_viewed_at_.time_since_epoch() +
-                                 runner->agent_clock_lead)
-                                 .count();
+  return runner == nullptr
+             ? 0
+             : std::chrono::floor<milliseconds>(ViewedAt().time_since_epoch() +
+                                                runner->agent_clock_lead)
+                   .count();
 }
 
 void JobScheduler::OnLeaseGranted(const RunnerIncarnation& incarnation,
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -68,6 +68,7 @@
   runner.report = report;
   runner.report.active.clear();
   runner.report.ended.clear();
+  runner.is_evacuated = evacuations_.Contains(report.zone);
   fleet_.MarkChanged(runner);
   runner.has_report = true;
   runner.reported_at = now;
@@ -470,7 +471,7 @@
                                        Run& run,
                                        Instant now) const {
   const bool is_over = runner.report.state != RunnerState::kReady ||
-                       run.sends >= settings_.max_sends;
+                       runner.is_evacuated || run.sends >= settings_.max_sends;
   const bool may_be_answered = run.sends > 0 && now < run.send_due;
   if (run.is_withdrawn || run.is_accepted || !is_over || may_be_answered) {
     return;
@@ -485,7 +486,8 @@
                                              const TaskKey& task,
                                              Run& run,
                                              Instant now) {
-  const bool is_start_due = !run.is_accepted && MaySendStarts(now);
+  const bool is_start_due =
+      !run.is_accepted && !runner.is_evacuated && MaySendStarts(now);
   if (now < run.send_due || run.claim_version > stored_version_ ||
       !(run.is_withdrawn || is_start_due)) {
     return std::nullopt;
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -137,7 +137,7 @@
                  const std::string& service,
                  Instant now) {
   return runner.has_report && runner.report.service == service &&
-         runner.report.state == RunnerState::kReady &&
+         runner.report.state == RunnerState::kReady && !runner.is_evacuated &&
          now - runner.reported_at <= kMaxReportAge &&
          runner.lease_expires_at > now && now >= runner.suspended_until &&
          now >= runner.failing_until && runner.released.empty() &&
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -120,6 +120,8 @@
      "A worker fails what others run and gets probes only."},
     {Event::kWorkerReleased, kInfo, "worker.released",
      "A worker passed its probes and gets work again."},
+    {Event::kZoneChanged, kInfo, "zone.changed",
+     "Operators evacuated an availability zone, or reopened it."},
 });
 
 }  // namespace
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -64,6 +64,7 @@
   kWorkerDraining,
   kWorkerQuarantined,
   kWorkerReleased,
+  kZoneChanged,
 };
 
 // One line of the table of events.
--- a/tests/auto/jobs/job_scheduler_fixture.cpp
+++ b/tests/auto/jobs/job_scheduler_fixture.cpp
@@ -10,12 +10,10 @@
   return Instant(milliseconds(ms));
 }
 
-JobSchedulerTest::JobSchedulerTest()
-    : scheduler_(JobSchedulerSettings(),
-                 At(0),
-                 [this](const JobSchedulerEvent& event) {
-                   events_.push_back(event);
-                 }) {
+JobSchedulerTest::JobSchedulerTest(const JobSchedulerSettings& settings)
+    : scheduler_(settings, At(0), [this](const JobSchedulerEvent& event) {
+        events_.push_back(event);
+      }) {
   RouteTable routes;
   routes.version = 1;
   Queue queue;
--- a/tests/auto/jobs/job_scheduler_fixture.h
+++ b/tests/auto/jobs/job_scheduler_fixture.h
@@ -23,7 +23,7 @@
  protected:
   using RunnerOrders = std::vector<std::pair<RunnerIncarnation, Order>>;
 
-  JobSchedulerTest();
+  explicit JobSchedulerTest(const JobSchedulerSettings& settings = {});
 
   static Job JobOf(uint32_t tasks, int64_t millicores);
   static size_t CountStarts(const RunnerOrders& orders);
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -70,8 +70,8 @@
   report.sent_at_ms = kLeadMs + 1000;
   scheduler_.OnReport(report, At(1000 + kDelayMs));
   scheduler_.OnJobsViewed(At(700));
-  EXPECT_EQ(scheduler_.JobsViewedAtMs(kFirst), kLeadMs - kDelayMs + 700);
-  EXPECT_EQ(scheduler_.JobsViewedAtMs(kSecond), 0);
+  EXPECT_EQ(scheduler_.ViewedAtMs(kFirst), kLeadMs - kDelayMs + 700);
+  EXPECT_EQ(scheduler_.ViewedAtMs(kSecond), 0);
 }
 
 // Guards against starts on a view that is older than its order says, and
@@ -89,8 +89,7 @@
     scheduler_.OnReport(report, At(ms));
   }
   scheduler_.OnJobsViewed(At(kHourMs));
-  EXPECT_LE(scheduler_.JobsViewedAtMs(kFirst),
-            agent_ms_at(kHourMs) + kToleranceMs);
+  EXPECT_LE(scheduler_.ViewedAtMs(kFirst), agent_ms_at(kHourMs) + kToleranceMs);
 }
 
 // Guards against storing a job's whole progress again with each task that
