Scheduler: Counts a failed run of a gang once

A run that is named by any member isn't counted again, also after a change of leaders. A leader that restores only some members of a gang as claimed withdraws them, instead of letting them run on in part.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -212,6 +212,25 @@
     run.is_isolated = CrashRecord(key)->crashes > 0;
     runner.runs[key] = std::move(run);
   }
+  WithdrawPartialGangs(id, *entry);
+}
+
+void JobScheduler::WithdrawPartialGangs(const JobId& id, const Entry& entry) {
+  for (uint32_t k = 0; k < entry.progress.occurrences.size(); ++k) {
+    const auto& steps = entry.progress.occurrences[k].steps;
+    for (uint32_t s = 0; s < steps.size(); ++s) {
+      const auto is_claimed = [](const TaskProgress& task) {
+        return task.phase == TaskPhase::kClaimed;
+      };
+      if (entry.job.steps[s].is_gang &&
+          std::ranges::any_of(steps[s], is_claimed) &&
+          !std::ranges::all_of(steps[s], is_claimed)) {
+        // Not the name of a member, so that none is left out.
+        const auto end = static_cast<uint32_t>(steps[s].size());
+        WithdrawGang({id, k, s, end}, created_at_);
+      }
+    }
+  }
 }
 
 void JobScheduler::Cancel(const JobId& id, Instant now) {
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -441,6 +441,9 @@
                      const std::string& reason,
                      Instant now);
   void WithdrawGang(const TaskKey& task, Instant now);
+  // Withdraws restored members of gangs of which the last leader had released
+  // others, or had stored the claims only in part.
+  void WithdrawPartialGangs(const JobId& id, const Entry& entry);
   // Reports that a withdrawn run is no longer active.
   void EmitStopped(const Runner& runner,
                    const TaskKey& task,
--- a/src/libs/jobs/job_scheduler_ends.cpp
+++ b/src/libs/jobs/job_scheduler_ends.cpp
@@ -184,17 +184,29 @@
                                  const RunnerIncarnation& incarnation,
                                  Instant now) {
   Entry& entry = jobs_.at(task.job);
+  const bool is_gang = entry.job.steps[task.step].is_gang;
+  const auto& members =
+      entry.progress.occurrences[task.occurrence].steps[task.step];
   TaskProgress* progress = TaskOf(task);
-  ++progress->failures;
+  // A gang runs as a whole: members that fail in one run are one failed
+  // attempt. Its record is stored, so that the next leader doesn't count the
+  // run again either.
+  const bool is_counted =
+      is_gang && std::ranges::any_of(members, [&](const TaskProgress& member) {
+        return member.failed_run == progress->run;
+      });
+  if (!is_counted) {
+    ++progress->failures;
+    progress->failed_run = progress->run;
+  }
   Change(task);
   const Queue* queue = FindQueue(entry.job.queue);
   const uint32_t max_count =
       queue == nullptr ? UINT32_MAX : queue->max_failures;
   uint32_t failures = progress->failures;
-  if (entry.job.steps[task.step].is_gang) {
+  if (is_gang) {
     failures = 0;
-    for (const TaskProgress& member :
-         entry.progress.occurrences[task.occurrence].steps[task.step]) {
+    for (const TaskProgress& member : members) {
       failures += member.failures;
     }
     WithdrawGang(task, now);
