Scheduler: Derives the limit for stalled runs from the expected duration

Change: the limit is the time in which 12 percent of the task are expected (callers' estimates are off by a factor of up to ten), five times what a percent of the run took so far, or 3 s if nothing is known; 1.5 s at least. Each stalled run of a task doubles the limit for its next one, which avoids the runner. A runner is suspended only when two different tasks of known duration have stalled on it within 10 s and none of its runs advances.

--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -82,7 +82,10 @@
   std::optional<TaskKey> reserved_for;  // As by CrashRecordOf().
   Instant reserved_until;
   uint32_t failure_streak = 0;  // Failed runs since the last completed one.
-  Instant suspended_until;      // Gets no new runs before this time.
+  // The last task that stalled here and had not stalled before, and when.
+  std::optional<TaskKey> stalled_task;
+  Instant stalled_at;
+  Instant suspended_until;  // Gets no new runs before this time.
   // Nor before this one, unless a run has been completed on it meanwhile.
   Instant failing_until;
   // Smoothed ratio of actual to expected task durations.
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -100,10 +100,24 @@
   double min_regrouping_gain = 0.03;
   // Such a move waits until all tasks of the step have served this long.
   milliseconds min_serving_stay{3000};
-  // A run at full pace without progress for this long is considered stalled:
-  // tasks of a few seconds show progress with each report.
+  // A run at full pace without progress for less than this is never considered
+  // stalled; tasks of a few seconds show progress with each report.
   milliseconds stall_limit{1500};
   // How long a runner gets no new runs after a run stalled on it.
+  // Progress is a whole number of percents, so that a long task shows none for
+  // seconds. A run is considered stalled if it shows none in the time in which
+  // it is expected to do this many percent of its task: callers' estimates are
+  // off by a factor of up to ten.
+  int64_t stall_percent = 12;
+  // The same for a run that has shown how long a percent takes.
+  int64_t measured_stall_percent = 5;
+  // The same for a task of which neither an estimate nor a mean is known.
+  milliseconds unknown_stall_limit{3000};
+  // Each run of a task that stalls doubles the limit for the next one, so often
+  // at most: whatever its duration, a task is stopped a few times only.
+  uint32_t max_stall_doublings = 8;
+  // A runner is suspended if two different tasks stall on it within this time.
+  milliseconds stall_memory{10000};
   milliseconds stall_pause{4000};
   // The start of a run can have crashed its runner only within this time.
   milliseconds crash_window{200};
@@ -277,10 +291,16 @@
     std::optional<PlacementAttempt> failed_after_wait;
   };
   struct Entry {
+  // Runs of a task, or of a gang, that were stopped as stalled.
+  struct Stalls {
+    uint32_t run = 0;  // The last one.
+    uint32_t count = 0;
+  };
     Job job;
     JobProgress progress;
     std::map<TaskKey, RunnerIncarnation> failed_on;
-    Instant ended_at;  // Unset while the job is open.
+    std::map<TaskKey, Stalls> stalls;  // As by CrashRecordOf().
+    Instant ended_at;                  // Unset while the job is open.
     // Of the scheduler when the job ended; 0 if an earlier leader stored that.
     uint64_t ended_version = 0;
     // By occurrence and step.
@@ -396,6 +416,18 @@
   // Detects stalled runs and updates how slow the runner is.
   void CheckProgress(Runner& runner, Instant now);
   void ProcessOrphans(Runner& runner, const RunnerReport& report, Instant now);
+  // Returns how long the task is expected to take; 0: nothing is known of it.
+  static int64_t ExpectedMs(const Entry& entry, const TaskKey& task);
+  // Returns after which time without progress the run is considered stalled.
+  milliseconds StallLimit(const Entry& entry,
+                          const TaskKey& task,
+                          const Run& run) const;
+  // Withdraws a stalled run, and suspends the runner if there is other evidence
+  // against it; `is_advancing` tells whether other runs on it progress.
+  void StopStalledRun(Runner& runner,
+                      const TaskKey& task,
+                      bool is_advancing,
+                      Instant now);
   void UpdatePaces(Runner& runner, Instant now);
   // Stops a slow filler that would run faster on another runner.
   void RelocateFillers(Instant now);
