Leader: Splits appends and bounds what it learns by the store's limits

Cause: the store takes records of max_record_bytes and appends of max_request_bytes.

Change: - The limits are read from the settings file (platform.max_record_bytes, platform.max_request_bytes) and known to writers (KeyedLog::limits()). - A leader's append is split into several that fit; it counts as stored after the last. Outcomes come before the records of tasks, so that a leader that ends in between leaves no ended job to be run again. The append is halved, 60 ms apart, until the record at fault is alone. Learned data and the list of agents are left out with a line append.rejected; any other record ends the term, since claims and ends rest on it. - The last 2,000 kinds of tasks and 500 serving images that were used are kept, and the stored record is cut to half of max_record_bytes. - GroupWriter bounds the bytes of an append; a rejected record fails alone. A job whose record can't fit is refused with 413. - Settings that are given and can't be read are problems, no longer replaced by defaults: bounds.cancel_ms, limits.cpu_share, limits.cores, ports above 65,535 and numbers beyond 10^12.

--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -7,6 +7,8 @@
   switch (result) {
     case SubmitResult::kAccepted:
       return "accepted";
+    case SubmitResult::kTooLarge:
+      return "too_large";
     case SubmitResult::kNotStored:
       return "not_stored";
     case SubmitResult::kUnknown:
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -205,6 +205,11 @@
           write->done(SubmitResult::kAccepted);
           return;
         }
+        if (std::holds_alternative<keyed_log::Rejected>(result)) {
+          write->done(write->may_be_stored ? SubmitResult::kUnknown
+                                           : SubmitResult::kTooLarge);
+          return;
+        }
         if (std::holds_alternative<keyed_log::Unanswered>(result)) {
           // The record is keyed by the job's id, so storing it twice has no
           // effect.
@@ -227,6 +232,13 @@
   }
   auto write = std::make_shared<PendingWrite>();
   write->record = {KeyOf(kJobPrefix, id), jobs::Encode(job)};
+  if (keyed_log::SizeOf(write->record) >
+      context_.log.limits().max_record_bytes) {
+    const SubmitResult result = ResolveOutcome(id, SubmitResult::kTooLarge);
+    metrics_->OnSubmitted(result, microseconds(0));
+    done(result);
+    return;
+  }
   write->call = {RelayKind::kSubmit, job.queue, id, write->record.value, 0};
   write->deadline = deadline;
   const Instant started_at = context_.clock.Now();
@@ -250,6 +262,7 @@
       std::erase(unresolved_jobs_, id);
       return result;
     case SubmitResult::kNotStored:
+    case SubmitResult::kTooLarge:
       return is_unresolved ? SubmitResult::kUnknown : result;
     case SubmitResult::kUnknown:
       if (!is_unresolved) {
--- a/src/libs/cluster/job_frontend.h
+++ b/src/libs/cluster/job_frontend.h
@@ -51,6 +51,7 @@
   kAccepted,   // Stored.
   kNotStored,  // The job never runs.
   kUnknown,    // The job may be stored.
+  kTooLarge,   // The job never runs: the store takes no such record.
 };
 
 // No such job was accepted.
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -279,14 +279,35 @@
 
 void Leader::AppendChanges(const jobs::JobScheduler::Changes& changes,
                            std::vector<keyed_log::Record>& records) {
-  for (const auto& [task, progress] : changes.tasks) {
-    records.push_back(
-        {KeyOf(task), progress ? jobs::Encode(*progress) : std::string()});
-  }
+  // The records may be stored in several appends, and this leader may end
+  // between two of them. The outcome of a job comes first: the next leader
+  // would run a job again of which only the end of the tasks' records was
+  // stored.
   for (const auto& [id, outcome] : changes.outcomes) {
     records.push_back({KeyOf(kOutcomePrefix, id),
                        jobs::Encode(jobs::StoredOutcome{outcome})});
   }
+  for (const auto& [task, progress] : changes.tasks) {
+    records.push_back(progress ? RecordOf(task, *progress)
+                               : keyed_log::Record{KeyOf(task), {}});
+  }
+}
+
+keyed_log::Record Leader::RecordOf(const jobs::TaskKey& task,
+                                   const jobs::TaskProgress& progress) {
+  keyed_log::Record record{KeyOf(task), jobs::Encode(progress)};
+  if (keyed_log::SizeOf(record) > context_.log.limits().max_record_bytes) {
+    // The task begins anew if its runner is lost.
+    context_.logger.Log(
+        Event::kAppendRejected,
+        {{"key", record.key},
+         {"bytes", static_cast<int64_t>(keyed_log::SizeOf(record))},
+         {"left_out", "checkpoint"}});
+    jobs::TaskProgress without_checkpoint = progress;
+    without_checkpoint.checkpoint.clear();
+    record.value = jobs::Encode(without_checkpoint);
+  }
+  return record;
 }
 
 void Leader::OnChangesStored(const jobs::JobScheduler::Changes& changes) {
@@ -302,7 +323,11 @@
 void Leader::AppendHandover(std::vector<keyed_log::Record>& records) {
   if (const jobs::LearnedModel learned = scheduler_->learned();
       !learned.is_empty()) {
-    records.push_back({kLearnedKey, jobs::Encode(learned)});
+    // Half a record: the size of the encoded model is estimated.
+    records.push_back(
+        {kLearnedKey,
+         jobs::Encode(jobs::FitTo(
+             learned, context_.log.limits().max_record_bytes / 2))});
   }
   if (jobs::AgentList agents = KnownAgents(); agents != stored_agents_) {
     stored_agents_ = std::move(agents);
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -148,8 +148,12 @@
   bool IsRecorded(const PendingReport& report) const;
   void Answer(const PendingReport& report);
   void AnswerReports();
-  static void AppendChanges(const jobs::JobScheduler::Changes& changes,
-                            std::vector<keyed_log::Record>& records);
+  void AppendChanges(const jobs::JobScheduler::Changes& changes,
+                     std::vector<keyed_log::Record>& records);
+  // Returns the record of the task's progress, without its checkpoint if it is
+  // larger than the store takes.
+  keyed_log::Record RecordOf(const jobs::TaskKey& task,
+                             const jobs::TaskProgress& progress);
   // Acts on what is stored; callers are told of outcomes from then on.
   void OnChangesStored(const jobs::JobScheduler::Changes& changes);
   // Appends the other state that the next leader takes over, if it has changed.
--- a/src/libs/cluster/leader_term.cpp
+++ b/src/libs/cluster/leader_term.cpp
@@ -1,5 +1,8 @@
 #include "cluster/leader_term.h"
 
+#include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 #include <variant>
 
@@ -17,6 +20,11 @@
 constexpr milliseconds kRefusedRetryDelay(60);
 constexpr int kMaxCandidacyAttempts = 3;
 
+// Whether a leader can go on without the record being stored.
+bool IsOptional(const keyed_log::Record& record) {
+  return record.key == kLearnedKey || record.key == kAgentsKey;
+}
+
 }  // namespace
 
 LeaderTerm::LeaderTerm(const ProcessContext& context,
@@ -114,14 +122,80 @@
 
 void LeaderTerm::Append(std::vector<keyed_log::Record> records,
                         OnStored on_stored) {
-  append_ = {kProgressTopic, std::move(records), std::nullopt,
-             keyed_log::Writer{kLeaderWriter, record_.term, sequence_}};
+  DropOversized(records);
+  unsent_ = {std::make_move_iterator(records.begin()),
+             std::make_move_iterator(records.end())};
   on_stored_ = std::move(on_stored);
   is_appending_ = true;
+  WriteNext(SIZE_MAX);
+}
+
+void LeaderTerm::DropOversized(std::vector<keyed_log::Record>& records) {
+  const size_t max_bytes = context_.log.limits().max_record_bytes;
+  std::erase_if(records, [&](const keyed_log::Record& record) {
+    const bool is_oversized =
+        IsOptional(record) && keyed_log::SizeOf(record) > max_bytes;
+    if (is_oversized) {
+      LogRejected(record);
+    }
+    return is_oversized;
+  });
+  if (records.empty()) {
+    records.push_back(NextHeartbeat());
+  }
+}
+
+void LeaderTerm::LogRejected(const keyed_log::Record& record) {
+  context_.logger.Log(
+      Event::kAppendRejected,
+      {{"key", record.key},
+       {"bytes", static_cast<int64_t>(keyed_log::SizeOf(record))},
+       {"term", static_cast<int64_t>(record_.term)}});
+}
+
+void LeaderTerm::WriteNext(size_t max_records) {
+  const size_t max_bytes = context_.log.limits().max_request_bytes;
+  append_ = {kProgressTopic,
+             {},
+             std::nullopt,
+             keyed_log::Writer{kLeaderWriter, record_.term, sequence_}};
+  size_t bytes = 0;
+  while (!unsent_.empty() && append_.records.size() < max_records) {
+    bytes += keyed_log::SizeOf(unsent_.front());
+    if (bytes > max_bytes && !append_.records.empty()) {
+      break;
+    }
+    append_.records.push_back(std::move(unsent_.front()));
+    unsent_.pop_front();
+  }
   append_begun_at_ = context_.clock.Now();
   Write();
 }
 
+void LeaderTerm::OnRejected() {
+  const size_t count = append_.records.size();
+  if (count == 1) {
+    const keyed_log::Record& record = append_.records.front();
+    LogRejected(record);
+    if (!IsOptional(record)) {
+      // What rests on the record must not be taken for stored. The next leader
+      // goes on from the state without it.
+      End("The store rejected a record for good.");
+      return;
+    }
+    append_.records.clear();
+    if (unsent_.empty()) {
+      unsent_.push_back(NextHeartbeat());
+    }
+  }
+  // Halves find the record at fault with few appends.
+  for (keyed_log::Record& record : append_.records | std::views::reverse) {
+    unsent_.push_front(std::move(record));
+  }
+  After(kRefusedRetryDelay,
+        [this, count] { WriteNext(std::max<size_t>(1, count / 2)); });
+}
+
 void LeaderTerm::Write() {
   written_at_ = context_.clock.Now();
   context_.log.Write(
@@ -139,6 +213,10 @@
     confirmed_at_ = append_begun_at_;
     metrics_.OnAppendStored(context_.clock.Now() - written_at_);
     ++sequence_;
+    if (!unsent_.empty()) {
+      WriteNext(SIZE_MAX);
+      return;
+    }
     is_appending_ = false;
     std::exchange(on_stored_, {})();
     if (resignation_ && !record_.has_resigned) {
@@ -155,6 +233,10 @@
     Write();
     return;
   }
+  if (std::holds_alternative<keyed_log::Rejected>(result)) {
+    OnRejected();
+    return;
+  }
   After(kRefusedRetryDelay, [this] { Write(); });
 }
 
--- a/src/libs/cluster/leader_term.h
+++ b/src/libs/cluster/leader_term.h
@@ -1,7 +1,9 @@
 #ifndef PAPAYADRIFT_CLUSTER_LEADER_TERM_H_
 #define PAPAYADRIFT_CLUSTER_LEADER_TERM_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -45,7 +47,11 @@
   void Campaign(const jobs::LeaderRecord& candidate,
                 std::optional<uint64_t> expected_end);
   // Appends to the progress topic, and repeats it until it is stored or the
-  // term has ended. Only one append may be under way.
+  // term has ended. Only one append may be under way. Records beyond what the
+  // store takes at once are stored in several appends, in their order, and
+  // `on_stored` is called after the last. What the leader has learned, and the
+  // list of agents, are left out if the store doesn't take them; if it rejects
+  // another record, the term ends.
   void Append(std::vector<keyed_log::Record> records, OnStored on_stored);
   // Returns a record for an append of a leader that has nothing to store.
   keyed_log::Record NextHeartbeat();
@@ -77,6 +83,12 @@
   void SendCandidacy(Instant begun_at, int attempts_left);
   void OnCandidacyStored();
   void PublishAddress();
+  // Leaves out optional records that are larger than the store takes.
+  void DropOversized(std::vector<keyed_log::Record>& records);
+  void LogRejected(const keyed_log::Record& record);
+  // Writes as many of the unsent records as fit, at most `max_records`.
+  void WriteNext(size_t max_records);
+  void OnRejected();
   void Write();
   void OnWritten(const keyed_log::AppendResult& result);
   void AppendResignation();
@@ -92,7 +104,8 @@
   bool is_elected_ = false;
   bool is_appending_ = false;
   bool has_ended_ = false;
-  keyed_log::Append append_;  // The one under way.
+  keyed_log::Append append_;              // The one under way.
+  std::deque<keyed_log::Record> unsent_;  // The rest, for the next ones.
   Instant append_begun_at_;
   Instant written_at_;  // Start of its last try.
   OnStored on_stored_;  // Of the append under way.
--- a/src/libs/jobs/duration_estimator.cpp
+++ b/src/libs/jobs/duration_estimator.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
 #include <ranges>
+#include <utility>
 
 #include "base/lookup.h"
 
@@ -14,6 +16,9 @@
 // number of runs that the moving mean covers.
 constexpr int64_t kMinRuns = 3;
 constexpr int64_t kMaxWeightedRuns = 50;
+// Number of kinds that are kept: each job may name an image of its own, and the
+// memory and the stored record of what was learned are bounded.
+constexpr size_t kMaxKinds = 2000;
 
 }  // namespace
 
@@ -26,10 +31,39 @@
   return step.image.empty() ? "queue/" + queue : "image/" + step.image;
 }
 
+const std::shared_ptr<DurationEstimator::Mean>& DurationEstimator::Use(
+    const std::string& key) {
+  if (!means_.contains(key)) {
+    ForgetOne();
+  }
+  std::shared_ptr<Mean>& mean = means_[key];
+  if (mean == nullptr) {
+    mean = std::make_shared<Mean>();
+  }
+  mean->used = ++uses_;
+  return mean;
+}
+
+void DurationEstimator::ForgetOne() {
+  if (means_.size() < kMaxKinds) {
+    return;
+  }
+  auto oldest = means_.end();
+  for (auto it = means_.begin(); it != means_.end(); ++it) {
+    if (it->second.use_count() == 1 &&
+        (oldest == means_.end() || it->second->used < oldest->second->used)) {
+      oldest = it;
+    }
+  }
+  if (oldest != means_.end()) {
+    means_.erase(oldest);
+  }
+}
+
 void DurationEstimator::Observe(const std::string& queue,
                                 const Step& step,
                                 int64_t ms) {
-  Mean& mean = means_[MeanKey(queue, step)];
+  Mean& mean = *Use(MeanKey(queue, step));
   mean.runs = std::min(mean.runs + 1, kMaxWeightedRuns);
   mean.ms +=
       (static_cast<double>(ms) - mean.ms) / static_cast<double>(mean.runs);
@@ -37,33 +71,40 @@
 
 int64_t DurationEstimator::Expect(const std::string& queue,
                                   const Step& step) const {
-  const Mean* mean = FindOrNull(means_, MeanKey(queue, step));
-  return mean == nullptr ? step.estimated_ms : mean->Expect(step.estimated_ms);
+  const auto* mean = FindOrNull(means_, MeanKey(queue, step));
+  return mean == nullptr ? step.estimated_ms
+                         : (*mean)->Expect(step.estimated_ms);
 }
 
-const DurationEstimator::Mean& DurationEstimator::MeanOf(
+std::shared_ptr<const DurationEstimator::Mean> DurationEstimator::MeanOf(
     const std::string& queue,
     const Step& step) {
-  return means_[MeanKey(queue, step)];
+  return Use(MeanKey(queue, step));
 }
 
 std::vector<LearnedDuration> DurationEstimator::Durations() const {
+  std::vector<std::pair<uint64_t, LearnedDuration>> by_use;
+  for (const auto& [kind, mean] : means_) {
+    if (mean->runs > 0) {
+      by_use.emplace_back(mean->used,
+                          LearnedDuration{kind, mean->ms, mean->runs});
+    }
+  }
+  std::ranges::sort(by_use, std::ranges::greater(),
+                    &std::pair<uint64_t, LearnedDuration>::first);
   std::vector<LearnedDuration> durations;
-  std::ranges::transform(
-      means_ |
-          std::views::filter([](const auto& it) { return it.second.runs > 0; }),
-      std::back_inserter(durations), [](const auto& it) {
-        return LearnedDuration{it.first, it.second.ms, it.second.runs};
-      });
+  std::ranges::copy(by_use | std::views::values, std::back_inserter(durations));
   return durations;
 }
 
 void DurationEstimator::ImportDurations(
     const std::vector<LearnedDuration>& durations) {
-  for (const LearnedDuration& it : durations) {
+  // The last of them was used least recently.
+  for (const LearnedDuration& it : durations | std::views::reverse) {
     if (std::isfinite(it.mean_ms) && it.mean_ms > 0) {
-      means_[it.kind] = {it.mean_ms,
-                         std::clamp<int64_t>(it.runs, 1, kMaxWeightedRuns)};
+      Mean& mean = *Use(it.kind);
+      mean.ms = it.mean_ms;
+      mean.runs = std::clamp<int64_t>(it.runs, 1, kMaxWeightedRuns);
     }
   }
 }
--- a/src/libs/jobs/duration_estimator.h
+++ b/src/libs/jobs/duration_estimator.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -18,7 +19,8 @@
   // How long tasks of one kind take.
   struct Mean {
     double ms = 0;
-    int64_t runs = 0;  // Observed ones that it covers.
+    int64_t runs = 0;   // Observed ones that it covers.
+    uint64_t used = 0;  // Higher for kinds that were used later.
 
     int64_t Expect(int64_t estimated_ms) const;
   };
@@ -26,11 +28,13 @@
   // Records a completed run that was never slowed down.
   void Observe(const std::string& queue, const Step& step, int64_t ms);
   int64_t Expect(const std::string& queue, const Step& step) const;
-  // Returns the mean of the kind of the step. It stays where it is, and changes
-  // as runs are observed.
-  const Mean& MeanOf(const std::string& queue, const Step& step);
+  // Returns the mean of the kind of the step, which changes as runs are
+  // observed.
+  std::shared_ptr<const Mean> MeanOf(const std::string& queue,
+                                     const Step& step);
 
-  // Returns all means, including those imported from an earlier leader.
+  // Returns all means, including those imported from an earlier leader, those
+  // that were used last first.
   std::vector<LearnedDuration> Durations() const;
   void ImportDurations(const std::vector<LearnedDuration>& durations);
 
@@ -39,7 +43,14 @@
   // queue.
   static std::string MeanKey(const std::string& queue, const Step& step);
 
-  std::map<std::string, Mean> means_;
+  // Returns the mean of a kind that is used now.
+  const std::shared_ptr<Mean>& Use(const std::string& key);
+  // Forgets the kind that was used least recently if there are too many. Kinds
+  // of known jobs stay.
+  void ForgetOne();
+
+  std::map<std::string, std::shared_ptr<Mean>> means_;
+  uint64_t uses_ = 0;
 };
 
 }  // namespace papayadrift::jobs
--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <utility>
 
@@ -35,6 +37,8 @@
 constexpr double kMinPrecision = 0.005;
 // Changes of use below this share are lost in the noise.
 constexpr double kMinShareChange = 0.01;
+// Number of serving images that are kept: each job may name one of its own.
+constexpr size_t kMaxServingImages = 500;
 
 // Fillers with a lower weight need not be slowed, those with a higher one most
 // of the time.
@@ -59,6 +63,17 @@
   return it->second;
 }
 
+Interference::ServingModel& Interference::Use(
+    const std::string& serving_image) {
+  if (models_.size() >= kMaxServingImages && !models_.contains(serving_image)) {
+    models_.erase(std::ranges::min_element(
+        models_, {}, [](const auto& it) { return it.second.used; }));
+  }
+  ServingModel& model = models_[serving_image];
+  model.used = ++uses_;
+  return model;
+}
+
 void Interference::Observe(const TaskKey& serving,
                            const std::string& serving_image,
                            double slack,
@@ -109,7 +124,7 @@
   if (changes.empty()) {
     return;
   }
-  ServingModel& model = models_[serving_image];
+  ServingModel& model = Use(serving_image);
   placement::Features features;
   for (const auto& [image, change] : changes) {
     features.push_back({model.CoefficientOf(image), -change});
@@ -224,8 +239,15 @@
 }
 
 std::vector<LearnedWeight> Interference::Weights() const {
+  std::vector<const std::pair<const std::string, ServingModel>*> by_use;
+  for (const auto& it : models_) {
+    by_use.push_back(&it);
+  }
+  std::ranges::sort(by_use, std::ranges::greater(),
+                    [](const auto* it) { return it->second.used; });
   std::vector<LearnedWeight> weights;
-  for (const auto& [serving, model] : models_) {
+  for (const auto* it : by_use) {
+    const auto& [serving, model] = *it;
     for (const auto& [filler, coefficient] : model.coefficients) {
       const placement::Features alone{{coefficient, 1.0}};
       weights.push_back({serving, filler, model.weights.Mean(alone),
@@ -236,8 +258,9 @@
 }
 
 void Interference::ImportWeights(const std::vector<LearnedWeight>& weights) {
-  for (const LearnedWeight& it : weights) {
-    ServingModel& model = models_[it.serving_image];
+  // The last of them was used least recently.
+  for (const LearnedWeight& it : weights | std::views::reverse) {
+    ServingModel& model = Use(it.serving_image);
     const uint32_t coefficient = model.CoefficientOf(it.filler_image);
     model.weights.Import(coefficient, it.mean, it.deviation);
   }
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -56,8 +56,9 @@
   // Returns whether the sensitivity of the image is more than an assumption.
   bool HasEvidenceOf(const std::string& serving_image) const;
 
-  // Exports all weights with evidence, and imports those of an earlier leader.
-  // Imported weights count for less than samples observed here.
+  // Exports all weights with evidence, those of serving images that were
+  // observed last first, and imports those of an earlier leader. Imported
+  // weights count for less than samples observed here.
   std::vector<LearnedWeight> Weights() const;
   void ImportWeights(const std::vector<LearnedWeight>& weights);
 
@@ -82,6 +83,7 @@
     // known.
     uint32_t CoefficientOf(const std::string& filler_image);
 
+    uint64_t used = 0;  // Higher for images that were observed later.
     std::map<std::string, uint32_t> coefficients;  // By filler's image.
     placement::BayesianLinearModel weights;
     // Prediction of each coefficient from the other pairs, as of the last fit.
@@ -110,7 +112,12 @@
   std::map<TaskKey, Sample> samples_;
   ImageFactors factors_;
   Instant fitted_at_;
+  // Returns the model of a serving image that is used now. Forgets the one that
+  // was used least recently if there are too many.
+  ServingModel& Use(const std::string& serving_image);
+
   std::map<std::string, ServingModel> models_;  // By serving image.
+  uint64_t uses_ = 0;
   // Of a serving image without evidence, as of the last fit.
   std::vector<double> unknown_sensitivity_;
 };
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -101,8 +101,8 @@
   // row; of a gang, kept with its first task.
   uint32_t crashes = 0;
   uint32_t lone_crashes = 0;  // Of these, those where nothing else had started.
-  // The last run that `failures` counts. A failed run of a gang is counted once,
-  // with the member that failed first.
+  // The last run that `failures` counts. A failed run of a gang is counted
+  // once, with the member that failed first.
   uint32_t failed_run = 0;
 
   static constexpr size_t kRequiredFields = 5;  // Before `crashes`.
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -172,7 +172,7 @@
   entry.progress = InitialProgress(job);
   std::ranges::transform(
       job.steps, std::back_inserter(entry.means),
-      [&](const Step& step) { return &durations_.MeanOf(job.queue, step); });
+      [&](const Step& step) { return durations_.MeanOf(job.queue, step); });
   entry.job = std::move(job);
   open_.emplace(id, &entry);
 }
@@ -195,6 +195,10 @@
     }
     *known = task;
     if (task.phase != TaskPhase::kClaimed) {
+      if (stored.outcome != JobOutcome::kOpen) {
+        // The last leader ended before it had stored that it isn't needed.
+        Change(key);
+      }
       continue;
     }
     Runner& runner = fleet_.Get(task.incarnation);
@@ -212,19 +216,33 @@
     run.is_isolated = CrashRecord(key)->crashes > 0;
     runner.runs[key] = std::move(run);
   }
-  WithdrawPartialGangs(id, *entry);
+  SettlePartialGangs(id, *entry);
 }
 
-void JobScheduler::WithdrawPartialGangs(const JobId& id, const Entry& entry) {
+void JobScheduler::SettlePartialGangs(const JobId& id, Entry& entry) {
   for (uint32_t k = 0; k < entry.progress.occurrences.size(); ++k) {
-    const auto& steps = entry.progress.occurrences[k].steps;
+    auto& steps = entry.progress.occurrences[k].steps;
     for (uint32_t s = 0; s < steps.size(); ++s) {
-      const auto is_claimed = [](const TaskProgress& task) {
-        return task.phase == TaskPhase::kClaimed;
+      if (!entry.job.steps[s].is_gang) {
+        continue;
+      }
+      const auto has_phase = [](TaskPhase phase) {
+        return
+            [phase](const TaskProgress& task) { return task.phase == phase; };
       };
-      if (entry.job.steps[s].is_gang &&
-          std::ranges::any_of(steps[s], is_claimed) &&
-          !std::ranges::all_of(steps[s], is_claimed)) {
+      const bool is_done =
+          std::ranges::any_of(steps[s], has_phase(TaskPhase::kDone));
+      if (is_done) {
+        // The end of one member completes all members.
+        for (uint32_t i = 0; i < steps[s].size(); ++i) {
+          if (std::exchange(steps[s][i].phase, TaskPhase::kDone) !=
+              TaskPhase::kDone) {
+            Change({id, k, s, i});
+          }
+        }
+      }
+      if (is_done ||
+          std::ranges::any_of(steps[s], has_phase(TaskPhase::kWaiting))) {
         // Not the name of a member, so that none is left out.
         const auto end = static_cast<uint32_t>(steps[s].size());
         WithdrawGang({id, k, s, end}, created_at_);
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -103,7 +104,6 @@
   // A run at full pace without progress for less than this is never considered
   // stalled; tasks of a few seconds show progress with each report.
   milliseconds stall_limit{1500};
-  // How long a runner gets no new runs after a run stalled on it.
   // Progress is a whole number of percents, so that a long task shows none for
   // seconds. A run is considered stalled if it shows none in the time in which
   // it is expected to do this many percent of its task: callers' estimates are
@@ -118,6 +118,7 @@
   uint32_t max_stall_doublings = 8;
   // A runner is suspended if two different tasks stall on it within this time.
   milliseconds stall_memory{10000};
+  // How long a runner gets no new runs after a run stalled on it.
   milliseconds stall_pause{4000};
   // The start of a run can have crashed its runner only within this time.
   milliseconds crash_window{200};
@@ -290,12 +291,12 @@
     std::optional<PlacementAttempt> failed;
     std::optional<PlacementAttempt> failed_after_wait;
   };
-  struct Entry {
   // Runs of a task, or of a gang, that were stopped as stalled.
   struct Stalls {
     uint32_t run = 0;  // The last one.
     uint32_t count = 0;
   };
+  struct Entry {
     Job job;
     JobProgress progress;
     std::map<TaskKey, RunnerIncarnation> failed_on;
@@ -306,7 +307,7 @@
     // By occurrence and step.
     std::map<std::pair<uint32_t, uint32_t>, WaitingStep> waiting;
     // How long the tasks of each step take.
-    std::vector<const DurationEstimator::Mean*> means;
+    std::vector<std::shared_ptr<const DurationEstimator::Mean>> means;
     // Of the progress; unset since it has changed.
     std::optional<JobTally> tally;
   };
@@ -415,7 +416,6 @@
                          Instant now);
   // Detects stalled runs and updates how slow the runner is.
   void CheckProgress(Runner& runner, Instant now);
-  void ProcessOrphans(Runner& runner, const RunnerReport& report, Instant now);
   // Returns how long the task is expected to take; 0: nothing is known of it.
   static int64_t ExpectedMs(const Entry& entry, const TaskKey& task);
   // Returns after which time without progress the run is considered stalled.
@@ -428,6 +428,7 @@
                       const TaskKey& task,
                       bool is_advancing,
                       Instant now);
+  void ProcessOrphans(Runner& runner, const RunnerReport& report, Instant now);
   void UpdatePaces(Runner& runner, Instant now);
   // Stops a slow filler that would run faster on another runner.
   void RelocateFillers(Instant now);
@@ -474,8 +475,9 @@
                      Instant now);
   void WithdrawGang(const TaskKey& task, Instant now);
   // Withdraws restored members of gangs of which the last leader had released
-  // others, or had stored the claims only in part.
-  void WithdrawPartialGangs(const JobId& id, const Entry& entry);
+  // others, or had stored the claims only in part, and completes gangs of which
+  // it had stored the end only in part.
+  void SettlePartialGangs(const JobId& id, Entry& entry);
   // Reports that a withdrawn run is no longer active.
   void EmitStopped(const Runner& runner,
                    const TaskKey& task,
--- a/src/libs/jobs/learned_model.h
+++ b/src/libs/jobs/learned_model.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYADRIFT_JOBS_LEARNED_MODEL_H_
 #define PAPAYADRIFT_JOBS_LEARNED_MODEL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -38,6 +39,11 @@
   friend bool operator==(const LearnedModel&, const LearnedModel&) = default;
 };
 
+// Returns the first weights and durations of the model, those that were used
+// last, as far as they fit in about `max_bytes` when they are encoded: half of
+// it for either, or more if the other takes less.
+LearnedModel FitTo(const LearnedModel& model, size_t max_bytes);
+
 }  // namespace papayadrift::jobs
 
 #endif  // PAPAYADRIFT_JOBS_LEARNED_MODEL_H_
--- a/src/libs/keyed_log/group_writer.h
+++ b/src/libs/keyed_log/group_writer.h
@@ -26,7 +26,7 @@
 
   // Runs `done` once, with the result of the append that has the record. The
   // append may end early, unanswered, at the deadline of another of its
-  // records.
+  // records. A record that the store rejects fails alone.
   void Write(Record record, Instant deadline, Done done);
 
  private:
@@ -34,12 +34,15 @@
     Record record;
     Instant deadline;
     Done done;
+    bool is_alone = false;  // The store rejected an append with others.
   };
 
   // Whether an append may leave though others are under way.
   bool IsOverdue(Instant now) const;
   void SendNext();
-  void OnAnswered(const std::vector<Item>& items,
+  // Returns how many of the waiting records fit in one append.
+  size_t CountOfNext() const;
+  void OnAnswered(std::vector<Item> items,
                   Instant sent_at,
                   const AppendResult& result);
 
--- a/src/libs/keyed_log/keyed_log.h
+++ b/src/libs/keyed_log/keyed_log.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYADRIFT_KEYED_LOG_KEYED_LOG_H_
 #define PAPAYADRIFT_KEYED_LOG_KEYED_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -48,6 +49,20 @@
   friend bool operator==(const Append&, const Append&) = default;
 };
 
+// Largest record and append that the store takes, in bytes on its wire.
+struct AppendLimits {
+  size_t max_record_bytes = 262144;
+  size_t max_request_bytes = 2097152;
+
+  friend bool operator==(const AppendLimits&, const AppendLimits&) = default;
+};
+
+// Returns an upper bound of what the record takes of an append.
+inline size_t SizeOf(const Record& record) {
+  constexpr size_t kLengths = 8;  // Of the record and its key.
+  return kLengths + record.key.size() + record.value.size();
+}
+
 struct Stored {
   uint64_t end = 0;  // Offset behind the last record.
 
@@ -69,7 +84,12 @@
 struct Unanswered {
   friend bool operator==(const Unanswered&, const Unanswered&) = default;
 };
-using AppendResult = std::variant<Stored, Moved, Fenced, NotStored, Unanswered>;
+// Certainly not stored, and a repeat won't be either.
+struct Rejected {
+  friend bool operator==(const Rejected&, const Rejected&) = default;
+};
+using AppendResult =
+    std::variant<Stored, Moved, Fenced, NotStored, Unanswered, Rejected>;
 
 struct Records {
   std::vector<StoredRecord> records;
@@ -96,6 +116,8 @@
   // Whether the store has answered none of the last calls: another is likely
   // to fail too.
   virtual bool is_out() const = 0;
+  // Appends beyond these are rejected.
+  virtual AppendLimits limits() const { return {}; }
   virtual void Write(const Append& append,
                      Instant deadline,
                      std::function<void(AppendResult)> done) = 0;
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -11,6 +11,10 @@
 constexpr auto kEvents = std::to_array<EventDescription>({
     {Event::kAccessDenied, kWarning, "access.denied",
      "A caller or operator came without a valid token."},
+    {Event::kAppendRejected, kError, "append.rejected",
+     "The platform's log refused an append for good, or a record is larger "
+     "than "
+     "it takes; this process goes on without what was refused."},
     {Event::kAppendUnanswered, kWarning, "append.unanswered",
      "The platform's log did not answer an append, which may have happened."},
     {Event::kConfigurationInForce, kInfo, "configuration.in_force",
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -12,6 +12,7 @@
 // ToText() are part of the interface to operators.
 enum class Event {
   kAccessDenied,
+  kAppendRejected,
   kAppendUnanswered,
   kConfigurationInForce,
   kConfigurationRefused,
--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -77,6 +77,23 @@
   EXPECT_EQ(result_, SubmitResult::kNotStored);
 }
 
+// Guards against a job that is tried until its deadline, although the store
+// takes no record of its size.
+TEST_F(JobFrontendTest, RefusesAJobWhoseRecordIsTooLarge) {
+  log_.set_limits({4096, 65536});
+  job_.payload = std::string(5000, 'x');
+  Submit();
+  EXPECT_EQ(result_, SubmitResult::kTooLarge);
+}
+
+// The same for a record that the store rejects for another reason.
+TEST_F(JobFrontendTest, RefusesAJobThatTheStoreRejects) {
+  log_.set_rejected_key("j/" + kId.text());
+  Submit();
+  log_.Settle();
+  EXPECT_EQ(result_, SubmitResult::kTooLarge);
+}
+
 // During an outage that begins with lost answers the job may be stored. Callers
 // that retry must not be told that it never runs.
 TEST_F(JobFrontendTest, RefusalAfterAnUnansweredAttemptIsUnknown) {
--- a/tests/auto/cluster/leader_term_test.cpp
+++ b/tests/auto/cluster/leader_term_test.cpp
@@ -299,6 +299,78 @@
   EXPECT_EQ(Stored(kProgressTopic).size(), 2U);
 }
 
+// Guards against a leader that stands still since what it has to store is more
+// than the store takes at once.
+TEST_F(LeaderTermTest, StoresInSeveralAppendsWhatIsTooMuchForOne) {
+  constexpr size_t kRecords = 100;
+  log_.set_limits({4096, 4096});
+  const auto elected = MakeElected();
+  std::vector<keyed_log::Record> records;
+  for (size_t i = 0; i < kRecords; ++i) {
+    records.push_back({"o/" + std::to_string(i), std::string(500, 'x')});
+  }
+  int call_count = 0;
+  elected->term->Append(records, [&] { ++call_count; });
+  log_.AnswerNext();
+  log_.AnswerNext();
+  EXPECT_EQ(call_count, 0);
+  EXPECT_TRUE(elected->term->is_appending());
+  log_.Settle();
+  EXPECT_EQ(call_count, 1);
+  EXPECT_FALSE(elected->term->is_appending());
+  std::vector<keyed_log::Record> stored = Stored(kProgressTopic);
+  stored.erase(stored.begin());  // The candidacy.
+  EXPECT_EQ(stored, records);
+}
+
+// Guards against a leader that repeats an append without a pause, or for ever,
+// since a part of it can't be stored.
+TEST_F(LeaderTermTest, GoesOnWithoutAnOptionalRecordThatIsRejected) {
+  const auto elected = MakeElected();
+  log_.set_rejected_key(kLearnedKey);
+  std::vector<keyed_log::Record> records;
+  for (size_t i = 0; i < 20; ++i) {
+    records.push_back({"o/" + std::to_string(i), "x"});
+  }
+  records.insert(records.begin() + 7, {kLearnedKey, "y"});
+  int call_count = 0;
+  elected->term->Append(records, [&] { ++call_count; });
+  log_.Settle();
+  EXPECT_EQ(call_count, 0);
+  for (int i = 0; i < 20 && call_count == 0; ++i) {
+    loop_.restart();
+    ASSERT_GT(loop_.run_one_for(seconds(10)), 0U);
+    log_.Settle();
+  }
+  EXPECT_EQ(call_count, 1);
+  EXPECT_EQ(elected->ended_count, 0);
+  EXPECT_EQ(Stored(kProgressTopic).size(), 1U + 20U);
+  EXPECT_LE(log_.append_count(), 20U);
+}
+
+// Such a record that is too large isn't even sent.
+TEST_F(LeaderTermTest, LeavesOutAnOptionalRecordThatIsTooLarge) {
+  log_.set_limits({4096, 65536});
+  const auto elected = MakeElected();
+  int call_count = 0;
+  elected->term->Append({{kLearnedKey, std::string(5000, 'x')}, {"o/a", "x"}},
+                        [&] { ++call_count; });
+  log_.Settle();
+  EXPECT_EQ(call_count, 1);
+  EXPECT_EQ(Stored(kProgressTopic).size(), 2U);
+}
+
+// Guards against a claim that counts as stored and isn't.
+TEST_F(LeaderTermTest, EndsIfTheStoreRejectsWhatOthersRestOn) {
+  const auto elected = MakeElected();
+  log_.set_rejected_key("o/a");
+  int call_count = 0;
+  elected->term->Append({{"o/a", "x"}}, [&] { ++call_count; });
+  log_.Settle();
+  EXPECT_EQ(call_count, 0);
+  EXPECT_EQ(elected->ended_count, 1);
+}
+
 // Guards against calls to a leader whose process is stopping.
 TEST_F(LeaderTermTest, NothingFollowsTheEnd) {
   const auto elected = MakeElected();
--- a/tests/auto/jobs/gang_failures_test.cpp
+++ b/tests/auto/jobs/gang_failures_test.cpp
@@ -100,6 +100,34 @@
   EXPECT_EQ(next.open_jobs(), 1U);
 }
 
+// Guards against a gang that never ends since the last leader had stored the
+// end of some of its members only: a large change takes several appends.
+TEST_F(GangFailuresTest, GangThatIsStoredAsDoneInPartIsDone) {
+  JobScheduler next(JobSchedulerSettings(), At(200), nullptr);
+  Job job = GangOf(3);
+  job.steps.push_back(JobOf(1, 100).steps[0]);
+  job.steps[1].depends_on = {0};
+  next.AddJob(JobId("a"), job);
+  RouteTable routes;
+  routes.queues.resize(1);
+  routes.queues[0].name = "q";
+  routes.queues[0].service = "s";
+  next.SetRoutes(routes);
+  next.Restore(JobId("a"),
+               {JobOutcome::kOpen,
+                {{Task(0), {TaskPhase::kDone, 1, 0, {}, ""}},
+                 {Task(1), {TaskPhase::kClaimed, 1, 0, kSecond, ""}},
+                 {Task(2), {TaskPhase::kClaimed, 1, 0, kSecond, ""}}}});
+  EXPECT_TRUE(next.fleet().Find(kSecond)->runs.at(Task(1)).is_withdrawn);
+  next.OnReport(ReportOf(kFirst), At(300));
+  next.OnLeaseGranted(kFirst, At(6300));
+  next.OnJobsViewed(At(300));
+  next.Advance(At(300), 300);
+  const TaskKey second{JobId("a"), 0, 1, 0};
+  ASSERT_EQ(next.fleet().Find(kFirst)->runs.size(), 1U);
+  EXPECT_EQ(next.fleet().Find(kFirst)->runs.begin()->first, second);
+}
+
 // Guards against a run that fails twice in a row without being counted because
 // the same member failed in an earlier run.
 TEST_F(GangFailuresTest, SameMemberFailsInTwoRuns) {
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -2,7 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
+#include "jobs/codec.h"
 #include "jobs/duration_estimator.h"
+#include "jobs/learned_model.h"
 
 namespace papayadrift::jobs {
 namespace {
@@ -89,6 +94,43 @@
   EXPECT_EQ(estimator.Expect("q", step), 200);
 }
 
+// Guards against a leader that can't store what it has learned, since each job
+// names an image of its own.
+TEST(DurationEstimatorTest, KeepsTheKindsThatWereUsedLast) {
+  constexpr size_t kKinds = 5000;
+  DurationEstimator estimator;
+  Step step;
+  for (size_t i = 0; i < kKinds; ++i) {
+    step.image = std::string(100, 'x') + std::to_string(i);
+    estimator.Observe("q", step, 1000);
+  }
+  const std::vector<LearnedDuration> durations = estimator.Durations();
+  EXPECT_LE(durations.size(), 2000U);
+  EXPECT_EQ(durations.front().kind, "image/" + step.image);
+  constexpr size_t kMaxBytes = 100'000;
+  const LearnedModel fitting = FitTo({{}, durations}, kMaxBytes);
+  EXPECT_LE(Encode(fitting).size(), kMaxBytes);
+  EXPECT_GT(fitting.durations.size(), 500U);
+  EXPECT_EQ(fitting.durations.front(), durations.front());
+  DurationEstimator next;
+  next.ImportDurations(durations);
+  EXPECT_EQ(next.Durations(), durations);
+}
+
+// Weights and durations share the space.
+TEST(LearnedModelTest, KeepsAPartOfEither) {
+  LearnedModel model;
+  for (int i = 0; i < 1000; ++i) {
+    model.weights.push_back({std::to_string(i), "filler", 1, 1});
+    model.durations.push_back({std::to_string(i), 1000, 5});
+  }
+  const LearnedModel fitting = FitTo(model, 10'000);
+  EXPECT_GT(fitting.weights.size(), 50U);
+  EXPECT_GT(fitting.durations.size(), 50U);
+  EXPECT_LE(Encode(fitting).size(), 10'000U);
+  EXPECT_EQ(FitTo(model, 1'000'000), model);
+}
+
 TEST(WorkOrderTest, LongRunningWorkIsNeverPastItsCutoff) {
   Queue queue;
   Job long_running = JobOf(0, 0);
--- a/tests/auto/keyed_log/fake_keyed_log.cpp
+++ b/tests/auto/keyed_log/fake_keyed_log.cpp
@@ -4,7 +4,22 @@
 
 namespace papayadrift::keyed_log {
 
+bool FakeKeyedLog::IsRejected(const Append& append) const {
+  size_t bytes = 0;
+  for (const Record& record : append.records) {
+    bytes += SizeOf(record);
+    if (SizeOf(record) > limits_.max_record_bytes ||
+        record.key == rejected_key_) {
+      return true;
+    }
+  }
+  return bytes > limits_.max_request_bytes;
+}
+
 AppendResult FakeKeyedLog::Store(const Append& append) {
+  if (IsRejected(append)) {
+    return Rejected{};
+  }
   Topic& topic = topics_[append.topic];
   const uint64_t end = topic.records.size();
   WriterState* writer = nullptr;
--- a/tests/auto/keyed_log/fake_keyed_log.h
+++ b/tests/auto/keyed_log/fake_keyed_log.h
@@ -18,6 +18,7 @@
 class FakeKeyedLog : public KeyedLog {
  public:
   bool is_out() const override { return is_down_; }
+  AppendLimits limits() const override { return limits_; }
   void Write(const Append& append,
              Instant deadline,
              std::function<void(AppendResult)> done) override;
@@ -41,6 +42,9 @@
   void Expire(const std::string& topic, uint64_t offset);
   void set_is_down(bool is_down) { is_down_ = is_down; }
   void set_loses_answers(bool loses) { loses_answers_ = loses; }
+  void set_limits(const AppendLimits& limits) { limits_ = limits; }
+  // Appends with a record of this key are rejected for good.
+  void set_rejected_key(const std::string& key) { rejected_key_ = key; }
   void set_page_size(size_t size) { page_size_ = size; }
   // Number of records that one read returns at most.
   void set_read_size(size_t size) { read_size_ = size; }
@@ -61,6 +65,7 @@
     std::map<std::string, WriterState> writers;
   };
 
+  bool IsRejected(const Append& append) const;
   AppendResult Store(const Append& append);
 
   std::map<std::string, Topic> topics_;
@@ -69,6 +74,8 @@
   std::vector<std::function<void()>> parked_;
   bool is_down_ = false;
   bool loses_answers_ = false;
+  AppendLimits limits_;
+  std::optional<std::string> rejected_key_;
   size_t page_size_ = 500;
   size_t read_size_ = SIZE_MAX;
   size_t append_count_ = 0;
--- a/tests/auto/keyed_log/group_writer_test.cpp
+++ b/tests/auto/keyed_log/group_writer_test.cpp
@@ -69,6 +69,30 @@
   EXPECT_EQ(log_.append_count(), 5U);
 }
 
+// Guards against an append of records that fit one by one and not together.
+TEST_F(GroupWriterTest, BoundsTheSizeOfOneAppend) {
+  log_.set_limits({4096, 200});
+  for (int i = 0; i < 100; ++i) {
+    Write(std::to_string(i));
+  }
+  log_.Settle();
+  EXPECT_EQ(results_.size(), 100U);
+  EXPECT_EQ(CountOf(Rejected{}), 0U);
+}
+
+// Guards against records that fail since the store rejects another one.
+TEST_F(GroupWriterTest, RejectedRecordFailsAlone) {
+  log_.set_rejected_key("7");
+  for (int i = 0; i < 20; ++i) {
+    Write(std::to_string(i));
+  }
+  log_.Settle();
+  EXPECT_EQ(results_.size(), 20U);
+  EXPECT_EQ(CountOf(Rejected{}), 1U);
+  EXPECT_EQ(results_.find("7")->second, AppendResult(Rejected{}));
+  EXPECT_LE(log_.append_count(), 21U);
+}
+
 TEST_F(GroupWriterTest, MayWriteAgainFromItsCallback) {
   int tries = 0;
   std::function<void(AppendResult)> again = [&](const AppendResult&) {
--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace papayadrift::platform {
 namespace {
@@ -61,6 +62,35 @@
   EXPECT_EQ(problems[0].key, "bounds.cancel_ms");
 }
 
+TEST(SettingsFileTest, ReadsTheLimitsOfTheStore) {
+  std::vector<SettingsProblem> problems;
+  const auto by_default = ReadSettings(kText, problems);
+  ASSERT_TRUE(by_default);
+  EXPECT_EQ(by_default->store_limits, keyed_log::AppendLimits());
+  const auto settings = ReadSettings(
+      std::string(kText) + "max_record_bytes = 8192\n"
+                           "max_request_bytes = 65536\n",
+      problems);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->store_limits, (keyed_log::AppendLimits{8192, 65536}));
+  EXPECT_FALSE(
+      ReadSettings(std::string(kText) + "max_record_bytes = 100\n", problems));
+}
+
+// Guards against a default in place of a value that was set and can't be read.
+TEST(SettingsFileTest, ReplacesNoInvalidValueByADefault) {
+  for (const auto& [valid, invalid] :
+       {std::pair("cancel_ms = 4000", "cancel_ms = \"4 s\""),
+        std::pair("cores = 2", "cores = \"2\""),
+        std::pair("max_hold_ms = 6000", "max_hold_ms = 1e300"),
+        std::pair("7735]", "77350]")}) {
+    std::string text = kText;
+    text.replace(text.find(valid), std::string(valid).size(), invalid);
+    std::vector<SettingsProblem> problems;
+    EXPECT_FALSE(ReadSettings(text, problems)) << invalid;
+  }
+}
+
 TEST(SettingsFileTest, ReportsTheLineOfASyntaxError) {
   std::vector<SettingsProblem> problems;
   EXPECT_FALSE(ReadSettings("a = 1\nb =\n", problems));
