Scheduler: Keeps due times of a job that is accepted late

Cause: DueMs() counted all occurrences from the later one of the start and the acceptance, so that a late acceptance delayed every occurrence.

Occurrences that were due before the acceptance start at once; their target and cutoff count from the acceptance, so that they aren't taken for hopeless.

--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -38,7 +38,7 @@
 }
 
 int64_t DueMs(const Job& job, uint32_t occurrence) {
-  return std::max(job.accepted_ms, job.first_due_ms) +
+  return (job.first_due_ms > 0 ? job.first_due_ms : job.accepted_ms) +
          job.interval_ms * static_cast<int64_t>(occurrence);
 }
 
@@ -49,7 +49,9 @@
                 int64_t remaining_ms,
                 int64_t remaining_work,
                 int64_t now_unix_ms) {
-  const int64_t due = DueMs(job, occurrence);
+  // Occurrences that were due before the job was accepted couldn't be served
+  // then; they are late only once their time since the acceptance is over.
+  const int64_t due = std::max(DueMs(job, occurrence), job.accepted_ms);
   const int64_t allowed =
       static_cast<int64_t>(queue.target_factor *
                            static_cast<double>(longest_chain_ms)) +
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -146,5 +146,34 @@
   EXPECT_EQ(DueMs(job, 3), 1600);
 }
 
+// Guards against a schedule that is late as a whole since its job was accepted
+// late: occurrences catch up.
+TEST(WorkOrderTest, LateAcceptanceDelaysNoLaterOccurrence) {
+  Job job = JobOf(500, 10);
+  job.first_due_ms = 1000;
+  job.interval_ms = 200;
+  job.accepted_ms = 1500;
+  EXPECT_EQ(DueMs(job, 0), 1000);
+  EXPECT_EQ(DueMs(job, 3), 1600);
+}
+
+// Guards against occurrences that are taken for hopeless when their job is
+// accepted, and against later ones that get more time than they are allowed.
+TEST(WorkOrderTest, LateOccurrencesCountFromTheAcceptance) {
+  constexpr int64_t kAcceptedMs = 100'000;
+  Queue queue;
+  queue.target_factor = 2;
+  Job job = JobOf(500, 10);
+  job.first_due_ms = 1000;
+  job.interval_ms = 50'000;
+  job.accepted_ms = kAcceptedMs;
+  const WorkRank late = RankOf(job, queue, 0, 500, 500, 0, kAcceptedMs);
+  EXPECT_FALSE(late.is_past_cutoff);
+  EXPECT_EQ(late.target_ms, kAcceptedMs + 1000);
+  EXPECT_EQ(late.cutoff_ms, kAcceptedMs + 3000);
+  const WorkRank next = RankOf(job, queue, 2, 500, 500, 0, kAcceptedMs);
+  EXPECT_EQ(next.target_ms, 101'000 + 1000);
+}
+
 }  // namespace
 }  // namespace papayadrift::jobs
