Scheduler: Bounds the wait of gangs of fillers

Cause: a single filler that has waited for longest_wait (1.5 s) starts without free processors; a gang of fillers had no such bound and could wait for good behind fillers that serving tasks slow to a stop.

Change: PlaceGang() applies the same bound to the gang as a whole. Memory, labels and limits by runner still hold.

Result: JobSchedulerTest.GangOfFillersThatWaitsLongStartsWithoutRoom passes.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -589,6 +589,12 @@
                            ready.queue->service,
                            std::nullopt};
   request.is_isolated = tasks.front().crashes > 0;
+  const std::pair position(ready.occurrence, ready.step);
+  const Instant waiting_since =
+      ready.entry->waiting.try_emplace(position, WaitingStep{now})
+          .first->second.since;
+  request.has_waited =
+      step.is_filler && now - waiting_since >= settings_.longest_wait;
   const std::vector<RunnerIncarnation> chosen_runners =
       ChooseGangRunners(request, number + 1, now);
   if (chosen_runners.empty()) {
@@ -607,6 +613,7 @@
     Claim({*ready.id, ready.occurrence, ready.step, i}, number + 1, step,
           *fleet_.Find(chosen_runners[i]), ready, now);
   }
+  ready.entry->waiting.erase(position);
   return true;
 }
 
--- a/tests/auto/jobs/job_scheduler_test.cpp
+++ b/tests/auto/jobs/job_scheduler_test.cpp
@@ -918,6 +918,29 @@
   EXPECT_EQ(starts, 1U);
 }
 
+// The same for a gang, which starts as a whole or not at all.
+TEST_F(JobSchedulerTest, GangOfFillersThatWaitsLongStartsWithoutRoom) {
+  Job filler = JobOf(1, 3000);
+  filler.steps[0].is_filler = true;
+  Job gang = JobOf(3, 1000);
+  gang.steps[0].is_filler = true;
+  gang.steps[0].is_gang = true;
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), filler);
+  EXPECT_EQ(CountStarts(Orders(0)), 1U);
+  scheduler_.AddJob(JobId("b"), gang);
+  size_t starts = 0;
+  uint32_t percent = 0;
+  int64_t started_ms = 0;
+  for (int64_t now_ms = 300; now_ms <= 2400 && starts == 0; now_ms += 300) {
+    Report(kFirst, now_ms, {{Task(0), 1, "", ++percent, 0}});
+    starts = CountStarts(Orders(now_ms));
+    started_ms = now_ms;
+  }
+  EXPECT_EQ(starts, 3U);
+  EXPECT_GE(started_ms, 300 + JobSchedulerSettings().longest_wait.count());
+}
+
 // Services that fill the fleet were placed before anything was known of their
 // images; once it is, the ones that close a runner to fillers move, one task of
 // a step at a time.
