Platform: Refuses input that it would have to cut down

Change: what is given is used as it is or refused. All places that changed input:

Jobs (400 now unless said otherwise; null counts as absent): - repeat_count: was clamped to 4,096, and 1 for other types; up to 65,536 tasks in all. 0 and absent mean once, as before. - interval_ms: was clamped to 0 and 2^40; start_at_ms: other types were 0. - count: negative numbers, fractions, other types and those beyond 32 bits were 1. - anti_affinity, max_unavailable: negative numbers and other types meant no limit. Beyond 32 bits they count as the largest number, which limits nothing. - estimated_ms, target_ms: negative numbers and other types were 0. Above 28 hours they count as that (kept: an estimate, or a latency that nothing exceeds); fractions of a millisecond are cut off (before: taken as 0). - spec, image, required_label, data_rack: other types were empty texts. - Flags of other types than boolean and number count as not set (kept). Operators' configuration (left out as a whole, with a line message.unreadable): - max_attempts, priority, limits.max_body_bytes: what wasn't a 32-bit number was 1 or 0. Beyond 32 bits they count as the largest number. - target_factor and target_latency_ms: were not bounded; up to 10^6 and 28 hours (a longer latency counts as that). Runners' lists: percent and gauge are clamped to 0..100 and 10^8 (kept: they are measurements). Callers' timeouts are cut to 60 s (kept: the answer comes sooner).

--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -67,10 +67,10 @@
   const auto by_default = ReadSettings(kText, problems);
   ASSERT_TRUE(by_default);
   EXPECT_EQ(by_default->store_limits, keyed_log::AppendLimits());
-  const auto settings = ReadSettings(
-      std::string(kText) + "max_record_bytes = 8192\n"
-                           "max_request_bytes = 65536\n",
-      problems);
+  const auto settings = ReadSettings(std::string(kText) +
+                                         "max_record_bytes = 8192\n"
+                                         "max_request_bytes = 65536\n",
+                                     problems);
   ASSERT_TRUE(settings);
   EXPECT_EQ(settings->store_limits, (keyed_log::AppendLimits{8192, 65536}));
   EXPECT_FALSE(
--- a/tests/auto/platform/wire_test.cpp
+++ b/tests/auto/platform/wire_test.cpp
@@ -217,6 +217,65 @@
   EXPECT_FALSE(ReadJob(R"({"steps":[{}],"x":)" + NestedArrays(100) + "}"));
 }
 
+// Guards against a job that is accepted and shown as completed after a part of
+// its occurrences.
+TEST(WireTest, RepeatsAreKeptWholeOrRefused) {
+  const auto job = ReadJob(R"({"steps":[{}],"repeat_count":4500})");
+  ASSERT_TRUE(job);
+  EXPECT_EQ(job->occurrences, 4500U);
+  const auto largest = ReadJob(R"({"steps":[{}],"repeat_count":65536})");
+  ASSERT_TRUE(largest);
+  EXPECT_EQ(largest->occurrences, 65536U);
+  EXPECT_FALSE(ReadJob(R"({"steps":[{}],"repeat_count":65537})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{}],"repeat_count":70000})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{}],"repeat_count":4294967297})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{}],"repeat_count":-1})"));
+  EXPECT_FALSE(ReadJob(R"({"steps":[{}],"repeat_count":"7"})"));
+  EXPECT_EQ(ReadJob(R"({"steps":[{}],"repeat_count":0})")->occurrences, 1U);
+  EXPECT_EQ(ReadJob(R"({"steps":[{}]})")->occurrences, 1U);
+}
+
+// Guards against limits and times of a job that are changed or dropped without
+// the caller being told.
+TEST(WireTest, RefusesWhatItWouldHaveToChange) {
+  const auto with_step = [](const std::string& members) {
+    return ReadJob(R"({"steps":[{)" + members + "}]}");
+  };
+  for (const char* members :
+       {R"("count":-2)", R"("count":1.5)", R"("count":4294967300)",
+        R"("anti_affinity":-1)", R"("max_unavailable":"1")",
+        R"("estimated_ms":-5)", R"("target_ms":"50")", R"("image":7)",
+        R"("required_label":["a"])", R"("data_rack":{})"}) {
+    EXPECT_FALSE(with_step(members)) << members;
+  }
+  for (const char* members :
+       {R"("interval_ms":-1)", R"("interval_ms":9007199254740993)",
+        R"("start_at_ms":"now")", R"("spec":{"a":1})"}) {
+    EXPECT_FALSE(ReadJob(R"({"steps":[{}],)" + std::string(members) + "}"))
+        << members;
+  }
+  EXPECT_EQ(with_step(R"("count":3.0,"image":null)")->steps[0].count, 3U);
+  EXPECT_EQ(with_step(R"("estimated_ms":640.5)")->steps[0].estimated_ms, 640);
+  EXPECT_EQ(with_step(R"("estimated_ms":1e30)")->steps[0].estimated_ms,
+            100'000'000);
+}
+
+// Guards against a configuration by which jobs are given up after one failure,
+// since its number of attempts can't be read.
+TEST(WireTest, RefusesRoutesWithInvalidLimits) {
+  const auto with = [](const std::string& members) {
+    return ReadRoutes(R"({"version":7,"routes":[{"name":"r",)" + members +
+                      R"(}],"services":[]})");
+  };
+  EXPECT_FALSE(with(R"("max_attempts":-1)"));
+  EXPECT_FALSE(with(R"("max_attempts":"3")"));
+  EXPECT_FALSE(with(R"("target_factor":-2)"));
+  EXPECT_FALSE(with(R"("target_factor":1e300)"));
+  EXPECT_FALSE(with(R"("priority":1.5)"));
+  EXPECT_EQ(with(R"("max_attempts":4294967297)")->queues[0].max_failures,
+            4294967295U);
+}
+
 RC_GTEST_PROP(WireTest,
               ReadsBackRecords,
               (std::string key, std::string value)) {
