Leader: Ends its term if an append that may be stored is rejected

Cause: after a lost answer the store may have taken the append; one with other records and the same sequence number would be answered as a repeat, and records would count as stored that aren't.

Result: cluster_test passes (171 tests), with LeaderTermTest.EndsIfAnAppendThatMayBeStoredIsRejected.

--- a/src/libs/cluster/leader_term.cpp
+++ b/src/libs/cluster/leader_term.cpp
@@ -169,11 +169,18 @@
     unsent_.pop_front();
   }
   append_begun_at_ = context_.clock.Now();
+  may_be_stored_ = false;
   Write();
 }
 
 void LeaderTerm::OnRejected() {
   const size_t count = append_.records.size();
+  if (may_be_stored_) {
+    // The store would take another append with this sequence number for a
+    // repeat of the one that it may have stored.
+    End("The store rejected an append that it may have stored.");
+    return;
+  }
   if (count == 1) {
     const keyed_log::Record& record = append_.records.front();
     LogRejected(record);
@@ -230,6 +237,7 @@
     return;
   }
   if (std::holds_alternative<keyed_log::Unanswered>(result)) {
+    may_be_stored_ = true;
     Write();
     return;
   }
--- a/src/libs/cluster/leader_term.h
+++ b/src/libs/cluster/leader_term.h
@@ -107,8 +107,9 @@
   keyed_log::Append append_;              // The one under way.
   std::deque<keyed_log::Record> unsent_;  // The rest, for the next ones.
   Instant append_begun_at_;
-  Instant written_at_;  // Start of its last try.
-  OnStored on_stored_;  // Of the append under way.
+  Instant written_at_;          // Start of its last try.
+  bool may_be_stored_ = false;  // A try of it was not answered.
+  OnStored on_stored_;          // Of the append under way.
   std::optional<Resignation> resignation_;
 };
 
--- a/tests/auto/cluster/leader_term_test.cpp
+++ b/tests/auto/cluster/leader_term_test.cpp
@@ -371,6 +371,22 @@
   EXPECT_EQ(elected->ended_count, 1);
 }
 
+// Guards against records that count as stored because the store took their
+// append for a repeat of an earlier one with the same sequence number.
+TEST_F(LeaderTermTest, EndsIfAnAppendThatMayBeStoredIsRejected) {
+  const auto elected = MakeElected();
+  log_.set_loses_answers(true);
+  int call_count = 0;
+  elected->term->Append({{kLearnedKey, "y"}, {"o/a", "x"}},
+                        [&] { ++call_count; });
+  log_.AnswerNext();
+  log_.set_loses_answers(false);
+  log_.set_rejected_key(kLearnedKey);
+  log_.Settle();
+  EXPECT_EQ(call_count, 0);
+  EXPECT_EQ(elected->ended_count, 1);
+}
+
 // Guards against calls to a leader whose process is stopping.
 TEST_F(LeaderTermTest, NothingFollowsTheEnd) {
   const auto elected = MakeElected();
