--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -187,6 +187,54 @@
   leader->Stop({});
 }
 
+// Guards against a leader that stands still since the end of a large job is
+// more than the store takes at once, and against a job that runs again: its
+// next leader may know only of the first of several appends.
+TEST_F(LeaderTest, EndOfALargeJobIsStoredInSeveralAppends) {
+  constexpr uint32_t kTasks = 4000;
+  log_.set_limits({4096, 16384});
+  const JobId id("a");
+  jobs::Job job;
+  job.queue = "q";
+  job.steps.resize(1);
+  job.steps[0].count = kTasks;
+  Store(kJobsTopic, {KeyOf(kJobPrefix, id), jobs::Encode(job)});
+  for (uint32_t i = 0; i < kTasks; ++i) {
+    Store(kProgressTopic,
+          {KeyOf(jobs::TaskKey{id, 0, 0, i}),
+           jobs::Encode(jobs::TaskProgress{jobs::TaskPhase::kWaiting, 1})});
+  }
+  log_.Settle();
+  const auto leader = MakeLeader("node-1");
+  CatchUp();
+  leader->Campaign();
+  log_.Settle();
+  ASSERT_TRUE(leader->is_leading());
+  const uint64_t end = log_.end_of(kProgressTopic);
+  const size_t appends = log_.append_count();
+  clock_.Advance(LeaderSettings().min_append_interval);
+  ASSERT_TRUE(leader->OnCancelled(id));
+  while (log_.append_count() == appends) {
+    ASSERT_GT(loop_.run_one(), 0U);
+  }
+  log_.Settle();
+  EXPECT_GE(log_.end_of(kProgressTopic), end + 1 + kTasks);
+  EXPECT_GE(log_.append_count(), appends + 4);
+  EXPECT_FALSE(leader->scheduler()->has_changes());
+  std::vector<std::string> keys;
+  log_.Read(
+      kProgressTopic, end, milliseconds(0), Instant(),
+      [&](const keyed_log::ReadResult& result) {
+        for (const auto& it : std::get<keyed_log::Records>(result).records) {
+          keys.push_back(it.record.key);
+        }
+      });
+  log_.Settle();
+  ASSERT_FALSE(keys.empty());
+  EXPECT_EQ(keys.front(), KeyOf(kOutcomePrefix, id));
+  leader->Stop({});
+}
+
 // Guards against a task that stands still for longer than users allow: the next
 // leader waited for a lease from its election on, though the last one can have
 // granted none after its last record.
