--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -183,7 +183,7 @@
   entry.progress = InitialProgress(job);
   std::ranges::transform(
       job.steps, std::back_inserter(entry.means),
-      [&](const Step& step) { return &durations_.MeanOf(job.queue, step); });
+      [&](const Step& step) { return durations_.MeanOf(job.queue, step); });
   entry.job = std::move(job);
   open_.emplace(id, &entry);
 }
@@ -206,6 +206,10 @@
     }
     *known = task;
     if (task.phase != TaskPhase::kClaimed) {
+      if (stored.outcome != JobOutcome::kOpen) {
+        // The last leader ended before it had stored that it isn't needed.
+        Change(key);
+      }
       continue;
     }
     Runner& runner = fleet_.Get(task.incarnation);
@@ -223,6 +227,39 @@
     run.is_isolated = CrashRecord(key)->crashes > 0;
     runner.runs[key] = std::move(run);
   }
+  SettlePartialGangs(id, *entry);
+}
+
+void JobScheduler::SettlePartialGangs(const JobId& id, Entry& entry) {
+  for (uint32_t k = 0; k < entry.progress.occurrences.size(); ++k) {
+    auto& steps = entry.progress.occurrences[k].steps;
+    for (uint32_t s = 0; s < steps.size(); ++s) {
+      if (!entry.job.steps[s].is_gang) {
+        continue;
+      }
+      const auto has_phase = [](TaskPhase phase) {
+        return
+            [phase](const TaskProgress& task) { return task.phase == phase; };
+      };
+      const bool is_done =
+          std::ranges::any_of(steps[s], has_phase(TaskPhase::kDone));
+      if (is_done) {
+        // The end of one member completes all members.
+        for (uint32_t i = 0; i < steps[s].size(); ++i) {
+          if (std::exchange(steps[s][i].phase, TaskPhase::kDone) !=
+              TaskPhase::kDone) {
+            Change({id, k, s, i});
+          }
+        }
+      }
+      if (is_done ||
+          std::ranges::any_of(steps[s], has_phase(TaskPhase::kWaiting))) {
+        // Not the name of a member, so that none is left out.
+        const auto end = static_cast<uint32_t>(steps[s].size());
+        WithdrawGang({id, k, s, end}, created_at_);
+      }
+    }
+  }
 }
 
 void JobScheduler::Cancel(const JobId& id, Instant now) {
@@ -564,6 +601,12 @@
                            ready.queue->service,
                            std::nullopt};
   request.is_isolated = tasks.front().crashes > 0;
+  const std::pair position(ready.occurrence, ready.step);
+  const Instant waiting_since =
+      ready.entry->waiting.try_emplace(position, WaitingStep{now})
+          .first->second.since;
+  request.has_waited =
+      step.is_filler && now - waiting_since >= settings_.longest_wait;
   const std::vector<RunnerIncarnation> chosen_runners =
       ChooseGangRunners(request, number + 1, now);
   if (chosen_runners.empty()) {
@@ -582,6 +625,7 @@
     Claim({*ready.id, ready.occurrence, ready.step, i}, number + 1, step,
           *fleet_.Find(chosen_runners[i]), ready, now);
   }
+  ready.entry->waiting.erase(position);
   return true;
 }
 
