Jobs: Counts a job as begun once a start was carried out

The progress of a task now says whether a run of it has been started. It is stored with the next change of the task; a job of which no change has told within a second gets one record of its own. Records of the earlier version count as started if a run has had an effect. A new leader finds starts that aren't stored yet in the runners' lists.

--- a/src/libs/cluster/job_replica.cpp
+++ b/src/libs/cluster/job_replica.cpp
@@ -123,7 +123,9 @@
       it->second.tasks.erase(task);
     }
   } else if (auto progress = jobs::Decode<jobs::TaskProgress>(record.value)) {
-    directory_.OnStarted(task.job);
+    if (jobs::HasStarted(*progress)) {
+      directory_.OnStarted(task.job);
+    }
     content_.progress[task.job].tasks.insert_or_assign(task,
                                                        std::move(*progress));
   } else {
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -290,8 +290,10 @@
 }
 
 void Leader::OnChangesStored(const jobs::JobScheduler::Changes& changes) {
-  for (const jobs::TaskKey& task : changes.tasks | std::views::keys) {
-    directory_.OnStarted(task.job);
+  for (const auto& [task, progress] : changes.tasks) {
+    if (progress && jobs::HasStarted(*progress)) {
+      directory_.OnStarted(task.job);
+    }
   }
   for (const auto& [id, outcome] : changes.outcomes) {
     directory_.OnOutcome(id, outcome);
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -26,7 +26,8 @@
 }
 static auto Fields(TaskProgress& value) {
   return std::tie(value.phase, value.run, value.failures, value.incarnation,
-                  value.checkpoint, value.crashes, value.lone_crashes);
+                  value.checkpoint, value.crashes, value.lone_crashes,
+                  value.has_started);
 }
 static auto Fields(StoredOutcome& value) {
   return std::tie(value.outcome);
--- a/src/libs/jobs/directory.h
+++ b/src/libs/jobs/directory.h
@@ -19,6 +19,8 @@
  public:
   void OnJob(const JobId& id, const Job& job);
   void OnCancelled(const JobId& id);
+  // A run of one of its tasks has been started. A claim alone doesn't count:
+  // its start may still be refused.
   void OnStarted(const JobId& id);
   void OnOutcome(const JobId& id, JobOutcome outcome);
   void Forget(const JobId& id) { jobs_.erase(id); }
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -58,6 +58,11 @@
                                             job.occurrences, occurrence)};
 }
 
+bool HasStarted(const TaskProgress& task) {
+  return task.has_started || task.phase == TaskPhase::kDone ||
+         task.failures > 0 || task.crashes > 0 || !task.checkpoint.empty();
+}
+
 TaskProgress* FindTask(JobProgress& progress, const TaskKey& task) {
   if (task.occurrence >= progress.occurrences.size()) {
     return nullptr;
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -101,12 +101,19 @@
   // row; of a gang, kept with its first task.
   uint32_t crashes = 0;
   uint32_t lone_crashes = 0;  // Of these, those where nothing else had started.
+  // Whether a run of the task has been started, and not only claimed. Stored
+  // with the next change of the task; see JobScheduler::StoreOverdueStarts().
+  bool has_started = false;
 
   static constexpr size_t kRequiredFields = 5;  // Before `crashes`.
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
+// Returns whether a run of the task is known to have been started. Earlier
+// versions don't store that, so runs that have had an effect count as well.
+bool HasStarted(const TaskProgress& task);
+
 // The tasks of one occurrence, step by step.
 struct OccurrenceProgress {
   std::vector<std::vector<TaskProgress>> steps;
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -194,6 +194,7 @@
       continue;
     }
     *known = task;
+    entry->is_start_stored = entry->is_start_stored || HasStarted(task);
     if (task.phase != TaskPhase::kClaimed) {
       continue;
     }
@@ -247,6 +248,30 @@
              : &entry->job.steps[task.step];
 }
 
+void JobScheduler::OnStarted(const TaskKey& task, Instant now) {
+  // A second is left of the two by which the count of jobs that have not begun
+  // may be late, for the record to be written and read.
+  constexpr milliseconds kStoreDelay(1000);
+  TaskProgress* progress = TaskOf(task);
+  if (progress == nullptr || std::exchange(progress->has_started, true)) {
+    return;
+  }
+  if (open_.contains(task.job) && !jobs_.at(task.job).is_start_stored) {
+    unstored_starts_.try_emplace(task.job, task, now + kStoreDelay);
+  }
+}
+
+void JobScheduler::StoreOverdueStarts(Instant now) {
+  std::erase_if(unstored_starts_, [&](const auto& it) {
+    const UnstoredStart& start = it.second;
+    if (now < start.due) {
+      return false;
+    }
+    Change(start.task);
+    return true;
+  });
+}
+
 void JobScheduler::CheckCompletion(const JobId& id, Instant now) {
   const Entry& entry = jobs_.at(id);
   const bool is_done = std::ranges::all_of(
@@ -267,6 +292,7 @@
   entry.progress.outcome = outcome;
   entry.ended_at = now;
   open_.erase(id);
+  unstored_starts_.erase(id);
   changed_outcomes_.insert(id);
   entry.ended_version = ++version_;
   ForEachTask(entry.progress, id, [this](const TaskKey& key, const auto& task) {
@@ -379,6 +405,7 @@
   if (!MayClaim(now)) {
     return;
   }
+  StoreOverdueStarts(now);
   RelocateFillers(now);
   RegroupServing(now);
   waiting_in_round_ = 0;
@@ -612,6 +639,10 @@
         key, is_needed ? std::optional<TaskProgress>(*task) : std::nullopt);
   }
   changed_outcomes_.clear();
+    if (is_needed && HasStarted(*task)) {
+      jobs_.at(key.job).is_start_stored = true;
+      unstored_starts_.erase(key.job);
+    }
   changed_tasks_.clear();
   return changes;
 }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -281,6 +281,8 @@
     JobProgress progress;
     std::map<TaskKey, RunnerIncarnation> failed_on;
     Instant ended_at;  // Unset while the job is open.
+    // Whether it is stored that a task has started.
+    bool is_start_stored = false;
     // Of the scheduler when the job ended; 0 if an earlier leader stored that.
     uint64_t ended_version = 0;
     // By occurrence and step.
@@ -290,6 +292,11 @@
     // Of the progress; unset since it has changed.
     std::optional<JobTally> tally;
   };
+  // The first known start of a job, of which nothing stored tells yet.
+  struct UnstoredStart {
+    TaskKey task;
+    Instant due;  // When it is stored by itself.
+  };
   // The report that told of a runner's end.
   struct EndReport {
     int64_t agent_start_unix_ms = 0;
@@ -476,6 +483,12 @@
   void ClearCrashes(const TaskKey& task);
   void CheckCompletion(const JobId& id, Instant now);
   void CloseJob(const JobId& id, JobOutcome outcome, Instant now);
+  // Notes that a run of the task has been started.
+  void OnStarted(const TaskKey& task, Instant now);
+  // Standbys learn from the stored progress which jobs have begun. Most changes
+  // of a task come soon after its start and tell of it; a job whose tasks take
+  // longer gets one record more, as each record is priced.
+  void StoreOverdueStarts(Instant now);
   // Process the result of an order to the runner.
   void ProcessResult(Runner& runner,
                      const StartOrder& start,
@@ -523,6 +536,7 @@
       released_;
   // Of runners that have ended a little while ago.
   std::map<RunnerIncarnation, EndReport> end_reports_;
+  std::map<JobId, UnstoredStart> unstored_starts_;  // Of open jobs.
   Interference interference_;
   DurationEstimator durations_;
   CrashHistory crashes_;
--- a/src/libs/jobs/job_scheduler_ends.cpp
+++ b/src/libs/jobs/job_scheduler_ends.cpp
@@ -80,6 +80,7 @@
                                           const EndedRun& ended,
                                           Instant now) {
   const Run run = runner.runs.at(ended.task);
+  OnStarted(ended.task, now);
   if (ended.end == RunEnd::kDone) {
     ObserveDuration(ended.task, run, now);
   }
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -139,6 +139,7 @@
     if (!run->has_survived_start && report.listed_at_ms - run->started_by_ms >=
                                         settings_.crash_window.count()) {
       run->has_survived_start = true;
+    OnStarted(active.task, now);
       if (!run->is_gang || HasGangSurvivedStart(active.task)) {
         ClearCrashes(active.task);
       }
@@ -431,6 +432,7 @@
               : std::min(run->started_by_ms, result.known_at_ms);
       run->progressed_at = now;
       run->started_at = now;
+      OnStarted(start.task, now);
       if (!run->settles_at) {
         run->settles_at = now + settings_.crash_window;
       }
--- a/tests/auto/cluster/job_replica_test.cpp
+++ b/tests/auto/cluster/job_replica_test.cpp
@@ -52,6 +52,37 @@
   EXPECT_EQ(replica_.content().progress.at(kId), expected);
 }
 
+// Guards against a standby whose count leaves out jobs that wait: their claims
+// are stored, and their starts are refused. Earlier versions don't store
+// whether a run was started.
+TEST_F(JobReplicaTest, JobHasBegunOnceAStartIsKnown) {
+  jobs::Job job;
+  job.queue = "q";
+  Store(kJobsTopic, {KeyOf(kJobPrefix, kId), jobs::Encode(job)});
+  const std::string key = KeyOf(jobs::TaskKey{kId, 0, 0, 0});
+  jobs::TaskProgress task{jobs::TaskPhase::kClaimed, 1, 0, {"n", "i", 1}, {}};
+  Store(kProgressTopic, {key, jobs::Encode(task)});
+  CatchUp();
+  EXPECT_EQ(directory_.StateOf("q", kId), jobs::JobState::kQueued);
+  EXPECT_EQ(directory_.CountQueued("q"), 1U);
+  task.phase = jobs::TaskPhase::kWaiting;
+  Store(kProgressTopic, {key, jobs::Encode(task)});
+  CatchUp();
+  EXPECT_EQ(directory_.CountQueued("q"), 1U);
+  task.has_started = true;
+  Store(kProgressTopic, {key, jobs::Encode(task)});
+  CatchUp();
+  EXPECT_EQ(directory_.StateOf("q", kId), jobs::JobState::kRunning);
+  EXPECT_EQ(directory_.CountQueued("q"), 0U);
+  const jobs::TaskProgress done{jobs::TaskPhase::kDone, 1, 0, {}, {}};
+  const JobId other("b");
+  Store(kJobsTopic, {KeyOf(kJobPrefix, other), jobs::Encode(job)});
+  Store(kProgressTopic,
+        {KeyOf(jobs::TaskKey{other, 0, 0, 0}), jobs::Encode(done)});
+  CatchUp();
+  EXPECT_EQ(directory_.StateOf("q", other), jobs::JobState::kRunning);
+}
+
 // Records of other software or of an earlier format are skipped.
 TEST_F(JobReplicaTest, SkipsUnreadableRecords) {
   Store(kProgressTopic, {"p/" + kId.text(), "whole progress of a job"});
