Cluster: Keeps the runs of a runner whose connections are refused

Only a later process of the runner, its own announcement that it leaves, or the end of its lease ends a process now. After two refusals the agent reports the runner as unreachable until it answers: it gets no starts and no further lease, and its runs aren't taken for stalled. The time of the suspected crash is in these reports and in those of the next process; the leader counts the crash when that announces itself, or when the lease has ended.

In histories of runs, cuts of the second runner's renewals refuse connections.

--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -151,11 +151,22 @@
   const RenewalOutcome outcome =
       session_.OnLeaseRenewed(call, std::move(result), context_.clock.Now());
   if (outcome.has_runner_ended) {
-    OnRunnerEnded("Connections to the runner's address are refused.");
+    OnRunnerEnded(
+        "The runner announced that it is leaving, and connections to its "
+        "address are refused.");
     return;
   }
   if (outcome.is_superseded) {
     LookUpLeader();
+  if (outcome.is_reachable) {
+    context_.logger.Log(
+        Event::kRunnerChanged,
+        {{"change", *outcome.is_reachable ? "reachable" : "unreachable"},
+         {"subject", ToText(session_.incarnation())},
+         {"reason", *outcome.is_reachable
+                        ? "The runner answers again."
+                        : "Connections to the runner's address are refused."}});
+  }
   }
   if (outcome.is_report_due) {
     ReportNow();
--- a/src/libs/cluster/runner_api.h
+++ b/src/libs/cluster/runner_api.h
@@ -56,7 +56,7 @@
 };
 
 enum class RunnerFailure {
-  kNotListening,  // The runner's process is not running.
+  kNotListening,  // The connection was refused.
   kOtherIncarnation,
   kSuperseded,  // The runner has received a call of a later term.
   kUnanswered,
--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -7,9 +7,9 @@
 namespace papayadrift::cluster {
 namespace {
 
-// Consecutive refused connections after which the runner is considered ended. A
-// single one may be due to a restart of the listener.
-constexpr uint32_t kRefusedCallsUntilEnded = 2;
+// Consecutive refused connections after which the runner is considered
+// unreachable. A single one may be due to a restart of the listener.
+constexpr uint32_t kRefusedCallsUntilUnreachable = 2;
 // Maximum time for which ends that are not recorded yet delay the next listing
 // of runs.
 constexpr milliseconds kEndsRecordingDelay(300);
@@ -120,7 +120,9 @@
 
 void RunnerSession::OnRunnerStarted(const Announcement& announcement,
                                     Instant now) {
+  earlier_crash_.reset();
   if (announced_ && !IsSameProcess(announcement, *announced_)) {
+    earlier_crash_ = SuspectedCrash();
     former_processes_.push_back(incarnation());
     if (former_processes_.size() > kMaxFormerProcesses) {
       former_processes_.pop_front();
@@ -132,7 +134,7 @@
   ++generation_;
   is_renewing_ = false;
   refused_calls_ = 0;
-  crash_.reset();
+  is_unreachable_ = false;
   suspected_crash_.reset();
   answered_at_ms_ = ToMs(now);
   left_at_.reset();
@@ -157,18 +159,25 @@
     left_at_ = now;
     return false;
   }
-  OnRunnerEnded(std::nullopt);
+  OnRunnerEnded();
   return true;
 }
 
-void RunnerSession::OnRunnerEnded(std::optional<jobs::CrashTime> crash) {
+void RunnerSession::OnRunnerEnded() {
   has_ended_ = true;
-  crash_ = crash;
+  is_unreachable_ = false;
+  suspected_crash_.reset();
   is_end_recorded_ = false;
   ++generation_;
   announced_->state = jobs::RunnerState::kGone;
 }
 
+std::optional<jobs::CrashTime> RunnerSession::SuspectedCrash() const {
+  return left_at_ || announced_->state != jobs::RunnerState::kReady
+             ? std::nullopt
+             : suspected_crash_;
+}
+
 bool RunnerSession::OnLeader(const jobs::LeaderRecord& leader) {
   if (leader.term <= leader_.term) {
     return false;
@@ -244,13 +253,20 @@
   }
   refused_calls_ =
       failure == RunnerFailure::kNotListening ? refused_calls_ + 1 : 0;
-  if (refused_calls_ >= kRefusedCallsUntilEnded) {
-    const bool is_leaving =
-        left_at_ || announced_->state == jobs::RunnerState::kDraining;
-    OnRunnerEnded(is_leaving ? std::nullopt : suspected_crash_);
+  RenewalOutcome outcome{.is_superseded = is_superseded,
+                         .next_renewal = kRetryDelay};
+  if (refused_calls_ < kRefusedCallsUntilUnreachable) {
+    return outcome;
+  }
+  if (left_at_) {
+    OnRunnerEnded();
     return {.has_runner_ended = true, .is_report_due = true};
   }
-  return {.is_superseded = is_superseded, .next_renewal = kRetryDelay};
+  if (!std::exchange(is_unreachable_, true)) {
+    outcome.is_reachable = false;
+    outcome.is_report_due = true;
+  }
+  return outcome;
 }
 
 RenewalOutcome RunnerSession::OnLeaseRenewed(const RenewalCall& call,
@@ -305,8 +321,10 @@
   if (has_unrecorded_ends) {
     delay = kEndsRecordingDelay;
   }
-  return {.is_report_due =
-              has_unrecorded_ends || (is_first && !renewal.has_unreadable_end),
+  const bool was_unreachable = std::exchange(is_unreachable_, false);
+  return {.is_reachable = was_unreachable ? std::optional(true) : std::nullopt,
+          .is_report_due = has_unrecorded_ends || was_unreachable ||
+                           (is_first && !renewal.has_unreadable_end),
           .next_renewal = delay};
 }
 
@@ -329,9 +347,12 @@
   report.labels = announced_->labels;
   report.sent_at_ms = ToMs(now);
   report.agent_start_unix_ms = agent_start_unix_ms_;
-  if (has_ended_) {
-    report.crash = crash_;
-  } else {
+  report.earlier_crash = earlier_crash_;
+  if (!has_ended_) {
+    report.is_unreachable = is_unreachable_;
+    if (is_unreachable_) {
+      report.crash = SuspectedCrash();
+    }
     report.listed_at_ms = listed_at_ms_;
     report.active = active_;
     report.ended = ended_;
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -36,6 +36,8 @@
 // What follows from the answer to a lease renewal.
 struct RenewalOutcome {
   bool has_runner_ended = false;
+  // Whether the runner can be reached, if that has changed.
+  std::optional<bool> is_reachable;
   bool is_superseded = false;  // There is a leader of a later term.
   bool is_report_due = false;
   // Delay before the next renewal; unset if there is none, or if the answer is
@@ -77,6 +79,17 @@
 
 // What an agent knows of its runner and of the leader, and all decisions that
 // rest on it. Does no I/O and reads no clock; times are the agent's.
+//
+// The leader starts the runs of an ended process elsewhere, so that only these
+// count as evidence that a process has ended:
+// - the announcement of a later process of the runner;
+// - its own announcement that it is leaving, after it has announced that it
+//   drains or while its address refuses connections;
+// - the end of its lease, which the leader keeps.
+// A refused connection shows only that nobody listens at the address at that
+// moment. The process may be alive behind a cut path, and so may its runs. It
+// is reported as unreachable then: it gets no starts and its lease isn't
+// extended.
 class RunnerSession {
  public:
   // Delay before a lease renewal that failed or was not possible is repeated.
@@ -157,8 +170,10 @@
   // been set back.
   bool HasReplacedAnnounced(const Announcement& announcement) const;
   void OnRunnerStarted(const Announcement& announcement, Instant now);
-  // `crash` is unset if the end was announced.
-  void OnRunnerEnded(std::optional<jobs::CrashTime> crash);
+  void OnRunnerEnded();
+  // When the announced process may have crashed; nothing if it announced that
+  // it drains or leaves.
+  std::optional<jobs::CrashTime> SuspectedCrash() const;
   RenewalOutcome OnRenewalFailed(RunnerFailure failure,
                                  Instant sent_at,
                                  Instant now);
@@ -199,10 +214,11 @@
   bool is_end_recorded_ = false;
   uint64_t generation_ = 0;
   uint32_t refused_calls_ = 0;
-  int64_t answered_at_ms_ = 0;  // When the runner answered last.
+  bool is_unreachable_ = false;  // See jobs::RunnerReport.
+  int64_t answered_at_ms_ = 0;   // When the runner answered last.
   // When the runner crashed, if calls to it fail.
   std::optional<jobs::CrashTime> suspected_crash_;
-  std::optional<jobs::CrashTime> crash_;  // See jobs::RunnerReport.
+  std::optional<jobs::CrashTime> earlier_crash_;  // See jobs::RunnerReport.
   // When a process of this name left, if none has answered a later call.
   std::optional<Instant> left_at_;
   // When the last call that the announced process has answered was sent, if
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -68,7 +68,8 @@
                   value.zone, value.vm, value.state, value.capacity,
                   value.labels, value.sent_at_ms, value.listed_at_ms,
                   value.active, value.ended, value.crash, value.has_all_ends,
-                  value.agent_start_unix_ms);
+                  value.agent_start_unix_ms, value.is_unreachable,
+                  value.earlier_crash);
 }
 static auto Fields(ReportAnswer& value) {
   return std::tie(value.term, value.recorded_ends, value.lease_until_ms);
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -399,13 +399,17 @@
     }
   }
   for (const auto& [incarnation, reason] : lost) {
-    RemoveRunner(incarnation, reason, std::nullopt, now);
+    // A process that was unreachable until its lease ended has crashed as far
+    // as can be told.
+    const Runner& runner = *fleet_.Find(incarnation);
+    RemoveRunner(incarnation, reason,
+                 CrashOf(runner, runner.report, runner.reported_at), now);
   }
+  StoreOverdueStarts(now);
   has_more_to_place_ = false;
   if (!MayClaim(now)) {
     return;
   }
-  StoreOverdueStarts(now);
   RelocateFillers(now);
   RegroupServing(now);
   waiting_in_round_ = 0;
@@ -635,14 +639,14 @@
     const bool is_needed =
         task != nullptr &&
         (open_.contains(key.job) || task->phase == TaskPhase::kClaimed);
-    changes.tasks.emplace_back(
-        key, is_needed ? std::optional<TaskProgress>(*task) : std::nullopt);
-  }
-  changed_outcomes_.clear();
     if (is_needed && HasStarted(*task)) {
       jobs_.at(key.job).is_start_stored = true;
       unstored_starts_.erase(key.job);
     }
+    changes.tasks.emplace_back(
+        key, is_needed ? std::optional<TaskProgress>(*task) : std::nullopt);
+  }
+  changed_outcomes_.clear();
   changed_tasks_.clear();
   return changes;
 }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -453,9 +453,9 @@
                    const TaskKey& task,
                    const Run& run,
                    Instant now) const;
-  // Removes the earlier processes of the runner; `successor` is the later one,
-  // unless that has ended too.
-  void RemoveEarlierIncarnations(const RunnerIncarnation& incarnation,
+  // Removes the processes before the reported one; `successor` is that, unless
+  // it has ended too.
+  void RemoveEarlierIncarnations(const RunnerReport& report,
                                  Runner* successor,
                                  Instant now);
   // Gives up the runs of the runner. A `successor` is a process under the same
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -19,13 +19,13 @@
 
 }  // namespace
 
-void JobScheduler::RemoveEarlierIncarnations(
-    const RunnerIncarnation& incarnation,
-    Runner* successor,
-    Instant now) {
+void JobScheduler::RemoveEarlierIncarnations(const RunnerReport& report,
+                                             Runner* successor,
+                                             Instant now) {
+  const RunnerIncarnation& incarnation = report.incarnation;
   for (const RunnerIncarnation& older : fleet_.OtherIncarnations(incarnation)) {
     RemoveRunner(older, "A later incarnation of the runner has started.",
-                 CrashOfReplaced(*fleet_.Find(older), now), now,
+                 CrashOfReplaced(*fleet_.Find(older), report, now), now,
                  older.instance == incarnation.instance ? successor : nullptr);
   }
 }
@@ -107,6 +107,11 @@
   if (!runner.released.empty()) {
     return LeaseRefusal::kRunsToStop;
   }
+  if (runner.report.is_unreachable) {
+    // The agent can't pass a lease on. One that it isn't granted ends sooner,
+    // which matters if the process has ended for good.
+    return LeaseRefusal::kUnreachable;
+  }
   if (!runner.listed_at) {
     return LeaseRefusal::kNoLists;
   }
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -40,7 +40,7 @@
     });
     end_reports_[incarnation] = {report.agent_start_unix_ms, report.sent_at_ms,
                                  now};
-    RemoveEarlierIncarnations(incarnation, nullptr, now);
+    RemoveEarlierIncarnations(report, nullptr, now);
     const Runner* ended = fleet_.Find(incarnation);
     RemoveRunner(incarnation, "The agent reported that the runner has ended.",
                  ended == nullptr ? std::nullopt : CrashOf(*ended, report, now),
@@ -56,7 +56,7 @@
   }
   runner.report.incarnation = incarnation;
   InheritFormerAgents(runner, report);
-  RemoveEarlierIncarnations(incarnation, &runner, now);
+  RemoveEarlierIncarnations(report, &runner, now);
   const bool is_new = !runner.has_report;
   if (!is_new &&
       report.agent_start_unix_ms == runner.report.agent_start_unix_ms &&
@@ -85,8 +85,15 @@
   if (report.listed_at_ms > 0) {
     ProcessLists(runner, report, now);
     WithdrawStartsBeyondCapacity(runner, now);
-    CheckProgress(runner, now);
-    UpdatePaces(runner, now);
+    if (report.is_unreachable) {
+      // The lists are old: no progress since then doesn't mean a stall.
+      for (Run& run : runner.runs | std::views::values) {
+        run.progressed_at = now;
+      }
+    } else {
+      CheckProgress(runner, now);
+      UpdatePaces(runner, now);
+    }
     fleet_.MarkChanged(runner);
   }
   const auto refusal = RefusalOf(runner, now);
@@ -132,6 +139,7 @@
       run->progressed_at = now;
     }
     run->is_accepted = true;
+    OnStarted(active.task, now);
     if (run->started_by_ms == 0) {
       run->started_by_ms = report.sent_at_ms;
       run->settles_at = now + settings_.crash_window;
@@ -139,7 +147,6 @@
     if (!run->has_survived_start && report.listed_at_ms - run->started_by_ms >=
                                         settings_.crash_window.count()) {
       run->has_survived_start = true;
-    OnStarted(active.task, now);
       if (!run->is_gang || HasGangSurvivedStart(active.task)) {
         ClearCrashes(active.task);
       }
@@ -425,6 +432,7 @@
   switch (result.verdict) {
     case OrderVerdict::kDone:
       run->is_accepted = true;
+      OnStarted(start.task, now);
       run->accepted_at_ms = result.known_at_ms;
       run->started_by_ms =
           run->started_by_ms == 0
@@ -432,7 +440,6 @@
               : std::min(run->started_by_ms, result.known_at_ms);
       run->progressed_at = now;
       run->started_at = now;
-      OnStarted(start.task, now);
       if (!run->settles_at) {
         run->settles_at = now + settings_.crash_window;
       }
--- a/src/libs/jobs/lease_refusal.cpp
+++ b/src/libs/jobs/lease_refusal.cpp
@@ -10,6 +10,8 @@
       return "The runner has not listed its runs yet.";
     case LeaseRefusal::kOldLists:
       return "The runner no longer lists its runs.";
+    case LeaseRefusal::kUnreachable:
+      return "Connections to the runner's address are refused.";
     case LeaseRefusal::kUnconfirmedStop:
       return "The runner does not carry out a stop.";
   }
--- a/src/libs/jobs/lease_refusal.h
+++ b/src/libs/jobs/lease_refusal.h
@@ -10,6 +10,7 @@
   kRunsToStop,       // Starts that were given up may still arrive there.
   kNoLists,          // The runner has not listed its runs yet.
   kOldLists,         // It has stopped to list them.
+  kUnreachable,      // Connections to its address are refused.
   kUnconfirmedStop,  // It has not carried out a stop for very long.
 };
 
--- a/src/libs/jobs/runner.h
+++ b/src/libs/jobs/runner.h
@@ -74,13 +74,20 @@
   int64_t listed_at_ms = 0;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
-  std::optional<CrashTime> crash;  // If it ended without announcing it.
+  // When it crashed, if it ended without announcing it, or may have crashed
+  // while it is unreachable.
+  std::optional<CrashTime> crash;
   // Whether `ended` has all ends that are not acknowledged; a runner lists a
   // limited number of them at once.
   bool has_all_ends = true;
   // When the agent started, by its VM's time of day. Its clock may start anew
   // with it.
   int64_t agent_start_unix_ms = 0;
+  // Connections to its address are refused. Its process may have ended, or may
+  // be alive behind a cut path: its runs may go on until its lease ends.
+  bool is_unreachable = false;
+  // When the process before it may have crashed, if calls to that had failed.
+  std::optional<CrashTime> earlier_crash;
 
   static constexpr size_t kRequiredFields = 12;  // Before `crash`.
 
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -142,6 +142,7 @@
          runner.lease_expires_at > now && now >= runner.suspended_until &&
          now >= runner.failing_until && runner.released.empty() &&
          runner.lease_refusal != LeaseRefusal::kOldLists &&
+         runner.lease_refusal != LeaseRefusal::kUnreachable &&
          runner.lease_refusal != LeaseRefusal::kUnconfirmedStop;
 }
 
--- a/src/libs/jobs/runner_crash.cpp
+++ b/src/libs/jobs/runner_crash.cpp
@@ -1,23 +1,44 @@
 #include "jobs/runner_crash.h"
 
 namespace papayadrift::jobs {
+namespace {
+
+RunnerCrash CrashAt(const CrashTime& crash,
+                    int64_t sent_at_ms,
+                    Instant received_at) {
+  return {crash.earliest_ms,
+          received_at - milliseconds(sent_at_ms - crash.latest_ms)};
+}
+
+}  // namespace
 
 std::optional<RunnerCrash> CrashOf(const Runner& runner,
                                    const RunnerReport& report,
-                                   Instant now) {
+                                   Instant received_at) {
   if (!report.crash || runner.report.state == RunnerState::kDraining) {
     return std::nullopt;
   }
-  return RunnerCrash{
-      report.crash->earliest_ms,
-      now - milliseconds(report.sent_at_ms - report.crash->latest_ms)};
+  return CrashAt(*report.crash, report.sent_at_ms, received_at);
 }
 
-std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner, Instant now) {
-  if (!runner.has_report || runner.report.state != RunnerState::kReady) {
+std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner,
+                                           const RunnerReport& successor,
+                                           Instant now) {
+  if (runner.has_report && runner.report.state != RunnerState::kReady) {
     return std::nullopt;
   }
-  return RunnerCrash{runner.report.listed_at_ms, now};
+  std::optional<RunnerCrash> crash;
+  if (successor.earlier_crash) {
+    crash = CrashAt(*successor.earlier_crash, successor.sent_at_ms, now);
+  } else if (runner.report.crash) {
+    crash = CrashOf(runner, runner.report, runner.reported_at);
+  } else if (runner.has_report) {
+    crash = RunnerCrash{runner.report.listed_at_ms, now};
+  }
+  const bool is_counted = crash && runner.report.is_unreachable &&
+                          runner.runs.empty() &&
+                          crash->latest < runner.joined_at;
+  return is_counted ? std::nullopt : crash;
 }
 
 std::set<TaskKey> CrashSuspects(const RunTable& runs,
--- a/src/libs/jobs/runner_crash.h
+++ b/src/libs/jobs/runner_crash.h
@@ -26,15 +26,19 @@
   friend bool operator==(const RunnerCrash&, const RunnerCrash&) = default;
 };
 
-// Returns the crash of which `report` tells, or std::nullopt if it tells of
-// none or the runner was draining.
+// Returns the crash of which `report`, received at `received_at`, tells, or
+// std::nullopt if it tells of none or the runner was draining.
 std::optional<RunnerCrash> CrashOf(const Runner& runner,
                                    const RunnerReport& report,
-                                   Instant now);
+                                   Instant received_at);
 
 // Returns the crash of a runner that has been replaced by a later incarnation,
-// or std::nullopt if it was draining or never reported.
-std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner, Instant now);
+// whose report `successor` was received at `now`; std::nullopt if it was
+// draining, if nothing is known of it, or if its runs were given up before:
+// that crash has been counted.
+std::optional<RunnerCrash> CrashOfReplaced(const Runner& runner,
+                                           const RunnerReport& successor,
+                                           Instant now);
 
 // Returns the tasks whose start may have crashed the runner, as by
 // CrashRecordOf(): those that started less than `window` before or may have.
--- a/tests/auto/run_histories/network.cpp
+++ b/tests/auto/run_histories/network.cpp
@@ -13,6 +13,11 @@
          kind == LinkKind::kAgentRead;
 }
 
+// Whether a cut of the link refuses connections; calls over others get lost.
+bool IsRefusedByCut(const Link& link) {
+  return link.kind == LinkKind::kHold && link.index % 2 == 1;
+}
+
 bool IsToRunner(LinkKind kind) {
   return kind == LinkKind::kOrder || kind == LinkKind::kHold;
 }
@@ -44,7 +49,11 @@
   plan.request = latency;
   plan.answer = latency;
   if (simulation_.Now() < condition.cut_until) {
-    plan.request.reset();
+    if (IsRefusedByCut(link)) {
+      plan.is_refused = true;
+    } else {
+      plan.request.reset();
+    }
     return plan;
   }
   if (condition.faults.empty()) {
--- a/tests/auto/run_histories/network.h
+++ b/tests/auto/run_histories/network.h
@@ -79,7 +79,8 @@
 
   // Applies to the next call of the link that no other fault applies to.
   void Inject(const Link& link, const Fault& fault);
-  // Loses all requests of the link until `until`.
+  // Loses all requests of the link until `until`. The second runner refuses
+  // lease renewals instead.
   void Cut(const Link& link, Instant until);
   // Ends all faults and cuts that have not taken effect.
   void Heal();
--- a/tests/auto/run_histories/network_runner.cpp
+++ b/tests/auto/run_histories/network_runner.cpp
@@ -35,6 +35,10 @@
       {LinkKind::kHold, index_}, TimeoutOf(deadline),
       [&runner = runner_, call, instance](
           const Delivery& delivery, const Network::Respond<Result>& respond) {
+        if (delivery.is_refused) {
+          respond(cluster::RunnerFailure::kNotListening);
+          return;
+        }
         runner.Receive(delivery.held_up, [&runner, call, instance, respond] {
           runner.Hold(instance, call, respond);
         });
