Cluster: Finds the leader beyond the first page of its topic

Each VM that is killed leaves the announcement of its frontend behind. With more than a page of them an agent never found the leader's record, which sorts after them.

A lookup reads on for up to 16 pages and 1.5 s; the next one goes on from there, and later ones begin at the page that had the record. The leader deletes up to 64 announcements of frontends that have timed out, with its own announcement.

--- a/src/libs/cluster/frontend_list.cpp
+++ b/src/libs/cluster/frontend_list.cpp
@@ -53,16 +53,29 @@
     return;
   }
   peers_[record.node] = {record, now};
+  timed_out_.erase(record.node);
   // Ages are relative to the newest announcement, not to the current time:
   // during an outage of the store no announcement arrives, and no frontend must
   // time out.
   std::erase_if(peers_, [this, now](const auto& it) {
-    return now - it.second.last_announced_at > timeout_;
+    const bool has_timed_out = now - it.second.last_announced_at > timeout_;
+    if (has_timed_out) {
+      timed_out_.insert(it.first);
+    }
+    return has_timed_out;
   });
 }
 
 void FrontendList::Remove(const std::string& node) {
   peers_.erase(node);
+  timed_out_.erase(node);
+}
+
+std::vector<std::string> FrontendList::TimedOut(size_t max_count) const {
+  std::vector<std::string> nodes;
+  std::ranges::copy(timed_out_ | std::views::take(max_count),
+                    std::back_inserter(nodes));
+  return nodes;
 }
 
 size_t FrontendList::OwnRank() const {
--- a/src/libs/cluster/frontend_list.h
+++ b/src/libs/cluster/frontend_list.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,10 @@
   void Put(const FrontendRecord& record, Instant now);
   void Remove(const std::string& node);
 
+  // Returns at most `max_count` frontends that have timed out and whose
+  // announcements haven't been removed from the topic since.
+  std::vector<std::string> TimedOut(size_t max_count) const;
+
   const FrontendRecord& own() const { return own_; }
   bool has_no_peers() const { return peers_.empty(); }
   bool IsOwnStandby() const { return OwnRank() < standbys_; }
@@ -67,6 +72,7 @@
   const size_t standbys_;
   const milliseconds timeout_;
   std::map<std::string, Peer> peers_;  // By node.
+  std::set<std::string> timed_out_;
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/job_frontend.cpp
+++ b/src/libs/cluster/job_frontend.cpp
@@ -474,12 +474,21 @@
 }
 
 void JobFrontend::Announce() {
+  // VMs that are replaced leave the announcements of their frontends behind.
+  // One that is alive announces itself again.
+  constexpr size_t kMaxRemovals = 64;
   const FrontendRecord& own = frontends_.own();
-  context_.log.Write({kLeaderTopic,
-                      {{std::string(kFrontendPrefix) + own.node, Encode(own)}},
-                      std::nullopt,
-                      std::nullopt},
-                     context_.clock.Now() + kQueryTimeout,
+  keyed_log::Append append{
+      kLeaderTopic,
+      {{std::string(kFrontendPrefix) + own.node, Encode(own)}},
+      std::nullopt,
+      std::nullopt};
+  if (election_.is_leading()) {
+    for (const std::string& node : frontends_.TimedOut(kMaxRemovals)) {
+      append.records.push_back({std::string(kFrontendPrefix) + node, {}});
+    }
+  }
+  context_.log.Write(append, context_.clock.Now() + kQueryTimeout,
                      [this](const keyed_log::AppendResult& result) {
                        context_.loop.RunAfter(
                            std::holds_alternative<keyed_log::Stored>(result)
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -16,6 +16,8 @@
 // limited and billed.
 constexpr milliseconds kLeaderLookupDelay(250);
 constexpr milliseconds kLeaderLookupTimeout(1500);
+// Pages that one lookup reads at most; the next one goes on behind them.
+constexpr size_t kMaxLookupPages = 16;
 // Concurrent calls to the runner from one batch, so that an unanswered one does
 // not block the others. The runner accepts 64 connections.
 constexpr size_t kMaxConcurrentCalls = 8;
@@ -156,8 +158,6 @@
         "address are refused.");
     return;
   }
-  if (outcome.is_superseded) {
-    LookUpLeader();
   if (outcome.is_reachable) {
     context_.logger.Log(
         Event::kRunnerChanged,
@@ -167,6 +167,8 @@
                         ? "The runner answers again."
                         : "Connections to the runner's address are refused."}});
   }
+  if (outcome.is_superseded) {
+    LookUpLeader();
   }
   if (outcome.is_report_due) {
     ReportNow();
@@ -299,34 +301,53 @@
     return;
   }
   is_looking_up_leader_ = true;
+  ReadLeaderPage(kMaxLookupPages, context_.clock.Now() + kLeaderLookupTimeout);
+}
+
+void RunnerAgent::ReadLeaderPage(size_t pages, Instant deadline) {
   context_.log.ReadNewest(
-      kLeaderTopic, {}, context_.clock.Now() + kLeaderLookupTimeout,
-      [this](const keyed_log::ReadResult& result) {
-        is_looking_up_leader_ = false;
-        bool is_new = false;
-        if (const auto* read = std::get_if<keyed_log::Records>(&result)) {
-          for (const keyed_log::StoredRecord& stored : read->records) {
-            if (stored.record.key != kLeaderKey) {
-              continue;
-            }
-            const auto leader =
-                jobs::Decode<jobs::LeaderRecord>(stored.record.value);
-            if (leader) {
-              is_new = UpdateLeader(*leader, "store");
-            }
-          }
+      kLeaderTopic, lookup_after_key_, deadline,
+      [this, pages, deadline](const keyed_log::ReadResult& result) {
+        const auto* page = std::get_if<keyed_log::Records>(&result);
+        if (page == nullptr) {
+          EndLeaderLookup(false);
+          return;
         }
-        if (session_.leader().address.empty()) {
-          ScheduleLeaderLookup();
+        const auto stored = std::ranges::find(
+            page->records, std::string_view(kLeaderKey),
+            [](const keyed_log::StoredRecord& it) -> std::string_view {
+              return it.record.key;
+            });
+        if (stored != page->records.end()) {
+          // The next lookup reads this page only.
+          const auto leader =
+              jobs::Decode<jobs::LeaderRecord>(stored->record.value);
+          EndLeaderLookup(leader && UpdateLeader(*leader, "store"));
           return;
         }
-        // A leader that was known already has just been tried.
-        if (!session_.is_reporting()) {
-          ScheduleReport(is_new ? milliseconds(0) : kLeaderLookupDelay);
+        const bool has_more = page->has_more && !page->records.empty();
+        lookup_after_key_ =
+            has_more ? page->records.back().record.key : std::string();
+        if (has_more && pages > 1 && context_.clock.Now() < deadline) {
+          ReadLeaderPage(pages - 1, deadline);
+        } else {
+          EndLeaderLookup(false);
         }
       });
 }
 
+void RunnerAgent::EndLeaderLookup(bool is_new) {
+  is_looking_up_leader_ = false;
+  if (session_.leader().address.empty()) {
+    ScheduleLeaderLookup();
+    return;
+  }
+  // A leader that was known already has just been tried.
+  if (!session_.is_reporting()) {
+    ScheduleReport(is_new ? milliseconds(0) : kLeaderLookupDelay);
+  }
+}
+
 void RunnerAgent::HandleOrders(const jobs::OrderBatch& batch,
                                const RespondToOrders& respond) {
   auto call = std::make_shared<PendingOrderBatch>();
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -63,6 +63,9 @@
   // this agent before.
   void ScheduleLeaderLookup();
   void LookUpLeader();
+  // Reads the next page of the lookup, the first of at most `pages`.
+  void ReadLeaderPage(size_t pages, Instant deadline);
+  void EndLeaderLookup(bool is_new);
   void LogRefusedView(const PendingOrderBatch& call,
                       jobs::OrderVerdict verdict) const;
   void SendNextOrders(const std::shared_ptr<PendingOrderBatch>& call);
@@ -76,6 +79,9 @@
   bool is_report_needed_ = false;
   bool is_report_failing_ = false;  // Whether the last report failed.
   bool is_looking_up_leader_ = false;
+  // Key behind which the lookup goes on: the next page to read, or the page
+  // that had the leader's record.
+  std::string lookup_after_key_;
   const std::unique_ptr<Timer> renewal_timer_;
   const std::unique_ptr<Timer> report_timer_;
   std::optional<Instant> report_due_;
--- a/src/libs/cluster/topics.h
+++ b/src/libs/cluster/topics.h
@@ -17,7 +17,8 @@
 // Progress of each job, and the leader's heartbeats. Only the leader writes to
 // it; its term fences off others.
 inline constexpr char kProgressTopic[] = "progress";
-// The current leader, for agents. Kept small, since they read the whole topic.
+// The current leader, for agents, and announcements of frontends. Kept small,
+// since a lookup of the leader reads the pages up to its record.
 inline constexpr char kLeaderTopic[] = "leader";
 
 inline constexpr char kLeaderKey[] = "leader";
--- a/tests/auto/cluster/frontend_list_test.cpp
+++ b/tests/auto/cluster/frontend_list_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 namespace papayadrift::cluster {
 namespace {
@@ -38,6 +39,22 @@
   EXPECT_EQ(frontends.ChooseSuccessor()->node, "node-3");
 }
 
+// Guards against a topic that grows with each VM that is replaced.
+TEST(FrontendListTest, TellsWhichAnnouncementsAreLeftBehind) {
+  FrontendList frontends = ListOf();
+  frontends.Put({"node-2", "a:2", 100, 500}, At(0));
+  frontends.Put({"node-3", "a:3", 100, 500}, At(0));
+  frontends.Put({"node-4", "a:4", 100, 500}, At(30'000));
+  EXPECT_TRUE(frontends.TimedOut(9).empty());
+  frontends.Put({"node-4", "a:4", 100, 500}, At(30'001));
+  EXPECT_EQ(frontends.TimedOut(9),
+            (std::vector<std::string>{"node-2", "node-3"}));
+  EXPECT_EQ(frontends.TimedOut(1), std::vector<std::string>{"node-2"});
+  frontends.Remove("node-2");
+  frontends.Put({"node-3", "a:3", 100, 500}, At(30'002));
+  EXPECT_TRUE(frontends.TimedOut(9).empty());
+}
+
 TEST(FrontendListTest, SmallVmSucceedsOnlyAmongSmallVms) {
   FrontendList frontends = ListOf();
   frontends.Put({"node-2", "a:2", 300, 69}, At(0));
