--- a/tests/auto/cluster/job_frontend_test.cpp
+++ b/tests/auto/cluster/job_frontend_test.cpp
@@ -2,10 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "async_http/server.h"
@@ -95,6 +97,43 @@
   EXPECT_EQ(result_, SubmitResult::kAccepted);
 }
 
+// Guards against a topic that grows with each VM that is replaced: one that is
+// killed leaves the announcement of its frontend behind.
+TEST_F(JobFrontendTest, LeaderDeletesAnnouncementsThatWereLeftBehind) {
+  const std::string key = std::string(kFrontendPrefix) + "killed";
+  const auto announce = [this](const std::string& node) {
+    log_.Write({kLeaderTopic,
+                {{std::string(kFrontendPrefix) + node,
+                  Encode(FrontendRecord{node, "127.0.0.1:2", 1, 1})}},
+                std::nullopt,
+                std::nullopt},
+               {}, [](const keyed_log::AppendResult&) {});
+  };
+  announce("killed");
+  JobFrontendSettings settings = PromptSettings();
+  settings.announcement_period = milliseconds(5);
+  settings.frontend_timeout = milliseconds(1000);
+  JobFrontend frontend(settings, context());
+  frontend.Start();
+  log_.Settle();
+  bool is_deleted = false;
+  constexpr int64_t kLimitMs = 60'000;
+  RunUntil([&] {
+    announce("other");
+    log_.ReadNewest(kLeaderTopic, {}, {}, [&](const keyed_log::ReadResult& it) {
+      const auto& records = std::get<keyed_log::Records>(it).records;
+      is_deleted = std::ranges::none_of(
+          records, [&](const keyed_log::StoredRecord& stored) {
+            return stored.record.key == key && !stored.record.value.empty();
+          });
+    });
+    log_.Settle();
+    return is_deleted || clock_.Now() > Instant(milliseconds(kLimitMs));
+  });
+  EXPECT_TRUE(is_deleted);
+  frontend.Stop();
+}
+
 // Guards against a leader on the smallest VM of a cluster: with a fourteenth of
 // a core, everything it did was late.
 TEST_F(JobFrontendTest, SmallVmDelaysItsCampaign) {
