--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -104,12 +104,19 @@
   // The last run that `failures` counts. A failed run of a gang is counted
   // once, with the member that failed first.
   uint32_t failed_run = 0;
+  // Whether a run of the task has been started, and not only claimed. Stored
+  // with the next change of the task; see JobScheduler::StoreOverdueStarts().
+  bool has_started = false;
 
   static constexpr size_t kRequiredFields = 5;  // Before `crashes`.
 
   friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
+// Returns whether a run of the task is known to have been started. Earlier
+// versions don't store that, so runs that have had an effect count as well.
+bool HasStarted(const TaskProgress& task);
+
 // The tasks of one occurrence, step by step.
 struct OccurrenceProgress {
   std::vector<std::vector<TaskProgress>> steps;
