Jobs: Reserves runners for large tasks that find no place

Short tasks go to the runner with the least load, and the next ones replace those that end: where long-running tasks request nearly all processors, a task of 6.4 cores waits without an end, as it does beside the memory of fillers.

The leader now forecasts when a waiting large task will fit on a runner and reserves that runner. Work of the same or a lower priority class starts there only if it is expected to end by then or leaves the capacity free; a short task that found room nowhere else for 200 ms may end 500 ms later. At most an eighth of a service's runners is reserved, and a reservation that is overdue by 2 s is given up for 3 s. All of it is off unless the settings file lists it under scheduling.scarcity.

--- a/src/libs/cluster/cluster_metrics.cpp
+++ b/src/libs/cluster/cluster_metrics.cpp
@@ -1,5 +1,7 @@
 #include "cluster/cluster_metrics.h"
 
+#include <utility>
+
 namespace papayadrift::cluster {
 namespace {
 
@@ -95,6 +97,25 @@
   overdue_leases_.Set(static_cast<int64_t>(overdue.leases));
 }
 
+void ClusterMetrics::UpdateReservations(const jobs::ReservationCounts& counts) {
+  using Counts = jobs::ReservationCounts;
+  const std::pair<const char*, uint64_t Counts::*> kinds[] = {
+      {"made", &Counts::made},           {"used", &Counts::used},
+      {"given_up", &Counts::given_up},   {"released", &Counts::released},
+      {"held_back", &Counts::held_back}, {"backfilled", &Counts::backfilled},
+      {"forecasts", &Counts::forecasts}};
+  for (const auto& [name, count] : kinds) {
+    if (counts.*count > reservation_counts_.*count) {
+      registry_
+          .AddCounter("papayadrift_reservations_total",
+                      "Reservations of capacity and their effects, by kind.",
+                      {{"kind", name}})
+          .Add(counts.*count - reservation_counts_.*count);
+    }
+  }
+  reservation_counts_ = counts;
+}
+
 void ClusterMetrics::UpdateLeaderless(milliseconds duration) {
   leaderless_.Set(duration.count());
 }
--- a/src/libs/cluster/cluster_metrics.h
+++ b/src/libs/cluster/cluster_metrics.h
@@ -23,6 +23,9 @@
                           size_t open_jobs,
                           size_t waiting_tasks,
                           const jobs::OverdueCounts& overdue);
+  // Adds what reservations have done since the last call for this scheduler; a
+  // new one begins at 0.
+  void UpdateReservations(const jobs::ReservationCounts& counts);
   // Sets for how long no leader has been seen.
   void UpdateLeaderless(milliseconds duration);
   void OnAppendStored(microseconds duration);
@@ -50,6 +53,7 @@
   metrics::Gauge& lag_;
   metrics::Gauge& view_age_;
   metrics::Counter& overtaken_reports_;
+  jobs::ReservationCounts reservation_counts_;  // As of the last update.
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -224,6 +224,7 @@
   metrics_.UpdateLeaderGauges(term(), scheduler_->open_jobs(),
                               scheduler_->waiting_tasks(),
                               scheduler_->overdue());
+  metrics_.UpdateReservations(scheduler_->reservation_counts());
   monitor_.OnStep(term(), *scheduler_, before, now);
   const bool has_more =
       scheduler_->has_more_to_place() || !waiting_reports_.empty();
@@ -562,6 +563,7 @@
   is_leading_ = false;
   RejectPendingReports();
   metrics_.UpdateLeaderGauges(0, 0, 0, {});
+  metrics_.UpdateReservations({});
   replica_.SetListener({});
   step_timer_->Cancel();
   on_end_();
--- a/src/libs/cluster/leader_monitor.cpp
+++ b/src/libs/cluster/leader_monitor.cpp
@@ -21,6 +21,10 @@
     case Kind::kTargetMissed:
     case Kind::kTargetMet:
     case Kind::kEndUnmatched:
+    case Kind::kCapacityReserved:
+    case Kind::kReservationUsed:
+    case Kind::kReservationEnded:
+    case Kind::kTaskHeldBack:
       return Event::kRunChanged;
     case Kind::kEndAcknowledged:
       return Event::kRunEndAcknowledged;
--- a/src/libs/jobs/fleet.h
+++ b/src/libs/jobs/fleet.h
@@ -10,6 +10,7 @@
 
 #include "base/instant.h"
 #include "base/resources.h"
+#include "jobs/backfill.h"
 #include "jobs/end_settlement.h"
 #include "jobs/job.h"
 #include "jobs/lease_refusal.h"
@@ -81,6 +82,12 @@
   // Gets no other starts until then, so that an isolated one can begin.
   std::optional<TaskKey> reserved_for;  // As by CrashRecordOf().
   Instant reserved_until;
+  // For a large task that will fit here; independent of the above.
+  std::optional<CapacityReservation> capacity_reservation;
+  // The step whose reservation was given up here last, and until when the
+  // runner isn't reserved for it again.
+  std::optional<TaskKey> unreserved_step;
+  Instant unreserved_until;
   uint32_t failure_streak = 0;  // Failed runs since the last completed one.
   Instant suspended_until;      // Gets no new runs before this time.
   // Nor before this one, unless a run has been completed on it meanwhile.
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "base/lookup.h"
+#include "jobs/ready_step.h"
 #include "jobs/runner_choice.h"
-#include "jobs/work_order.h"
 
 namespace papayadrift::jobs {
 namespace {
@@ -40,18 +40,6 @@
 
 }  // namespace
 
-// A step with waiting tasks, and its place in the scheduling order.
-struct JobScheduler::ReadyStep {
-  WorkRank rank;
-  const JobId* id = nullptr;
-  Entry* entry = nullptr;
-  uint32_t occurrence = 0;
-  uint32_t step = 0;
-  const Queue* queue = nullptr;
-  int64_t remaining_ms = 0;
-  StepTally tally;  // As of the beginning of the round.
-};
-
 std::string_view ToText(JobSchedulerEvent::Kind kind) {
   using Kind = JobSchedulerEvent::Kind;
   switch (kind) {
@@ -95,6 +83,14 @@
       return "end_unmatched";
     case Kind::kEndInvalid:
       return "end_invalid";
+    case Kind::kCapacityReserved:
+      return "capacity_reserved";
+    case Kind::kReservationUsed:
+      return "reservation_used";
+    case Kind::kReservationEnded:
+      return "reservation_ended";
+    case Kind::kTaskHeldBack:
+      return "held_back";
   }
   return "unknown";
 }
@@ -206,6 +202,8 @@
     run.withdrawn_at = created_at_;
     run.checkpoint = task.checkpoint;
     run.claimed_at = created_at_;
+    run.expected_ms =
+        entry->means[key.step]->Expect(entry->job.steps[key.step].estimated_ms);
     run.progressed_at = created_at_;
     run.is_pace_unknown = run.is_filler;
     run.pace_may_change_until = created_at_ + settings_.late_order_limit;
@@ -287,6 +285,11 @@
       runner.reserved_until = Instant();
       fleet_.MarkChanged(runner);
     }
+    if (runner.capacity_reservation &&
+        runner.capacity_reservation->step.job == id) {
+      EndReservation(runner, &ReservationCounts::released,
+                     "The job has ended.");
+    }
   }
 }
 
@@ -381,10 +384,12 @@
   }
   RelocateFillers(now);
   RegroupServing(now);
+  ReviewReservations(now);
   waiting_in_round_ = 0;
   claims_of_round_ = 0;
   unplaceable_.clear();
-  for (const ReadyStep& ready : ReadySteps(unix_ms)) {
+  const std::vector<ReadyStep> steps = ReadySteps(unix_ms);
+  for (const ReadyStep& ready : steps) {
     if (has_more_to_place_) {
       return;
     }
@@ -396,6 +401,7 @@
   }
   if (!has_more_to_place_) {
     waiting_tasks_ = waiting_in_round_;
+    MakeReservations(steps, now);
   }
 }
 
@@ -404,6 +410,7 @@
                          const Step& step,
                          const Runner& chosen,
                          const ReadyStep& ready,
+                         const BackfillClaim& claim,
                          Instant now) {
   ++claims_of_round_;
   TaskProgress& progress = *TaskOf(task);
@@ -416,6 +423,7 @@
   run.send_due = now;
   run.checkpoint = progress.checkpoint;
   run.progressed_at = now;
+  run.expected_ms = ready.entry->means[ready.step]->Expect(step.estimated_ms);
   run.remaining_ms = ready.remaining_ms;
   run.target_ms = ready.rank.target_ms;
   run.cutoff_ms = ready.rank.cutoff_ms;
@@ -433,16 +441,23 @@
     runner.reserved_until = Instant();
     fleet_.MarkChanged(runner);
   }
+  if (runner.capacity_reservation) {
+    OnClaimBesideReservation(runner, task, ready, claim, now);
+  }
   runner.runs[task] = std::move(run);
   runner.headrooms.reset();
 }
 
-bool JobScheduler::IsKnownUnplaceable(const ReadyStep& ready) const {
+bool JobScheduler::IsKnownUnplaceable(const ReadyStep& ready,
+                                      const WaitingStep& waiting,
+                                      const BackfillClaim& claim) const {
   const Step& step = ready.entry->job.steps[ready.step];
   return std::ranges::any_of(unplaceable_, [&](const UnplaceableNeed& it) {
     return it.service == ready.queue->service && it.image == step.image &&
            it.required_label == step.required_label &&
-           it.is_filler == step.is_filler && FitsIn(it.need, step.need);
+           it.is_filler == step.is_filler && FitsIn(it.need, step.need) &&
+           (!it.held_back || (waiting.reservations == 0 &&
+                              IsHeldBackLike(claim, *it.held_back)));
   });
 }
 
@@ -456,7 +471,8 @@
           .first->second;
   bool has_waited =
       step.is_filler && now - waiting.since >= settings_.longest_wait;
-  bool has_room = has_waited || !IsKnownUnplaceable(ready);
+  const BackfillClaim claim = ClaimOf(ready, waiting, now);
+  bool has_room = has_waited || !IsKnownUnplaceable(ready, waiting, claim);
   uint32_t still_waiting = ready.tally.waiting;  // From the next task on.
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     if (tasks[i].phase != TaskPhase::kWaiting) {
@@ -479,6 +495,9 @@
     const TaskKey task{*ready.id, ready.occurrence, ready.step, i};
     PlacementRequest request{task, &step, ready.queue->service, std::nullopt};
     request.has_waited = has_waited;
+    request.claim = claim;
+    const Runner* held_back_from = nullptr;
+    request.held_back_from = &held_back_from;
     if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
       request.avoided = *failed;
     }
@@ -496,9 +515,13 @@
         failed_attempt = PlacementAttempt{fleet_.changes(), now};
       }
       if (!has_room && !has_waited && step.max_per_runner == 0) {
-        unplaceable_.push_back({ready.queue->service, step.image,
-                                step.required_label, step.is_filler,
-                                step.need});
+        unplaceable_.push_back(
+            {ready.queue->service, step.image, step.required_label,
+             step.is_filler, step.need,
+             held_back_from == nullptr ? std::nullopt : std::optional(claim)});
+      }
+      if (!has_room && held_back_from != nullptr) {
+        OnHeldBack(task, *held_back_from, waiting);
       }
       has_waited = false;
     }
@@ -506,8 +529,9 @@
       ++waiting_in_round_;
       continue;
     }
-    Claim(task, tasks[i].run + 1, step, *runner, ready, now);
+    Claim(task, tasks[i].run + 1, step, *runner, ready, claim, now);
     waiting.since = now;
+    waiting.is_held_back = false;
   }
 }
 
@@ -528,7 +552,12 @@
       return {};
     }
     chosen_runners.push_back(runner->report.incarnation);
-    trial.Get(chosen_runners.back()).runs[request.task] = RunOf(step, number);
+    Runner& chosen = trial.Get(chosen_runners.back());
+    chosen.runs[request.task] = RunOf(step, number);
+    if (chosen.capacity_reservation) {
+      OnBackfilled(*chosen.capacity_reservation, ReservableNeed(step),
+                   request.claim, now);
+    }
   }
   return chosen_runners;
 }
@@ -552,6 +581,7 @@
                            ready.queue->service,
                            std::nullopt};
   request.is_isolated = tasks.front().crashes > 0;
+  request.claim = ClaimOf(ready, WaitingStep{now}, now);
   const std::vector<RunnerIncarnation> chosen_runners =
       ChooseGangRunners(request, number + 1, now);
   if (chosen_runners.empty()) {
@@ -568,7 +598,7 @@
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     tasks[i].checkpoint = checkpoint;
     Claim({*ready.id, ready.occurrence, ready.step, i}, number + 1, step,
-          *fleet_.Find(chosen_runners[i]), ready, now);
+          *fleet_.Find(chosen_runners[i]), ready, request.claim, now);
   }
   return true;
 }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/instant.h"
+#include "jobs/backfill.h"
 #include "jobs/crash_history.h"
 #include "jobs/duration_estimator.h"
 #include "jobs/end_settlement.h"
@@ -148,6 +149,10 @@
     kEndAcknowledged,
     kEndUnmatched,
     kEndInvalid,
+    kCapacityReserved,
+    kReservationUsed,
+    kReservationEnded,
+    kTaskHeldBack,
   };
   Kind kind;
   std::string subject;  // The task, job or runner.
@@ -165,6 +170,21 @@
   friend bool operator==(const OverdueCounts&, const OverdueCounts&) = default;
 };
 
+// What reservations of capacity have done since the leader began.
+struct ReservationCounts {
+  uint64_t made = 0;
+  uint64_t used = 0;      // A task of the step started on the runner.
+  uint64_t given_up = 0;  // Overdue, or the runner is lost or too small.
+  uint64_t released = 0;  // The step waits no longer.
+  // Waits of steps in which a runner with room was reserved for another step.
+  uint64_t held_back = 0;
+  uint64_t backfilled = 0;  // Tasks started on runners reserved for others.
+  uint64_t forecasts = 0;   // Of runners; what reservations cost.
+
+  friend bool operator==(const ReservationCounts&,
+                         const ReservationCounts&) = default;
+};
+
 // Returns for example "claimed", for logs and metrics.
 std::string_view ToText(JobSchedulerEvent::Kind kind);
 
@@ -259,6 +279,9 @@
   // As of the last TakeOrders().
   const OverdueCounts& overdue() const { return overdue_; }
   const Fleet& fleet() const { return fleet_; }
+  const ReservationCounts& reservation_counts() const {
+    return reservation_counts_;
+  }
   size_t open_jobs() const { return open_.size(); }
   size_t waiting_tasks() const { return waiting_tasks_; }
   // Tasks looked at so far to find the steps that are ready: what rounds cost
@@ -275,6 +298,9 @@
     // for work that has waited long.
     std::optional<PlacementAttempt> failed;
     std::optional<PlacementAttempt> failed_after_wait;
+    uint32_t reservations = 0;
+    Instant reservable_at;      // No runner is reserved for it before.
+    bool is_held_back = false;  // By the reservation of another step.
   };
   struct Entry {
     Job job;
@@ -304,6 +330,13 @@
     std::string required_label;
     bool is_filler = false;
     Resources need;
+    // Of a request that a reservation held back: it holds for others too.
+    std::optional<BackfillClaim> held_back;
+  };
+  // What may be reserved of a service's runners.
+  struct ReservableFleet {
+    size_t reservations_left = 0;
+    Resources mean_capacity;
   };
 
   // Whether the runner has ended since the report was sent.
@@ -332,7 +365,9 @@
                      std::vector<ReadyStep>& ready) const;
   // Returns whether a step with the same or smaller needs did not fit in this
   // pass.
-  bool IsKnownUnplaceable(const ReadyStep& ready) const;
+  bool IsKnownUnplaceable(const ReadyStep& ready,
+                          const WaitingStep& waiting,
+                          const BackfillClaim& claim) const;
   void PlaceStep(const ReadyStep& ready, Instant now);
   bool PlaceGang(const ReadyStep& ready, Instant now);
   // Returns a runner for each task of the gang for its run `number`; empty if
@@ -347,11 +382,44 @@
   // Returns whether so many runners of the service may be isolating already
   // that no further one is reserved.
   bool IsIsolationExhausted(const std::string& service, Instant now) const;
+  // Returns by which the step's tasks may use reserved runners.
+  BackfillClaim ClaimOf(const ReadyStep& ready,
+                        const WaitingStep& waiting,
+                        Instant now) const;
+  // Notes that the task found no runner but `runner`, which is reserved.
+  void OnHeldBack(const TaskKey& task,
+                  const Runner& runner,
+                  WaitingStep& waiting);
+  // Gives up reservations that are overdue or can't be used, and updates what
+  // others leave.
+  void ReviewReservations(Instant now);
+  void ReviewReservation(Runner& runner, Instant now);
+  // Reserves runners for large tasks that found none in this round.
+  void MakeReservations(const std::vector<ReadyStep>& ready, Instant now);
+  ReservableFleet ReservableFleetOf(const std::string& service,
+                                    Instant now) const;
+  // Reserves up to `max_count` runners for tasks of the step.
+  size_t ReserveCapacity(const ReadyStep& ready,
+                         size_t max_count,
+                         WaitingStep& waiting,
+                         Instant now);
+  // Removes the runner's reservation and counts it in `count`.
+  void EndReservation(Runner& runner,
+                      uint64_t ReservationCounts::* count,
+                      std::string reason);
+  void GiveUpReservation(Runner& runner, std::string reason, Instant now);
+  // Updates the runner's reservation when a run of the task is claimed there.
+  void OnClaimBesideReservation(Runner& runner,
+                                const TaskKey& task,
+                                const ReadyStep& ready,
+                                const BackfillClaim& claim,
+                                Instant now);
   void Claim(const TaskKey& task,
              uint32_t number,
              const Step& step,
              const Runner& chosen,
              const ReadyStep& ready,
+             const BackfillClaim& claim,
              Instant now);
 
   // Takes in the times of a report: whether its lists are new, and what it
@@ -541,6 +609,9 @@
   uint64_t tallied_tasks_ = 0;
   uint64_t checked_runs_ = 0;
   OverdueCounts overdue_;
+  ReservationCounts reservation_counts_;
+  Instant reserved_at_;  // Of the last pass that made reservations.
+  Instant reviewed_at_;  // Of the last pass that reviewed them.
   uint32_t claims_of_round_ = 0;
   bool has_more_to_place_ = false;
 };
--- a/src/libs/jobs/job_scheduler_leases.cpp
+++ b/src/libs/jobs/job_scheduler_leases.cpp
@@ -42,6 +42,10 @@
   Emit(crash ? JobSchedulerEvent::Kind::kRunnerCrashed
              : JobSchedulerEvent::Kind::kRunnerGone,
        ToText(incarnation), 0, {}, reason);
+  if (runner->capacity_reservation) {
+    EndReservation(*runner, &ReservationCounts::given_up,
+                   "The runner is gone.");
+  }
   const RunTable runs = std::move(runner->runs);
   std::map<TaskKey, OrphanRun> released = std::move(runner->released);
   fleet_.Remove(incarnation);
--- a/src/libs/jobs/policy_settings.h
+++ b/src/libs/jobs/policy_settings.h
@@ -67,9 +67,83 @@
   friend bool operator==(const PaceSettings&, const PaceSettings&) = default;
 };
 
+// Reservations for large tasks that found no place. They answer long-running
+// work that requests nearly all processors, beside hundreds of short tasks a
+// second that take each piece of a place as it becomes free.
+struct ReservationPolicy {
+  bool is_enabled = false;
+  // A step that waits for less long may find a place in the next round.
+  milliseconds min_wait{200};
+  // Share of a runner's processors or memory from which a task counts as large:
+  // smaller ones find gaps without a reservation.
+  double min_share = 0.1;
+  // Largest share of a service's runners that is reserved, but at least one.
+  double max_reserved_part = 0.125;
+  // Later times rest on too many expected durations.
+  milliseconds horizon{10000};
+  // Among times that differ by less than this, placement costs decide.
+  milliseconds equal_times{500};
+  // A short task that found no room elsewhere for `urgent_wait` may end this
+  // much after a reservation's time.
+  milliseconds urgent_wait{200};
+  milliseconds max_delay{500};
+  // A reservation that is overdue by this much beyond `max_delay` is given up,
+  // and the runner isn't reserved for the step again before `pause` is over.
+  milliseconds max_overdue{1500};
+  milliseconds pause{3000};
+  // Reservations are made and checked with this period, for at most
+  // `steps_per_pass` steps: fronts have a tenth of a core.
+  milliseconds period{200};
+  uint32_t steps_per_pass = 4;
+
+  friend bool operator==(const ReservationPolicy&,
+                         const ReservationPolicy&) = default;
+};
+
+// The cost of places for large tasks that a short task takes away. It answers
+// short tasks that spread over all runners with room for a large one.
+struct FragmentationPolicy {
+  bool is_enabled = false;
+  // Of one place, in shares of a whole runner's processors: more than usual
+  // differences of load, less than a wrong rack or a failure.
+  double lost_place = 0.3;
+  // Only places for tasks that are this many times as large count.
+  int64_t min_ratio = 4;
+  // Sizes are kept for this long after the last step of that size was ready.
+  milliseconds retention{30000};
+
+  friend bool operator==(const FragmentationPolicy&,
+                         const FragmentationPolicy&) = default;
+};
+
+// Turns for work that the order by remaining work leaves behind. They answer
+// bursts in which the widest jobs of a queue are last until they are late, and
+// results without value that take capacity from work that can still earn.
+struct TurnOrderPolicy {
+  bool is_enabled = false;
+  // Share of the allowed time that is left as slack when a job gets its turn.
+  double min_slack = 0.25;
+  // Work past its cutoff starts beside other waiting work after this time, one
+  // task at a time: accepted work is kept.
+  milliseconds longest_wait{10000};
+
+  friend bool operator==(const TurnOrderPolicy&,
+                         const TurnOrderPolicy&) = default;
+};
+
+struct ScarcityPolicy {
+  ReservationPolicy reservations;
+  FragmentationPolicy fragmentation;
+  TurnOrderPolicy turn_order;
+
+  friend bool operator==(const ScarcityPolicy&,
+                         const ScarcityPolicy&) = default;
+};
+
 struct PolicySettings {
   PlacementCosts placement;
   PaceSettings pacing;
+  ScarcityPolicy scarcity;
 
   friend bool operator==(const PolicySettings&,
                          const PolicySettings&) = default;
--- a/src/libs/jobs/run.h
+++ b/src/libs/jobs/run.h
@@ -58,6 +58,8 @@
   std::optional<Instant> over_target_since;
   Instant slow_since;  // Since when the pace has been below `slow_percent`.
   Instant started_at;  // When its start was accepted.
+  // Expected duration of the whole task, when it was claimed; 0: not known.
+  int64_t expected_ms = 0;
   // Expected duration of the rest of the critical path, when it was claimed.
   int64_t remaining_ms = 0;
   int64_t target_ms = 0;  // Unix time at which its job should be done.
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -121,13 +121,22 @@
   return cost;
 }
 
+// Returns whether the runner's capacity is reserved for another step.
+bool IsHeldBack(const Runner& runner,
+                const PlacementRequest& request,
+                Instant now) {
+  return runner.capacity_reservation &&
+         !MayUseReserved(*runner.capacity_reservation, request.task,
+                         ReservableNeed(*request.step), request.claim, now);
+}
+
 // Returns whether the runner may have room for a task that it had none for at
 // the time of `attempt`.
 bool MayHaveOpened(const Runner& runner, const PlacementAttempt& attempt) {
   return runner.changed_at > attempt.fleet_changes ||
          runner.suspended_until > attempt.at ||
          runner.failing_until > attempt.at ||
-         runner.reserved_until > attempt.at ||
+         runner.reserved_until > attempt.at || runner.capacity_reservation ||
          runner.runs.totals().has_isolated;
 }
 
@@ -145,6 +154,14 @@
          runner.lease_refusal != LeaseRefusal::kUnconfirmedStop;
 }
 
+double PlacementCost(const Runner& runner,
+                     const Interference& interference,
+                     const PolicySettings& policy,
+                     const PlacementRequest& request) {
+  return Cost(runner, interference, policy, request,
+              runner.runs.CountOfStep(request.task));
+}
+
 const Runner* ChooseRunner(const Fleet& fleet,
                            const Interference& interference,
                            const PolicySettings& policy,
@@ -174,6 +191,12 @@
     if (step.max_per_runner > 0 && same_step >= step.max_per_runner) {
       continue;
     }
+    if (IsHeldBack(runner, request, now)) {
+      if (request.held_back_from != nullptr) {
+        *request.held_back_from = &runner;
+      }
+      continue;
+    }
     const double cost = Cost(runner, interference, policy, request, same_step);
     if (best == nullptr || cost < best_cost) {
       best = &runner;
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/instant.h"
+#include "jobs/backfill.h"
 #include "jobs/fleet.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
@@ -40,6 +41,10 @@
   bool may_wait_for_isolation = false;
   // Runners that have not changed since then are passed over.
   std::optional<PlacementAttempt> failed_attempt;
+  // By which it may use runners that are reserved for large tasks.
+  BackfillClaim claim;
+  // If set, receives a runner with room that is reserved for another step.
+  const Runner** held_back_from = nullptr;
 };
 
 // Older reports are ignored: three of the agents' report periods and a slow
@@ -49,6 +54,12 @@
 // Returns whether the runner accepts new runs at all.
 bool AcceptsRuns(const Runner& runner, const std::string& service, Instant now);
 
+// Returns the cost of the task on the runner.
+double PlacementCost(const Runner& runner,
+                     const Interference& interference,
+                     const PolicySettings& policy,
+                     const PlacementRequest& request);
+
 // Returns the runner with the lowest cost for the task, or null if it fits on
 // none.
 const Runner* ChooseRunner(const Fleet& fleet,
--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -38,6 +38,7 @@
   EXPECT_EQ(settings->grace, milliseconds(6500));
   EXPECT_EQ(settings->cancellation_limit, milliseconds(4000));
   EXPECT_EQ(settings->service, "");
+  EXPECT_TRUE(settings->scarcity.empty());
   EXPECT_DOUBLE_EQ(settings->cores, 0.5);
 }
 
@@ -61,6 +62,30 @@
   EXPECT_EQ(problems[0].key, "bounds.cancel_ms");
 }
 
+TEST(SettingsFileTest, ReadsDecisionsOnScarceCapacity) {
+  std::vector<SettingsProblem> problems;
+  const auto settings = ReadSettings(
+      std::string(kText) +
+          "[scheduling]\nscarcity = [\"reservations\", \"turn_order\"]\n",
+      problems);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->scarcity,
+            (std::vector<std::string>{"reservations", "turn_order"}));
+}
+
+// Guards against a misspelt decision that is off without notice.
+TEST(SettingsFileTest, RefusesAnUnknownDecisionOnScarceCapacity) {
+  for (const std::string value :
+       {"[\"reservation\"]", "\"reservations\"", "[1]"}) {
+    std::vector<SettingsProblem> problems;
+    EXPECT_FALSE(ReadSettings(
+        std::string(kText) + "[scheduling]\nscarcity = " + value + "\n",
+        problems));
+    ASSERT_EQ(problems.size(), 1U);
+    EXPECT_EQ(problems[0].key, "scheduling.scarcity");
+  }
+}
+
 TEST(SettingsFileTest, ReportsTheLineOfASyntaxError) {
   std::vector<SettingsProblem> problems;
   EXPECT_FALSE(ReadSettings("a = 1\nb =\n", problems));
