Jobs: Places short tasks where they take away no place for a large one

Short tasks go to the runner with the least load, which is the one with room for a large task, although smaller gaps would do.

The leader keeps the four largest sizes of steps that lately waited or were placed, and the cost of a runner for a short task grows by half of a runner for each place that it would take away. Costs of fillers and long-running tasks stay as they are. Off unless the settings file lists "fragmentation".

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -389,6 +389,7 @@
   claims_of_round_ = 0;
   unplaceable_.clear();
   const std::vector<ReadyStep> steps = ReadySteps(unix_ms);
+  NoteLargeSizes(steps, now);
   for (const ReadyStep& ready : steps) {
     if (has_more_to_place_) {
       return;
@@ -498,6 +499,7 @@
     request.claim = claim;
     const Runner* held_back_from = nullptr;
     request.held_back_from = &held_back_from;
+    request.large_sizes = FindOrNull(large_sizes_, ready.queue->service);
     if (const auto* failed = FindOrNull(ready.entry->failed_on, task)) {
       request.avoided = *failed;
     }
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -18,6 +18,7 @@
 #include "jobs/duration_estimator.h"
 #include "jobs/end_settlement.h"
 #include "jobs/fleet.h"
+#include "jobs/fragmentation.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
 #include "jobs/job_tally.h"
@@ -382,6 +383,8 @@
   // Returns whether so many runners of the service may be isolating already
   // that no further one is reserved.
   bool IsIsolationExhausted(const std::string& service, Instant now) const;
+  // Notes the sizes of large tasks that are ready.
+  void NoteLargeSizes(const std::vector<ReadyStep>& ready, Instant now);
   // Returns by which the step's tasks may use reserved runners.
   BackfillClaim ClaimOf(const ReadyStep& ready,
                         const WaitingStep& waiting,
@@ -609,6 +612,8 @@
   uint64_t tallied_tasks_ = 0;
   uint64_t checked_runs_ = 0;
   OverdueCounts overdue_;
+  // Of steps that lately waited or were placed, by service.
+  std::map<std::string, LargeSizes> large_sizes_;
   ReservationCounts reservation_counts_;
   Instant reserved_at_;  // Of the last pass that made reservations.
   Instant reviewed_at_;  // Of the last pass that reviewed them.
--- a/src/libs/jobs/job_scheduler_reservations.cpp
+++ b/src/libs/jobs/job_scheduler_reservations.cpp
@@ -1,4 +1,4 @@
-// The part of JobScheduler that reserves runners for large tasks. Answers
+// The part of JobScheduler that keeps places for large tasks. Answers
 // long-running work that requests nearly all processors: short tasks and
 // fillers take each piece of a large place as it becomes free.
 
@@ -58,6 +58,23 @@
   return claim;
 }
 
+void JobScheduler::NoteLargeSizes(const std::vector<ReadyStep>& ready,
+                                  Instant now) {
+  const FragmentationPolicy& policy = settings_.policy.scarcity.fragmentation;
+  if (!policy.is_enabled) {
+    return;
+  }
+  for (const ReadyStep& it : ready) {
+    const Step& step = it.entry->job.steps[it.step];
+    if (!step.is_filler && !it.rank.is_past_cutoff) {
+      large_sizes_[it.queue->service].Add(step.need, now);
+    }
+  }
+  for (LargeSizes& sizes : large_sizes_ | std::views::values) {
+    sizes.RemoveBefore(now - policy.retention);
+  }
+}
+
 void JobScheduler::OnHeldBack(const TaskKey& task,
                               const Runner& runner,
                               WaitingStep& waiting) {
--- a/src/libs/jobs/policy_settings.h
+++ b/src/libs/jobs/policy_settings.h
@@ -104,9 +104,9 @@
 // short tasks that spread over all runners with room for a large one.
 struct FragmentationPolicy {
   bool is_enabled = false;
-  // Of one place, in shares of a whole runner's processors: more than usual
+  // Of one place, in shares of a whole runner's processors: more than most
   // differences of load, less than a wrong rack or a failure.
-  double lost_place = 0.3;
+  double lost_place = 0.5;
   // Only places for tasks that are this many times as large count.
   int64_t min_ratio = 4;
   // Sizes are kept for this long after the last step of that size was ready.
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -93,6 +93,22 @@
   });
 }
 
+// Returns the cost of places for large tasks that a short task takes away. That
+// of fillers and long-running tasks is 0: interference decides where they go.
+double FragmentationCost(const Runner& runner,
+                         const FragmentationPolicy& policy,
+                         const PlacementRequest& request) {
+  const Step& step = *request.step;
+  if (request.large_sizes == nullptr || step.is_filler ||
+      step.is_long_running) {
+    return 0;
+  }
+  return policy.lost_place *
+         static_cast<double>(LostPlaces(*request.large_sizes,
+                                        runner.report.capacity - runner.Used(),
+                                        step.need, policy.min_ratio));
+}
+
 double Cost(const Runner& runner,
             const Interference& interference,
             const PolicySettings& policy,
@@ -105,6 +121,7 @@
     cost += ServingCost(runner, interference, costs, step);
   } else {
     cost += LoadCost(runner, step);
+    cost += FragmentationCost(runner, policy.scarcity.fragmentation, request);
   }
   cost += costs.same_step * same_step;
   cost += costs.failure * runner.failure_streak;
--- a/src/libs/jobs/runner_choice.h
+++ b/src/libs/jobs/runner_choice.h
@@ -7,6 +7,7 @@
 #include "base/instant.h"
 #include "jobs/backfill.h"
 #include "jobs/fleet.h"
+#include "jobs/fragmentation.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
 #include "jobs/policy_settings.h"
@@ -45,6 +46,8 @@
   BackfillClaim claim;
   // If set, receives a runner with room that is reserved for another step.
   const Runner** held_back_from = nullptr;
+  // If set, sizes whose places short tasks should leave.
+  const LargeSizes* large_sizes = nullptr;
 };
 
 // Older reports are ignored: three of the agents' report periods and a slow
