Jobs: Gives turns to jobs that run out of slack

Work is ordered by remaining work, so that the widest jobs are last while smaller ones keep coming, and last again once they are late. Work past its cutoff takes room beside work that can still earn.

With "turn_order" listed in the settings file, the job of each queue with the least slack goes first in its priority class while it can still be on time and has less than a quarter of its allowed time as slack. A step past its cutoff starts only if nothing that can still earn waits for its service, or after 10 s.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -363,6 +363,7 @@
       AddReadySteps(id, *entry, *queue, unix_ms, ready);
     }
   }
+  GiveTurns(ready, unix_ms);
   std::ranges::sort(ready, {}, &ReadyStep::rank);
   return ready;
 }
@@ -388,17 +389,27 @@
   waiting_in_round_ = 0;
   claims_of_round_ = 0;
   unplaceable_.clear();
+  services_with_waiting_work_.clear();
   const std::vector<ReadyStep> steps = ReadySteps(unix_ms);
   NoteLargeSizes(steps, now);
   for (const ReadyStep& ready : steps) {
     if (has_more_to_place_) {
       return;
     }
+    if (YieldsToEarningWork(ready, now)) {
+      waiting_in_round_ += ready.tally.waiting;
+      continue;
+    }
+    const size_t waiting_before = waiting_in_round_;
     if (ready.entry->job.steps[ready.step].is_gang) {
       PlaceGang(ready, now);
     } else {
       PlaceStep(ready, now);
     }
+    if (settings_.policy.scarcity.turn_order.is_enabled &&
+        !ready.rank.is_past_cutoff && waiting_in_round_ > waiting_before) {
+      services_with_waiting_work_.insert(ready.queue->service);
+    }
   }
   if (!has_more_to_place_) {
     waiting_tasks_ = waiting_in_round_;
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -383,6 +383,11 @@
   // Returns whether so many runners of the service may be isolating already
   // that no further one is reserved.
   bool IsIsolationExhausted(const std::string& service, Instant now) const;
+  // Lets the job of each queue that runs out of slack go first.
+  void GiveTurns(std::vector<ReadyStep>& ready, int64_t unix_ms) const;
+  // Returns whether the step, whose outcome has no value any more, waits for
+  // others.
+  bool YieldsToEarningWork(const ReadyStep& ready, Instant now);
   // Notes the sizes of large tasks that are ready.
   void NoteLargeSizes(const std::vector<ReadyStep>& ready, Instant now);
   // Returns by which the step's tasks may use reserved runners.
@@ -618,6 +623,8 @@
   Instant reserved_at_;  // Of the last pass that made reservations.
   Instant reviewed_at_;  // Of the last pass that reviewed them.
   uint32_t claims_of_round_ = 0;
+  // Services for which work that can still earn waits, as of this round.
+  std::set<std::string> services_with_waiting_work_;
   bool has_more_to_place_ = false;
 };
 
--- a/src/libs/jobs/policy_settings.h
+++ b/src/libs/jobs/policy_settings.h
@@ -123,8 +123,8 @@
   bool is_enabled = false;
   // Share of the allowed time that is left as slack when a job gets its turn.
   double min_slack = 0.25;
-  // Work past its cutoff starts beside other waiting work after this time, one
-  // task at a time: accepted work is kept.
+  // A step past its cutoff takes part in a round beside other waiting work
+  // after so much time without a start: accepted work is kept.
   milliseconds longest_wait{10000};
 
   friend bool operator==(const TurnOrderPolicy&,
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -42,6 +42,15 @@
          job.interval_ms * static_cast<int64_t>(occurrence);
 }
 
+double SlackShare(const WorkRank& rank,
+                  int64_t remaining_ms,
+                  int64_t now_unix_ms) {
+  const int64_t allowed =
+      (rank.cutoff_ms - rank.target_ms) / (kCutoffTargets - 1);
+  return static_cast<double>(rank.target_ms - now_unix_ms - remaining_ms) /
+         static_cast<double>(std::max<int64_t>(1, allowed));
+}
+
 WorkRank RankOf(const Job& job,
                 const Queue& queue,
                 uint32_t occurrence,
@@ -59,6 +68,7 @@
   return WorkRank{
       !has_long_running_step && now_unix_ms > due + kCutoffTargets * allowed,
       queue.priority,
+      true,
       now_unix_ms + remaining_ms > due + allowed,
       remaining_work,
       due + allowed,
--- a/src/libs/jobs/work_order.h
+++ b/src/libs/jobs/work_order.h
@@ -19,7 +19,8 @@
 struct WorkRank {
   bool is_past_cutoff = false;  // Its outcome has no value any more.
   uint32_t priority = 0;
-  bool is_late = false;  // It can't meet its target any more.
+  bool has_no_turn = true;  // Isn't the job of its queue that goes first.
+  bool is_late = false;     // It can't meet its target any more.
   // Processor time that the occurrence still takes, in core-milliseconds.
   int64_t remaining_work = 0;
   int64_t target_ms = 0;  // Unix time at which the occurrence should be done.
@@ -42,6 +43,12 @@
                 int64_t remaining_work,
                 int64_t now_unix_ms);
 
+// Returns the share of the allowed time by which the work may still be held up
+// and meet its target; negative: it can't meet it. `remaining_ms` is as above.
+double SlackShare(const WorkRank& rank,
+                  int64_t remaining_ms,
+                  int64_t now_unix_ms);
+
 // Returns the expected processor time of the tasks that are not done, in
 // core-milliseconds.
 int64_t RemainingWork(const Job& job,
--- a/tests/auto/jobs/large_fleet_test.cpp
+++ b/tests/auto/jobs/large_fleet_test.cpp
@@ -202,8 +202,8 @@
 // capacities, cancellings and waiting work.
 class RandomFleet {
  public:
-  explicit RandomFleet(uint64_t seed)
-      : random_(seed), scheduler_(JobSchedulerSettings(), now_, nullptr) {
+  RandomFleet(uint64_t seed, const JobSchedulerSettings& settings)
+      : random_(seed), scheduler_(settings, now_, nullptr) {
     Queue queue;
     queue.name = "q";
     queue.service = "s";
@@ -333,13 +333,13 @@
 
 // Guards against a task that waits although a runner has room again: the
 // scheduler must not take the runner for unchanged.
-TEST(LargeFleetTest, NoWaitingTaskMissesARunnerThatHasRoomAgain) {
+void ExpectNoMissedRunner(const JobSchedulerSettings& settings) {
   constexpr uint64_t kSeeds = 50;
   constexpr int kEvents = 400;
   constexpr int kEventsBetweenChecks = 5;
   size_t placed = 0;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    RandomFleet fleet(seed);
+    RandomFleet fleet(seed, settings);
     for (int i = 0; i < kEvents; ++i) {
       fleet.DoSomething();
       placed += fleet.Place();
@@ -352,5 +352,18 @@
   EXPECT_GT(placed, kSeeds);
 }
 
+TEST(LargeFleetTest, NoWaitingTaskMissesARunnerThatHasRoomAgain) {
+  ExpectNoMissedRunner(JobSchedulerSettings());
+}
+
+// The same with reservations that are made, used and given up meanwhile.
+TEST(LargeFleetTest, NoWaitingTaskMissesARunnerWhoseReservationEnds) {
+  JobSchedulerSettings settings;
+  settings.policy.scarcity.reservations.is_enabled = true;
+  settings.policy.scarcity.fragmentation.is_enabled = true;
+  settings.policy.scarcity.turn_order.is_enabled = true;
+  ExpectNoMissedRunner(settings);
+}
+
 }  // namespace
 }  // namespace papayadrift::jobs
