--- a/tests/auto/cluster/cluster_metrics_test.cpp
+++ b/tests/auto/cluster/cluster_metrics_test.cpp
@@ -50,6 +50,30 @@
   }
 }
 
+// Guards against counters that jump or stand still when the process leads
+// again: a new scheduler counts from 0.
+TEST(ClusterMetricsTest, ReservationsAddUpOverTerms) {
+  metrics::Registry registry;
+  ClusterMetrics metrics(registry);
+  jobs::ReservationCounts counts;
+  counts.made = 3;
+  counts.backfilled = 40;
+  metrics.UpdateReservations(counts);
+  counts.made = 5;
+  metrics.UpdateReservations(counts);
+  metrics.UpdateReservations({});
+  counts.made = 2;
+  counts.backfilled = 0;
+  metrics.UpdateReservations(counts);
+  const std::string text = registry.ToText();
+  for (const char* line :
+       {R"(papayadrift_reservations_total{kind="made"} 7)",
+        R"(papayadrift_reservations_total{kind="backfilled"} 40)"}) {
+    EXPECT_NE(text.find("\n" + std::string(line) + "\n"), std::string::npos)
+        << text;
+  }
+}
+
 // Guards against an alert that can never fire, since its metric has another
 // name.
 TEST(ClusterMetricsTest, AlertsUseMetricsThatExist) {
