--- a/src/libs/cluster/cluster_metrics.h
+++ b/src/libs/cluster/cluster_metrics.h
@@ -25,6 +25,9 @@
                           const jobs::OverdueCounts& overdue);
   // Sets the gauges of evacuated zones and of runs that are left there.
   void UpdateEvacuations(size_t zones, size_t runs);
+  // Adds what reservations have done since the last call for this scheduler; a
+  // new one begins at 0.
+  void UpdateReservations(const jobs::ReservationCounts& counts);
   // Sets for how long no leader has been seen.
   void UpdateLeaderless(milliseconds duration);
   void OnAppendStored(microseconds duration);
@@ -54,6 +57,7 @@
   metrics::Gauge& lag_;
   metrics::Gauge& view_age_;
   metrics::Counter& overtaken_reports_;
+  jobs::ReservationCounts reservation_counts_;  // As of the last update.
 };
 
 }  // namespace papayadrift::cluster
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -240,6 +240,7 @@
                               scheduler_->overdue());
   metrics_.UpdateEvacuations(scheduler_->evacuated_zones(),
                              scheduler_->CountRunsInEvacuatedZones());
+  metrics_.UpdateReservations(scheduler_->reservation_counts());
   monitor_.OnStep(term(), *scheduler_, before, now);
   const bool has_more =
       scheduler_->has_more_to_place() || !waiting_reports_.empty();
@@ -606,6 +607,7 @@
   RejectPendingReports();
   metrics_.UpdateLeaderGauges(0, 0, 0, {});
   metrics_.UpdateEvacuations(0, 0);
+  metrics_.UpdateReservations({});
   replica_.SetListener({});
   step_timer_->Cancel();
   on_end_();
