AsyncHttp: Bounds what untrusted clients can hold

Cause: the parser's buffer grew with trailers and chunk extensions without end; a connection held a place for 30 s however little it sent; a full listener closed every new connection; nothing bounded the bodies of all connections together.

Change: the server reads in pieces itself. A message is bounded in header, body, framing and total bytes; a deadline for the header and one for the message run from its first byte and aren't restarted; a response has to be read in time. One timer per listener replaces one per connection. ConnectionBudget, a class without I/O, chooses what to close when places or memory run out: the longest wait, or the highest product of bytes and age, never a request that is handled. Each listener of front and agent gets its part of `limits.memory_mb` and `limits.max_fds`, which are checked. Refusals are answered with 431, 413, 408 or 400 before the handler has seen the request, and what the peer still sends is read and dropped for at most 2 s and 4 MiB, so that the answer arrives. The limit for bodies at the agent's control listener and between processes rises from 1 to 4 MiB, which heartbeats of runners may have. Refusals are counted (papayadrift_connections_refused_total) and logged once per reason in 10 s.

Instructions per request weren't measured.

--- a/src/libs/async_http/server.h
+++ b/src/libs/async_http/server.h
@@ -5,29 +5,66 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 
+#include "async_http/connection_budget.h"
 #include "base/instant.h"
 #include "http/message.h"
 
 // HTTP/1.1 on one thread: server and client run on the caller's event loop and
 // keep no thread, lock or timer thread of their own. For processes that have a
 // small share of one core.
+//
+// Clients may send anything. What arrives of a message is bounded in bytes and
+// in time as a whole, and so are all connections of a server together: see
+// ConnectionBudget.
 
 namespace papayadrift::async_http {
 
+// Why a connection was refused, or closed before its peer ended it. Each of
+// them happens before the handler has seen a request, except kUnread.
+enum class Refusal {
+  kMalformed,       // Answered with 400.
+  kHeaderTooLarge,  // Answered with 431.
+  kBodyTooLarge,    // Answered with 413.
+  // Sizes and extensions of chunks, or trailers; answered with 431.
+  kFramingTooLarge,
+  kHeaderTooSlow,  // Answered with 408.
+  kBodyTooSlow,    // Answered with 408.
+  kPlaceNeeded,    // Closed for want of places.
+  kMemoryNeeded,   // Closed for want of memory.
+  kUnread,         // The response wasn't read in time.
+};
+
+std::span<const Refusal> AllRefusals();
+// Returns the name in metrics and logs.
+std::string_view ToText(Refusal refusal);
+
 struct ServerSettings {
   std::string address;  // "ip:port".
+  // Of the request line and of the header fields, each.
   size_t maximum_header_bytes = 16 * 1024;
   size_t maximum_body_bytes = 1 << 20;
-  size_t maximum_connections = 2048;
-  // A connection that brings no whole request for so long is closed.
+  ConnectionLimits connections;
+  // A connection on which no request begins for this long is closed.
   milliseconds idle_timeout{30000};
+  // From the first byte of a request to the end of its header. Peers may take
+  // 3 s by the platform's limits.
+  milliseconds header_timeout{5000};
+  // From the first byte of a request to its end.
+  milliseconds message_timeout{30000};
+  // For reading a whole response.
+  milliseconds response_timeout{30000};
 
   friend bool operator==(const ServerSettings&,
                          const ServerSettings&) = default;
 };
 
+// Hears of each refusal, on the event loop.
+using RefusalListener = std::function<void(Refusal)>;
+
 // Sends the response of one request; to be called once, on the event loop.
 using Respond = std::function<void(http::Response)>;
 using Handler = std::function<void(http::Request, Respond)>;
@@ -36,7 +73,8 @@
  public:
   Server(boost::asio::io_context& loop,
          ServerSettings settings,
-         Handler handler);
+         Handler handler,
+         RefusalListener on_refused = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/libs/logging/event.cpp
+++ b/src/libs/logging/event.cpp
@@ -17,6 +17,9 @@
      "A new version of the configuration took effect in this process."},
     {Event::kConfigurationRefused, kWarning, "configuration.refused",
      "A change of the configuration was refused as a whole."},
+    {Event::kConnectionRefused, kWarning, "connection.refused",
+     "Requests were refused, or connections closed, since they exceed a bound "
+     "of their listener; at most one line for each reason in 10 s."},
     {Event::kEntryJoined, kInfo, "entry.joined",
      "Another entry became a member."},
     {Event::kEntryRemoved, kInfo, "entry.removed",
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -15,6 +15,7 @@
   kAppendUnanswered,
   kConfigurationInForce,
   kConfigurationRefused,
+  kConnectionRefused,
   kEntryJoined,
   kEntryRemoved,
   kEntrySuspected,
--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace papayadrift::platform {
 namespace {
@@ -20,6 +21,8 @@
 [limits]
 cpu_share = 0.25
 cores = 2
+memory_mb = 160
+max_fds = 1024
 [bounds]
 max_hold_ms = 6000
 grace_s = 6.5
@@ -39,6 +42,8 @@
   EXPECT_EQ(settings->cancellation_limit, milliseconds(4000));
   EXPECT_EQ(settings->service, "");
   EXPECT_DOUBLE_EQ(settings->cores, 0.5);
+  EXPECT_EQ(settings->memory_mb, 160);
+  EXPECT_EQ(settings->max_fds, 1024);
 }
 
 TEST(SettingsFileTest, ReportsEachInvalidKey) {
@@ -61,6 +66,23 @@
   EXPECT_EQ(problems[0].key, "bounds.cancel_ms");
 }
 
+// Guards against listeners whose bounds follow from limits that make no sense.
+TEST(SettingsFileTest, RefusesLimitsOfTheVmThatAreTooLowOrNoNumbers) {
+  for (const std::string bad : {"8", "-1", "\"many\"", "99.5", "true"}) {
+    for (const auto& [key, value] :
+         {std::pair<std::string, std::string>{"memory_mb", "160"},
+          {"max_fds", "1024"}}) {
+      std::string text = kText;
+      const std::string line = key + " = " + value;
+      text.replace(text.find(line), line.size(), key + " = " + bad);
+      std::vector<SettingsProblem> problems;
+      EXPECT_FALSE(ReadSettings(text, problems)) << key << " = " << bad;
+      ASSERT_EQ(problems.size(), 1U);
+      EXPECT_EQ(problems[0].key, "limits." + key);
+    }
+  }
+}
+
 TEST(SettingsFileTest, ReportsTheLineOfASyntaxError) {
   std::vector<SettingsProblem> problems;
   EXPECT_FALSE(ReadSettings("a = 1\nb =\n", problems));
