Streams: Gives no place to connections that open no stream

Cause: 256 connections that never began the handshake took all places, and each peer was closed at once. Pings counted as a sign of life before a stream was open, so that such a connection stayed for ever. After one failed accept, as when descriptors have run out, nothing was accepted any more.

Change: when all places are taken, the oldest accepted connection without a stream is closed; without a stream a connection lives for the silence timeout, whatever comes on it; a failed accept is tried again after 50 ms. Frames, headers and messages had bounds already: nghttp2's of 16 KiB a frame, 1 MiB a window, and MessageSplitter's of 1 MiB a message.

The retry after a failed accept has no test.

--- a/src/libs/streams/stream_node.cpp
+++ b/src/libs/streams/stream_node.cpp
@@ -23,6 +23,8 @@
 
 constexpr size_t kReadBytes = 64 * 1024;
 constexpr size_t kWriteBytes = 256 * 1024;
+// Pause after a failed accept, as when descriptors have run out.
+constexpr milliseconds kAcceptPause(50);
 
 std::optional<tcp::endpoint> EndpointOf(const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -47,6 +49,7 @@
       : settings_(settings),
         listener_(listener),
         acceptor_(context_),
+        accept_timer_(context_),
         work_(asio::make_work_guard(context_)) {}
 
   bool Open() {
@@ -117,6 +120,7 @@
     Session session;
     MessageSplitter splitter;
     asio::steady_timer timer;
+    std::chrono::steady_clock::time_point began_at;
     std::chrono::steady_clock::time_point heard_at;
     std::array<char, kReadBytes> read_buf;
     std::string write_buf;
@@ -142,16 +146,47 @@
   void Accept() {
     acceptor_.async_accept(
         [self = shared_from_this()](error_code ec, tcp::socket socket) {
-          if (ec || self->is_closing_) {
+          if (self->is_closing_) {
             return;
           }
-          if (self->connections_.size() < self->settings_.maximum_connections) {
+          if (ec) {
+            self->AcceptLater();
+            return;
+          }
+          if (self->MakePlace()) {
             self->Begin(self->Add(SessionSide::kListener, std::move(socket)));
           }
           self->Accept();
         });
   }
 
+  // Descriptors may have run out: without a later attempt nobody would get
+  // through any more.
+  void AcceptLater() {
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (!ec && !self->is_closing_) {
+        self->Accept();
+      }
+    });
+  }
+
+  // If all places are taken, closes the oldest connection that was accepted and
+  // has opened no stream. Returns false if there is none.
+  bool MakePlace() {
+    if (connections_.size() < settings_.maximum_connections) {
+      return true;
+    }
+    const auto chosen = std::ranges::find_if(connections_, [](const auto& it) {
+      return !it.second->is_dialed && !it.second->is_announced;
+    });
+    if (chosen == connections_.end()) {
+      return false;
+    }
+    Drop(chosen->first);
+    return true;
+  }
+
   Shared Add(SessionSide side, tcp::socket socket) {
     last_id_ = last_id_.Next();
     auto connection =
@@ -165,6 +200,7 @@
     error_code ec;
     std::ignore = connection->socket.set_option(tcp::no_delay(true), ec);
     connection->heard_at = std::chrono::steady_clock::now();
+    connection->began_at = connection->heard_at;
     StartTimer(connection);
     Read(connection);
     Write(*connection);
@@ -241,21 +277,24 @@
   // Pings, and closes what is silent.
   void StartTimer(const Shared& connection) {
     connection->timer.expires_after(settings_.ping_period);
-    connection->timer.async_wait(
-        [self = shared_from_this(), connection](error_code ec) {
-          if (ec || self->Find(connection->id) == nullptr) {
-            return;
-          }
-          const auto silence =
-              std::chrono::steady_clock::now() - connection->heard_at;
-          if (silence > self->settings_.silence_timeout) {
-            self->Drop(connection->id);
-            return;
-          }
-          connection->session.Ping();
-          self->Write(*connection);
-          self->StartTimer(connection);
-        });
+    connection->timer.async_wait([self = shared_from_this(),
+                                  connection](error_code ec) {
+      if (ec || self->Find(connection->id) == nullptr) {
+        return;
+      }
+      // Without a stream, what comes doesn't count: pings could keep a
+      // connection for ever.
+      const auto silence = std::chrono::steady_clock::now() -
+                           (connection->is_announced ? connection->heard_at
+                                                     : connection->began_at);
+      if (silence > self->settings_.silence_timeout) {
+        self->Drop(connection->id);
+        return;
+      }
+      connection->session.Ping();
+      self->Write(*connection);
+      self->StartTimer(connection);
+    });
   }
 
   void Read(const Shared& connection) {
@@ -353,6 +392,7 @@
     is_closing_ = true;
     error_code ec;
     std::ignore = acceptor_.close(ec);
+    accept_timer_.cancel();
     for (auto& [address, target] : targets_) {
       target->timer.cancel();
     }
@@ -365,6 +405,7 @@
   StreamListener& listener_;
   asio::io_context context_;
   tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   asio::executor_work_guard<asio::io_context::executor_type> work_;
   std::map<ConnectionId, Shared> connections_;
   std::map<std::string, std::unique_ptr<Target>> targets_;
--- a/src/libs/streams/stream_node.h
+++ b/src/libs/streams/stream_node.h
@@ -33,7 +33,8 @@
   size_t maximum_connections = 256;
   milliseconds connect_timeout{1000};
   milliseconds ping_period{1000};
-  // A connection on which nothing came for this long is closed.
+  // A connection on which nothing came for this long is closed, and one that
+  // has opened no stream by then, whatever came on it.
   milliseconds silence_timeout{4000};
   milliseconds first_redial_delay{50};
   milliseconds longest_redial_delay{2000};
--- a/tests/auto/streams/stream_node_test.cpp
+++ b/tests/auto/streams/stream_node_test.cpp
@@ -5,10 +5,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
+#include <string>
+#include <string_view>
 #include <thread>
 
 #include "support/free_port.h"
@@ -187,5 +191,76 @@
   EXPECT_TRUE(right_heard.WaitForMessages(10));
 }
 
+// A client on a TCP connection that never opens a stream.
+class RawClient {
+ public:
+  explicit RawClient(const std::string& address)
+      : socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(static_cast<uint16_t>(
+        std::stoi(address.substr(address.rfind(':') + 1))));
+    EXPECT_EQ(
+        connect(socket_, reinterpret_cast<sockaddr*>(&name), sizeof(name)), 0);
+  }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+  ~RawClient() { close(socket_); }
+
+  // Returns whether the other end still takes bytes.
+  bool Send(std::string_view bytes) const {
+    return send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(bytes.size());
+  }
+
+ private:
+  const int socket_;
+};
+
+// Guards against a crowd before the handshake that takes all places, so that no
+// peer gets through.
+TEST(StreamNodeTest, ConnectionsWithoutAStreamGiveWayToPeers) {
+  constexpr size_t kPlaces = 4;
+  Recorder left_heard;
+  Recorder right_heard;
+  const std::string address = FreeAddress();
+  StreamSettings settings = SettingsAt(address);
+  settings.maximum_connections = kPlaces;
+  settings.silence_timeout = seconds(600);
+  StreamNode left(SettingsAt(FreeAddress()), left_heard);
+  StreamNode right(settings, right_heard);
+  ASSERT_TRUE(left.Open());
+  ASSERT_TRUE(right.Open());
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (size_t i = 0; i < 2 * kPlaces; ++i) {
+    crowd.push_back(std::make_unique<RawClient>(address));
+  }
+  left.SetAddresses({address});
+  EXPECT_TRUE(right_heard.WaitForOpen(1));
+  EXPECT_TRUE(left_heard.WaitForOpen(1));
+}
+
+// Guards against clients that keep a place with pings and never open a stream.
+TEST(StreamNodeTest, PingsDoNotKeepAConnectionWithoutAStream) {
+  using std::string_literals::operator""s;
+  Recorder heard;
+  const std::string address = FreeAddress();
+  StreamNode node(SettingsAt(address), heard);
+  ASSERT_TRUE(node.Open());
+  const RawClient client(address);
+  ASSERT_TRUE(
+      client.Send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+                  "\0\0\0\4\0\0\0\0\0"s));
+  const std::string ping = "\0\0\10\6\0\0\0\0\0"s + std::string(8, 'p');
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  bool is_open = true;
+  while (is_open && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(10));
+    is_open = client.Send(ping);
+  }
+  EXPECT_FALSE(is_open);
+}
+
 }  // namespace
 }  // namespace papayadrift::streams
