Http: Runs the server on async_http, for entry and guard

Cause: cpprestsdk's server reads request lines, header lines, chunk sizes with extensions, and trailers without a limit, and gives no hold on a connection before its header is whole. Entry and guard could be driven out of memory, and out of descriptors, by any client.

Change: http::Server keeps its interface and runs async_http on one I/O thread; handlers run on the pool's threads as before, and TLS is a stream under the same session. async_http's session and acceptor move to a private header, so that only src/libs/http needs OpenSSL. Half of the process's descriptors (at most 16,384 connections) and 32 MiB, or the largest body and 1 MiB, are for callers. cpprestsdk stays for the client.

Of repeated header fields the last one counts now; cpprestsdk joined them. A request whose body is still arriving when a planned stop begins is answered with 503 "stopping" ("not run") instead of being handled.

The other tests of whole programs and the sanitizers weren't run.

--- a/src/libs/async_http/server.h
+++ b/src/libs/async_http/server.h
@@ -87,7 +87,7 @@
 
  private:
   class Private;
-  std::shared_ptr<Private> private_;
+  std::unique_ptr<Private> private_;
 };
 
 }  // namespace papayadrift::async_http
--- a/src/libs/http/conversion.cpp
+++ b/src/libs/http/conversion.cpp
@@ -57,22 +57,17 @@
   }
 }
 
-std::optional<Request> FromCppRest(const web::http::http_request& message) {
-  Request result;
-  result.method = message.method();
-  result.remote_address = message.remote_address();
-  web::http::http_request mutable_message = message;
-  result.headers = FromCppRest(mutable_message.headers());
+bool ReadTarget(const std::string& target, Request& request) {
   try {
-    const web::uri& uri = message.request_uri();
-    result.path = web::uri::decode(uri.path());
+    const web::uri uri(target);
+    request.path = web::uri::decode(uri.path());
     for (const auto& [key, value] : web::uri::split_query(uri.query())) {
-      result.query[web::uri::decode(key)] = web::uri::decode(value);
+      request.query[web::uri::decode(key)] = web::uri::decode(value);
     }
   } catch (const std::exception&) {
-    return std::nullopt;
+    return false;
   }
-  return result;
+  return true;
 }
 
 web::http::http_request ToCppRest(Request request) {
@@ -93,15 +88,6 @@
   return message;
 }
 
-web::http::http_response ToCppRest(Response response) {
-  web::http::http_response message(
-      static_cast<web::http::status_code>(response.status));
-  const std::string content_type = ContentType(response.headers);
-  CopyTo(response.headers, message.headers());
-  message.set_body(std::move(response.body), content_type);
-  return message;
-}
-
 std::optional<uint64_t> AnnouncedLength(web::http::http_headers& headers) {
   const auto it = headers.find(web::http::header_names::content_length);
   if (it == headers.end()) {
--- a/src/libs/http/conversion_p.h
+++ b/src/libs/http/conversion_p.h
@@ -16,15 +16,13 @@
 
 void CopyTo(const Headers& headers, web::http::http_headers& target);
 
-// Returns everything but the body, or nothing if the path or the query is not
-// properly encoded.
-std::optional<Request> FromCppRest(const web::http::http_request& message);
+// Reads path and query from the target of a request line. Returns false if they
+// are not properly encoded.
+bool ReadTarget(const std::string& target, Request& request);
 
 // Returns a message whose body stream cannot be rewound.
 web::http::http_request ToCppRest(Request request);
 
-web::http::http_response ToCppRest(Response response);
-
 // Returns the announced length of the body, if there is one.
 std::optional<uint64_t> AnnouncedLength(web::http::http_headers& headers);
 
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -1,46 +1,56 @@
 #include "http/server.h"
 
-#include <cpprest/http_listener.h>
 #include <openssl/crypto.h>
 #include <pplx/threadpool.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <atomic>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/ssl.hpp>
 #include <thread>
 #include <utility>
 
+#include "async_http/address.h"
+#include "async_http/session_p.h"
 #include "http/conversion_p.h"
 
 namespace papayadrift::http {
 
 namespace {
 
-using ListenerConfig = web::http::experimental::listener::http_listener_config;
-using Listener = web::http::experimental::listener::http_listener;
-
-constexpr size_t kReadBytes = 8 << 10;
-
-// After its last response a connection needs a moment before it can be closed.
-constexpr milliseconds kSettlingTime(50);
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using TlsStream = asio::ssl::stream<tcp::socket>;
 
 // For the responses to those who come while the server finishes.
 constexpr milliseconds kLateTime(500);
 constexpr milliseconds kLatePoll(1);
 
+// Of the descriptors that the process may have, those for callers. The others
+// are for the process's own calls.
+constexpr size_t kDescriptorPart = 2;
+constexpr size_t kMaxConnections = 16384;
+// Held by all connections together, unless a body may be larger.
+constexpr size_t kConnectionsBytes = size_t{32} << 20;
+
 constexpr int kStatusBadRequest = 400;
-constexpr int kStatusRequestTimeout = 408;
 constexpr int kStatusLengthRequired = 411;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusInternalError = 500;
 constexpr int kStatusUnavailable = 503;
 
+constexpr char kContentType[] = "content-type";
+
 // What all requests of a server share; outlives the server while one is in
-// flight.
+// flight. The event loop goes last.
 struct Shared {
   Shared(ServerSettings server_settings, Handler server_handler)
       : settings(std::move(server_settings)),
         handler(std::move(server_handler)) {}
 
+  asio::io_context loop{1};
   const ServerSettings settings;
   const Handler handler;
   std::atomic<size_t> requests_in_flight{0};
@@ -48,6 +58,12 @@
   std::atomic<bool> is_stopping{false};
 };
 
+void LeaveFlight(Shared& shared) {
+  if (shared.requests_in_flight.fetch_sub(1) == 1) {
+    shared.requests_in_flight.notify_all();
+  }
+}
+
 Response RefusalResponse(int status,
                          const char* reason,
                          const char* ran = "no") {
@@ -57,45 +73,45 @@
       std::string(R"({"reason":")") + reason + R"(","ran":")" + ran + R"("})"};
 }
 
-// Returns whether the task succeeded. A failure only means that the caller has
-// gone: nobody is left to be told.
-bool Observe(const pplx::task<void>& task) {
-  try {
-    task.get();
-  } catch (const std::exception&) {
-    return false;
-  }
-  return true;
+Response ResponseOfRefusal(int status) {
+  const bool is_too_large = status == kStatusTooLarge;
+  return RefusalResponse(status,
+                         is_too_large ? "body_too_large" : "bad_request");
 }
 
-// One request from its headers to its response.
+// Runs on a thread of the pool.
+template <typename Task>
+void RunOnPool(Task task) {
+  asio::post(crossplat::threadpool::shared_instance().service(),
+             std::move(task));
+}
+
+// One request from its arrival as a whole to its response.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(std::shared_ptr<Shared> shared,
-           const web::http::http_request& message)
-      : shared_(std::move(shared)),
-        message_(message),
-        timer_(crossplat::threadpool::shared_instance().service()) {}
+  Exchange(std::shared_ptr<Shared> shared, async_http::Reply reply)
+      : shared_(std::move(shared)), reply_(std::move(reply)) {}
 
-  void Start() {
+  // On the event loop.
+  void Start(Request request, const std::string& target) {
     const size_t before = shared_->requests_in_flight.fetch_add(1);
     if (shared_->is_stopping) {
-      refusal_ = RefusalResponse(kStatusUnavailable, "stopping");
       CountAsLate();
+      Answer(RefusalResponse(kStatusUnavailable, "stopping"));
     } else if (before >= shared_->settings.maximum_requests_in_flight) {
-      refusal_ = RefusalResponse(kStatusUnavailable, "overloaded");
-    } else if (message_.headers().has(
-                   web::http::header_names::transfer_encoding)) {
-      refusal_ = RefusalResponse(kStatusLengthRequired, "bad_request");
-    } else if (AnnouncedLength(message_.headers()).value_or(0) >
-               shared_->settings.maximum_body_bytes) {
-      refusal_ = RefusalResponse(kStatusTooLarge, "body_too_large");
+      Answer(RefusalResponse(kStatusUnavailable, "overloaded"));
+    } else if (request.headers.contains("transfer-encoding")) {
+      Answer(RefusalResponse(kStatusLengthRequired, "bad_request"));
+    } else if (!ReadTarget(target, request)) {
+      Answer(RefusalResponse(kStatusBadRequest, "bad_request"));
+    } else {
+      RunOnPool([self = shared_from_this(), request = std::move(request)] {
+        self->shared_->handler(request, self->MakeRespond());
+      });
     }
-    StartTimer();
-    ReadMore();
   }
 
-  // Sends `response`, unless another one was sent.
+  // Sends `response`, unless another one was sent. On any thread.
   void Answer(Response response, Respond::OnWritten on_written = nullptr) {
     if (is_answered_.exchange(true)) {
       if (on_written) {
@@ -106,91 +122,35 @@
     if (shared_->is_stopping) {
       response.headers["connection"] = "close";
     }
-    message_.reply(ToCppRest(std::move(response)))
-        .then([self = shared_from_this(), on_written = std::move(on_written)](
-                  const pplx::task<void>& task) {
-          const bool is_written = Observe(task);
-          if (on_written) {
-            on_written(is_written);
-          }
-          self->Leave();
-        });
+    response.headers.try_emplace(kContentType, "application/octet-stream");
+    // The task must not keep the loop alive that it waits in. The reply refers
+    // to the connection, which only the loop's thread uses.
+    asio::post(shared_->loop,
+               [reply = std::move(reply_), weak = std::weak_ptr(shared_),
+                is_late = is_late_, response = std::move(response),
+                on_written = std::move(on_written)]() mutable {
+                 reply(std::move(response),
+                       [weak, is_late, on_written = std::move(on_written)](
+                           bool is_written) mutable {
+                         RunOnPool([weak, is_late, is_written,
+                                    on_written = std::move(on_written)] {
+                           if (on_written) {
+                             on_written(is_written);
+                           }
+                           Leave(weak, is_late);
+                         });
+                       });
+               });
   }
 
  private:
   // Whoever comes after the stop doesn't hold it up.
   void CountAsLate() {
     ++shared_->late_requests;
-    LeaveFlight();
+    LeaveFlight(*shared_);
     is_late_ = true;
   }
 
-  void StartTimer() {
-    timer_.expires_after(shared_->settings.body_time_limit);
-    timer_.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
-      const auto self = weak.lock();
-      if (!ec && self && !self->is_whole_) {
-        self->Break(RefusalResponse(kStatusRequestTimeout, "bad_request"));
-      }
-    });
-  }
-
-  void ReadMore() {
-    body_.resize(body_size_ + kReadBytes);
-    auto* const end = reinterpret_cast<uint8_t*>(body_.data() + body_size_);
-    message_.body()
-        .streambuf()
-        .getn(end, kReadBytes)
-        .then([self = shared_from_this()](const pplx::task<size_t>& task) {
-          self->OnRead(task);
-        });
-  }
-
-  void OnRead(const pplx::task<size_t>& task) {
-    size_t n = 0;
-    try {
-      n = task.get();
-    } catch (const std::exception&) {
-      return Break(RefusalResponse(kStatusBadRequest, "bad_request"));
-    }
-    body_size_ += refusal_ ? 0 : n;  // What is refused is dropped.
-    if (n > 0) {
-      return ReadMore();
-    }
-    Confirm();
-  }
-
-  // The stream also ends when the connection does: asks which it was.
-  void Confirm() {
-    message_.content_ready().then(
-        [self = shared_from_this()](
-            const pplx::task<web::http::http_request>& task) {
-          try {
-            task.get();
-          } catch (const std::exception&) {
-            return self->Break(
-                RefusalResponse(kStatusBadRequest, "bad_request"));
-          }
-          self->Handle();
-        });
-  }
-
-  void Handle() {
-    if (is_whole_.exchange(true)) {
-      return;
-    }
-    if (refusal_) {
-      return Answer(std::move(*refusal_));
-    }
-    std::optional<Request> request = FromCppRest(message_);
-    if (!request) {
-      return Answer(RefusalResponse(kStatusBadRequest, "bad_request"));
-    }
-    body_.resize(body_size_);
-    request->body = std::move(body_);
-    shared_->handler(std::move(*request), MakeRespond());
-  }
-
   Respond MakeRespond() {
     auto guard = std::shared_ptr<Exchange>(
         this, [self = shared_from_this()](Exchange* exchange) {
@@ -203,53 +163,23 @@
     });
   }
 
-  // Gives up the rest of the body. The library sends the answer only when the
-  // caller's next bytes, or its end, stop the reading of the body; to close the
-  // connection while it reads is not safe.
-  void Break(Response response) {
-    if (is_whole_.exchange(true)) {
-      return;
-    }
-    response.headers["connection"] = "close";
-    message_._get_impl()
-        ->outstream()
-        .streambuf()
-        .close(std::ios_base::out,
-               std::make_exception_ptr(
-                   web::http::http_exception("The body was given up.")))
-        .then([](const pplx::task<void>& task) { Observe(task); });
-    Answer(std::move(response));
-    Leave();
-  }
-
   // No longer counts as in flight.
-  void Leave() {
-    if (has_left_.exchange(true)) {
+  static void Leave(const std::weak_ptr<Shared>& weak, bool is_late) {
+    const auto shared = weak.lock();
+    if (!shared) {
       return;
     }
-    if (is_late_) {
-      --shared_->late_requests;
+    if (is_late) {
+      --shared->late_requests;
       return;
     }
-    LeaveFlight();
-  }
-
-  void LeaveFlight() {
-    if (shared_->requests_in_flight.fetch_sub(1) == 1) {
-      shared_->requests_in_flight.notify_all();
-    }
+    LeaveFlight(*shared);
   }
 
   const std::shared_ptr<Shared> shared_;
-  web::http::http_request message_;
-  boost::asio::steady_timer timer_;
-  std::string body_;
-  size_t body_size_ = 0;
-  std::optional<Response> refusal_;  // Sent once the body has come.
+  async_http::Reply reply_;
   bool is_late_ = false;
-  std::atomic<bool> is_whole_{false};
   std::atomic<bool> is_answered_{false};
-  std::atomic<bool> has_left_{false};
 };
 
 // Returns whether the two files can be used together.
@@ -271,32 +201,20 @@
   return LoadCertificate(context, settings);
 }
 
-ListenerConfig MakeConfig(const ServerSettings& settings) {
-  ListenerConfig config;
-  if (settings.certificate_chain_path.empty()) {
-    return config;
-  }
-  config.set_ssl_context_callback(
-      [settings](boost::asio::ssl::context& context) {
-        LoadCertificate(context, settings);
-      });
-  return config;
-}
-
-std::optional<web::uri> ToUri(const ServerSettings& settings) {
-  const bool is_secure = !settings.certificate_chain_path.empty();
-  const std::string text =
-      (is_secure ? "https://" : "http://") + settings.address + "/";
-  if (!web::uri::validate(text)) {
-    return std::nullopt;
-  }
-  web::uri uri(text);
-  boost::system::error_code ec;
-  boost::asio::ip::make_address(uri.host(), ec);
-  if (ec || uri.port() <= 0) {
-    return std::nullopt;
-  }
-  return uri;
+async_http::ServerSettings AsyncSettingsOf(const ServerSettings& settings) {
+  rlimit limit{};
+  const size_t descriptors = getrlimit(RLIMIT_NOFILE, &limit) == 0
+                                 ? limit.rlim_cur
+                                 : 2 * kMaxConnections;
+  async_http::ServerSettings result;
+  result.address = settings.address;
+  result.maximum_body_bytes = settings.maximum_body_bytes;
+  result.connections.connections =
+      std::clamp(descriptors / kDescriptorPart, size_t{1}, kMaxConnections);
+  result.connections.bytes =
+      std::max(kConnectionsBytes, settings.maximum_body_bytes + (1 << 20));
+  result.message_timeout = settings.body_time_limit;
+  return result;
 }
 
 }  // namespace
@@ -313,9 +231,92 @@
       : shared(std::make_shared<Shared>(std::move(settings),
                                         std::move(handler))) {}
 
+  bool Open() {
+    const ServerSettings& settings = shared->settings;
+    if (!async_http::IsAddress(settings.address)) {
+      last_reason = ServerFailure::kBadAddress;
+      return false;
+    }
+    if (!CanLoadCertificate(settings)) {
+      last_reason = ServerFailure::kBadCertificate;
+      return false;
+    }
+    auto state = std::make_shared<async_http::ServerState>(
+        shared->loop, AsyncSettingsOf(settings),
+        [weak = std::weak_ptr(shared)](Request request,
+                                       const std::string& target,
+                                       async_http::Reply reply) {
+          if (const auto it = weak.lock()) {
+            std::make_shared<Exchange>(it, std::move(reply))
+                ->Start(std::move(request), target);
+          }
+        },
+        nullptr);
+    // The state belongs to the loop of `shared`, which it must not keep alive.
+    state->on_arriving = [&requests = *shared](bool is_arriving) {
+      if (is_arriving) {
+        ++requests.requests_in_flight;
+      } else {
+        LeaveFlight(requests);
+      }
+    };
+    state->make_refusal = &ResponseOfRefusal;
+    state->tells_remote_address = true;
+    acceptor = std::make_shared<async_http::Acceptor>(
+        shared->loop, std::move(state), StarterOf(settings));
+    if (!acceptor->Open()) {
+      last_reason = ServerFailure::kAddressInUse;
+      return false;
+    }
+    thread = std::thread([this] { shared->loop.run(); });
+    return true;
+  }
+
+  // Ends all connections.
+  void Close() {
+    asio::post(shared->loop, [this] {
+      acceptor->Close();
+      acceptor->CloseSessions();
+      shared->loop.stop();
+    });
+    thread.join();
+    acceptor.reset();
+  }
+
   const std::shared_ptr<Shared> shared;
-  std::unique_ptr<Listener> listener;
+  std::shared_ptr<async_http::Acceptor> acceptor;
+  std::thread thread;
   std::optional<ServerFailure> last_reason;
+
+ private:
+  static async_http::StartSession StarterOf(const ServerSettings& settings) {
+    if (settings.certificate_chain_path.empty()) {
+      return [](tcp::socket socket,
+                const std::shared_ptr<async_http::ServerState>& state) {
+        std::make_shared<async_http::StreamSession<tcp::socket>>(
+            state, std::move(socket))
+            ->Read();
+      };
+    }
+    auto context =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tls_server);
+    LoadCertificate(*context, settings);
+    return [context](tcp::socket socket,
+                     const std::shared_ptr<async_http::ServerState>& state) {
+      auto session = std::make_shared<async_http::StreamSession<TlsStream>>(
+          state, std::move(socket), *context);
+      session->BeginHandshake();
+      session->stream().async_handshake(
+          asio::ssl::stream_base::server,
+          [session, context](boost::system::error_code ec) {
+            if (ec) {
+              session->Close();
+            } else {
+              session->Read();
+            }
+          });
+    };
+  }
 };
 
 Server::Server(ServerSettings settings, Handler handler)
@@ -327,29 +328,7 @@
 }
 
 bool Server::Open() {
-  const std::shared_ptr<Shared>& shared = private_->shared;
-  const std::optional<web::uri> uri = ToUri(shared->settings);
-  if (!uri) {
-    private_->last_reason = ServerFailure::kBadAddress;
-    return false;
-  }
-  if (!CanLoadCertificate(shared->settings)) {
-    private_->last_reason = ServerFailure::kBadCertificate;
-    return false;
-  }
-  auto listener =
-      std::make_unique<Listener>(*uri, MakeConfig(shared->settings));
-  listener->support([shared](const web::http::http_request& message) {
-    std::make_shared<Exchange>(shared, message)->Start();
-  });
-  try {
-    listener->open().wait();
-  } catch (const std::exception&) {
-    private_->last_reason = ServerFailure::kAddressInUse;
-    return false;
-  }
-  private_->listener = std::move(listener);
-  return true;
+  return private_->Open();
 }
 
 void Server::Finish() {
@@ -367,13 +346,11 @@
 }
 
 void Server::Close() {
-  if (!private_->listener) {
+  if (!private_->thread.joinable()) {
     return;
   }
   Finish();
-  std::this_thread::sleep_for(kSettlingTime);
-  private_->listener->close().then(Observe).wait();
-  private_->listener.reset();
+  private_->Close();
 }
 
 size_t Server::requests_in_flight() const {
--- a/tests/auto/async_http/server_test.cpp
+++ b/tests/auto/async_http/server_test.cpp
@@ -258,7 +258,7 @@
   const auto socket = Connect();
   const std::string get = "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n";
   Send(*socket, get + "a" + get + "b" + get + "c");
-  std::string text = ReadUntil(*socket, "c");
+  EXPECT_TRUE(ReadUntil(*socket, "c").ends_with("c"));
   EXPECT_EQ(handled_, 3U);
 }
 
