Http: Counts refusals at entry and guard

Cause: only front and agent told of requests refused and connections closed.

Change: http::Server tells its refusals to a listener. Entry and guard count them in papayadrift_connections_refused_total by listener and reason; the entry logs connection.refused at most once per reason in 10 s (the guard has no log). The reasons move to async_http/refusal.h, which needs no Boost header.

--- a/src/libs/async_http/refusal_reporter.cpp
+++ b/src/libs/async_http/refusal_reporter.cpp
@@ -6,7 +6,7 @@
 
 RefusalReporter::RefusalReporter(std::string listener,
                                  const Clock& clock,
-                                 logging::EventLog& logger,
+                                 logging::EventLog* logger,
                                  metrics::Registry& registry)
     : listener_(std::move(listener)), clock_(clock), logger_(logger) {
   for (const Refusal it : AllRefusals()) {
@@ -23,14 +23,14 @@
   reason.counter->Add();
   ++reason.unlogged;
   const Instant now = clock_.Now();
-  if (now < reason.next_line_at) {
+  if (logger_ == nullptr || now < reason.next_line_at) {
     return;
   }
   reason.next_line_at = now + kRefusalLogPeriod;
-  logger_.Log(logging::Event::kConnectionRefused,
-              {{"listener", listener_},
-               {"reason", std::string(ToText(refusal))},
-               {"count", std::exchange(reason.unlogged, 0)}});
+  logger_->Log(logging::Event::kConnectionRefused,
+               {{"listener", listener_},
+                {"reason", std::string(ToText(refusal))},
+                {"count", std::exchange(reason.unlogged, 0)}});
 }
 
 }  // namespace papayadrift::async_http
--- a/src/libs/async_http/refusal_reporter.h
+++ b/src/libs/async_http/refusal_reporter.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "async_http/server.h"
+#include "async_http/refusal.h"
 #include "base/clock.h"
 #include "logging/event_log.h"
 #include "metrics/registry.h"
@@ -16,10 +16,11 @@
 // each reason in kRefusalLogPeriod. For one thread.
 class RefusalReporter {
  public:
-  // `listener` is its name in metrics and logs.
+  // `listener` is its name in metrics and logs. Without a logger it only
+  // counts.
   RefusalReporter(std::string listener,
                   const Clock& clock,
-                  logging::EventLog& logger,
+                  logging::EventLog* logger,
                   metrics::Registry& registry);
 
   void Report(Refusal refusal);
@@ -33,7 +34,7 @@
 
   const std::string listener_;
   const Clock& clock_;
-  logging::EventLog& logger_;
+  logging::EventLog* const logger_;
   std::map<Refusal, Reason> reasons_;
 };
 
--- a/src/libs/async_http/server.h
+++ b/src/libs/async_http/server.h
@@ -5,11 +5,10 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
-#include <string_view>
 
 #include "async_http/connection_budget.h"
+#include "async_http/refusal.h"
 #include "base/instant.h"
 #include "http/message.h"
 
@@ -23,25 +22,6 @@
 
 namespace papayadrift::async_http {
 
-// Why a connection was refused, or closed before its peer ended it. Each of
-// them happens before the handler has seen a request, except kUnread.
-enum class Refusal {
-  kMalformed,       // Answered with 400.
-  kHeaderTooLarge,  // Answered with 431.
-  kBodyTooLarge,    // Answered with 413.
-  // Sizes and extensions of chunks, or trailers; answered with 431.
-  kFramingTooLarge,
-  kHeaderTooSlow,  // Answered with 408.
-  kBodyTooSlow,    // Answered with 408.
-  kPlaceNeeded,    // Closed for want of places.
-  kMemoryNeeded,   // Closed for want of memory.
-  kUnread,         // The response wasn't read in time.
-};
-
-std::span<const Refusal> AllRefusals();
-// Returns the name in metrics and logs.
-std::string_view ToText(Refusal refusal);
-
 struct ServerSettings {
   std::string address;  // "ip:port".
   // Of the request line and of the header fields, each.
@@ -62,9 +42,6 @@
                          const ServerSettings&) = default;
 };
 
-// Hears of each refusal, on the event loop.
-using RefusalListener = std::function<void(Refusal)>;
-
 // Sends the response of one request; to be called once, on the event loop.
 using Respond = std::function<void(http::Response)>;
 using Handler = std::function<void(http::Request, Respond)>;
--- a/src/libs/entry/entry_node.cpp
+++ b/src/libs/entry/entry_node.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "access/access_control.h"
+#include "async_http/refusal_reporter.h"
 #include "base/hash.h"
 #include "entry/control_metrics.h"
 #include "entry/event_loop.h"
@@ -76,6 +77,7 @@
   RegionController controller_;
   OutcomesDesk outcomes_;
   HttpFront front_;
+  async_http::RefusalReporter refusals_;
   http::Server server_;
   Instant sample_at_;
   std::optional<NodeFailure> last_reason_;
@@ -137,10 +139,13 @@
       front_(HttpFrontSettingsOf(settings),
              clock_,
              {requests_, controller_, outcomes_, access_, registry_, control_}),
-      server_(ServerSettingsOf(settings),
-              [this](http::Request request, http::Respond respond) {
-                front_.Handle(std::move(request), std::move(respond));
-              }) {
+      refusals_("callers", clock_, &logger_, registry_),
+      server_(
+          ServerSettingsOf(settings),
+          [this](http::Request request, http::Respond respond) {
+            front_.Handle(std::move(request), std::move(respond));
+          },
+          [this](async_http::Refusal it) { refusals_.Report(it); }) {
   access_.SetBook(AccessBookOf(settings, configuration::Configuration()));
   controller_.configuration().AddListener(
       [this](const ConfigurationInForce& in_force) {
--- a/src/libs/guard/guard_node.cpp
+++ b/src/libs/guard/guard_node.cpp
@@ -66,10 +66,13 @@
       sends_(static_cast<size_t>(settings.maximum_keys)),
       keys_(static_cast<size_t>(settings.maximum_keys)),
       gate_(settings.slots),
-      server_(ServerSettingsOf(settings),
-              [this](http::Request request, http::Respond respond) {
-                Handle(std::move(request), std::move(respond));
-              }) {}
+      refusals_("entries", clock, nullptr, registry_),
+      server_(
+          ServerSettingsOf(settings),
+          [this](http::Request request, http::Respond respond) {
+            Handle(std::move(request), std::move(respond));
+          },
+          [this](async_http::Refusal it) { refusals_.Report(it); }) {}
 
 bool GuardNode::Start() {
   return server_.Open();
--- a/src/libs/guard/guard_node.h
+++ b/src/libs/guard/guard_node.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 
+#include "async_http/refusal_reporter.h"
 #include "base/clock.h"
 #include "guard/identity_memory.h"
 #include "guard/slot_gate.h"
@@ -47,6 +48,7 @@
   IdentityMemory sends_;
   IdentityMemory keys_;
   SlotGate gate_;
+  async_http::RefusalReporter refusals_;
   http::Server server_;
 };
 
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -227,9 +227,12 @@
 
 class Server::Private {
  public:
-  Private(ServerSettings settings, Handler handler)
-      : shared(std::make_shared<Shared>(std::move(settings),
-                                        std::move(handler))) {}
+  Private(ServerSettings settings,
+          Handler handler,
+          async_http::RefusalListener listener)
+      : shared(
+            std::make_shared<Shared>(std::move(settings), std::move(handler))),
+        on_refused(std::move(listener)) {}
 
   bool Open() {
     const ServerSettings& settings = shared->settings;
@@ -251,7 +254,7 @@
                 ->Start(std::move(request), target);
           }
         },
-        nullptr);
+        on_refused);
     // The state belongs to the loop of `shared`, which it must not keep alive.
     state->on_arriving = [&requests = *shared](bool is_arriving) {
       if (is_arriving) {
@@ -284,6 +287,7 @@
   }
 
   const std::shared_ptr<Shared> shared;
+  const async_http::RefusalListener on_refused;
   std::shared_ptr<async_http::Acceptor> acceptor;
   std::thread thread;
   std::optional<ServerFailure> last_reason;
@@ -319,9 +323,12 @@
   }
 };
 
-Server::Server(ServerSettings settings, Handler handler)
-    : private_(
-          std::make_unique<Private>(std::move(settings), std::move(handler))) {}
+Server::Server(ServerSettings settings,
+               Handler handler,
+               async_http::RefusalListener on_refused)
+    : private_(std::make_unique<Private>(std::move(settings),
+                                         std::move(handler),
+                                         std::move(on_refused))) {}
 
 Server::~Server() {
   Close();
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "async_http/refusal.h"
 #include "base/instant.h"
 #include "http/message.h"
 
@@ -65,7 +66,10 @@
 // too many in flight with 503, without reaching the handler.
 class Server {
  public:
-  Server(ServerSettings settings, Handler handler);
+  // `on_refused` may be empty; it must not block.
+  Server(ServerSettings settings,
+         Handler handler,
+         async_http::RefusalListener on_refused = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/tests/auto/async_http/refusal_reporter_test.cpp
+++ b/tests/auto/async_http/refusal_reporter_test.cpp
@@ -28,7 +28,7 @@
   clock.Advance(seconds(1));
   LineCounter log;
   metrics::Registry registry;
-  RefusalReporter reporter("callers", clock, log, registry);
+  RefusalReporter reporter("callers", clock, &log, registry);
   for (int i = 0; i < kRefusals; ++i) {
     reporter.Report(Refusal::kBodyTooLarge);
   }
--- a/tests/auto/http/server_test.cpp
+++ b/tests/auto/http/server_test.cpp
@@ -122,6 +122,19 @@
   EXPECT_EQ(StatusOfPost("x"), 201);
 }
 
+// Guards against refusals that operators don't see.
+TEST_F(ServerTest, RefusalsAreTold) {
+  std::promise<async_http::Refusal> refused;
+  settings_.address = "127.0.0.1:" + std::to_string(port_);
+  Server server(
+      settings_, [](const Request&, const Respond&) {},
+      [&](async_http::Refusal it) { refused.set_value(it); });
+  ASSERT_TRUE(server.Open());
+  RawSocket caller(port_);
+  caller.Send("GET /" + std::string(64 << 10, 'a'));
+  EXPECT_EQ(refused.get_future().get(), async_http::Refusal::kHeaderTooLarge);
+}
+
 TEST_F(ServerTest, SlowCallersAreCutAndHarmNobody) {
   settings_.body_time_limit = milliseconds(300);
   OpenEcho();
--- a/tests/auto/reference/reference_page.cpp
+++ b/tests/auto/reference/reference_page.cpp
@@ -1,5 +1,7 @@
 #include "reference_page.h"
 
+#include "async_http/refusal_reporter.h"
+#include "base/clock.h"
 #include "base/refusal.h"
 #include "configuration/configuration_reader.h"
 #include "control/exit_code.h"
@@ -97,6 +99,9 @@
   const entry::RequestMetrics requests(registry);
   const entry::ControlMetrics control(registry);
   const entry::LoanMetrics loans(registry);
+  const SystemClock clock;
+  const async_http::RefusalReporter refusals("callers", clock, nullptr,
+                                             registry);
   std::string text = "## Metrics of an entry\n\n";
   for (const std::string& name : registry.names()) {
     text += "- `" + name + "`\n";
