--- a/src/libs/async_http/server.cpp
+++ b/src/libs/async_http/server.cpp
@@ -2,18 +2,15 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <optional>
-#include <set>
 #include <tuple>
 #include <utility>
 
-#include "async_http/beast_p.h"
+#include "async_http/session_p.h"
 
 namespace papayadrift::async_http {
 namespace {
 
 using boost::asio::ip::tcp;
-namespace beast_http = boost::beast::http;
 using ErrorCode = boost::system::error_code;
 
 // Pause after a failed accept, as when descriptors have run out.
@@ -23,233 +20,212 @@
 // process, and are given up before.
 constexpr int kMaxAcceptsPerTurn = 64;
 
-class Session;
-
-// What the sessions of a server share.
-struct Shared {
-  ServerSettings settings;
-  Handler handler;
-  std::set<Session*> sessions;
-  size_t requests_in_flight = 0;
-  bool is_draining = false;
-};
+}  // namespace
 
-class Session : public std::enable_shared_from_this<Session> {
- public:
-  Session(tcp::socket socket, std::shared_ptr<Shared> shared)
-      : stream_(std::move(socket)), shared_(std::move(shared)) {
-    buffer_.reserve(kServerReadBytes);
-    shared_->sessions.insert(this);
-  }
-  ~Session() { shared_->sessions.erase(this); }
-  Session(const Session&) = delete;
-  Session& operator=(const Session&) = delete;
-
-  void Read() {
-    parser_.emplace();
-    parser_->header_limit(
-        static_cast<uint32_t>(shared_->settings.maximum_header_bytes));
-    parser_->body_limit(shared_->settings.maximum_body_bytes);
-    stream_.expires_after(shared_->settings.idle_timeout);
-    beast_http::async_read(stream_, buffer_, *parser_,
-                           [self = shared_from_this()](ErrorCode ec, size_t) {
-                             self->OnRead(ec);
-                           });
+bool ServerState::MakePlace() {
+  while (budget.is_full()) {
+    const auto chosen = budget.ChooseForPlace(clock.Now());
+    Count(Refusal::kPlaceNeeded);
+    if (!chosen) {
+      return false;
+    }
+    sessions.at(*chosen)->Close();
   }
+  return true;
+}
 
-  // Closes the connection unless a request has begun to arrive or is handled.
-  void CloseIfIdle() {
-    if (!is_handling_ && buffer_.size() == 0 &&
-        !(parser_ && parser_->got_some())) {
-      Close();
+void ServerState::MakeMemory() {
+  while (budget.is_over_bytes()) {
+    const auto chosen = budget.ChooseForBytes(clock.Now());
+    if (!chosen) {
+      return;
     }
+    Count(Refusal::kMemoryNeeded);
+    sessions.at(*chosen)->Close();
   }
+}
 
- private:
-  void Close() {
-    ErrorCode ignored;
-    std::ignore =
-        stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    stream_.close();
+void ServerState::StartSweeps() {
+  if (is_sweeping) {
+    return;
   }
-
-  void OnRead(ErrorCode ec) {
-    if (ec == beast_http::error::body_limit) {
-      Answer(http::Response{413, {}, {}}, false);
-      return;
-    }
-    if (ec == beast_http::error::header_limit) {
-      Answer(http::Response{431, {}, {}}, false);
+  is_sweeping = true;
+  sweep_timer.expires_after(kSweepPeriod);
+  sweep_timer.async_wait([weak = weak_from_this()](ErrorCode ec) {
+    const auto self = weak.lock();
+    if (!self) {
       return;
     }
+    self->is_sweeping = false;
     if (ec) {
-      Close();
       return;
     }
-    stream_.expires_never();
-    is_handling_ = true;
-    ++shared_->requests_in_flight;
-    const bool keeps = parser_->get().keep_alive();
-    http::Request request = FromBeast(parser_->release());
-    shared_->handler(std::move(request), [self = shared_from_this(),
-                                          keeps](http::Response response) {
-      --self->shared_->requests_in_flight;
-      self->Answer(std::move(response), keeps);
-    });
-  }
-
-  void Answer(http::Response response, bool keeps) {
-    const bool stays = keeps && !shared_->is_draining;
-    response_ = ToBeast(std::move(response), 11);
-    response_.keep_alive(stays);
-    stream_.expires_after(shared_->settings.idle_timeout);
-    beast_http::async_write(
-        stream_, response_,
-        [self = shared_from_this(), stays](ErrorCode ec, size_t) {
-          self->is_handling_ = false;
-          if (ec || !stays) {
-            self->Close();
-            return;
-          }
-          self->Read();
-        });
-  }
-
-  boost::beast::tcp_stream stream_;
-  const std::shared_ptr<Shared> shared_;
-  boost::beast::flat_buffer buffer_;
-  struct Parser : beast_http::request_parser<beast_http::string_body> {
-    // Whether bytes of a request have been read.
-    bool got_some() const {
-      return const_cast<Parser*>(this)->get().method() !=
-                 beast_http::verb::unknown ||
-             is_header_done();
+    const Instant now = self->clock.Now();
+    // A session that is closed leaves the map.
+    for (auto it = self->sessions.begin(); it != self->sessions.end();) {
+      Session* const session = it->second;
+      ++it;
+      session->CheckDeadline(now);
     }
-  };
-  std::optional<Parser> parser_;
-  StringResponse response_;
-  bool is_handling_ = false;
-};
-
-}  // namespace
+    if (!self->sessions.empty()) {
+      self->StartSweeps();
+    }
+  });
+}
 
-class Server::Private : public std::enable_shared_from_this<Private> {
- public:
-  Private(boost::asio::io_context& loop,
-          ServerSettings settings,
-          Handler handler)
-      : acceptor_(loop), pause_(loop), shared_(std::make_shared<Shared>()) {
-    shared_->settings = std::move(settings);
-    shared_->handler = std::move(handler);
+Acceptor::Acceptor(boost::asio::io_context& loop,
+                   std::shared_ptr<ServerState> state,
+                   StartSession start)
+    : acceptor_(loop),
+      pause_(loop),
+      state_(std::move(state)),
+      start_(std::move(start)) {}
+
+bool Acceptor::Open() {
+  const auto endpoint = EndpointOf(state_->settings.address);
+  if (!endpoint) {
+    return false;
   }
-
-  bool Open() {
-    const auto endpoint = EndpointOf(shared_->settings.address);
-    if (!endpoint) {
-      return false;
-    }
-    ErrorCode ec;
-    std::ignore = acceptor_.open(endpoint->protocol(), ec);
-    std::ignore =
-        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
-    std::ignore = acceptor_.bind(*endpoint, ec);
-    if (ec) {
-      return false;
-    }
-    std::ignore =
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
-    if (ec) {
-      return false;
-    }
-    std::ignore = acceptor_.non_blocking(true, ec);
-    if (ec) {
-      return false;
-    }
-    Accept();
-    return true;
+  ErrorCode ec;
+  std::ignore = acceptor_.open(endpoint->protocol(), ec);
+  std::ignore =
+      acceptor_.set_option(boost::asio::socket_base::reuse_address(true), ec);
+  std::ignore = acceptor_.bind(*endpoint, ec);
+  if (ec) {
+    return false;
   }
-
-  void Drain() {
-    shared_->is_draining = true;
-    const std::set<Session*> sessions = shared_->sessions;
-    for (Session* session : sessions) {
-      session->CloseIfIdle();
-    }
+  std::ignore =
+      acceptor_.listen(boost::asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return false;
   }
-
-  void Close() {
-    ErrorCode ignored;
-    std::ignore = acceptor_.close(ignored);
-    pause_.cancel(ignored);
+  std::ignore = acceptor_.non_blocking(true, ec);
+  if (ec) {
+    return false;
   }
+  Accept();
+  return true;
+}
 
-  size_t requests_in_flight() const { return shared_->requests_in_flight; }
+void Acceptor::Close() {
+  ErrorCode ignored;
+  std::ignore = acceptor_.close(ignored);
+  pause_.cancel(ignored);
+}
 
- private:
-  void Accept() {
-    acceptor_.async_accept(
-        [self = shared_from_this()](ErrorCode ec, tcp::socket socket) {
-          self->OnAccept(ec, std::move(socket));
-        });
+void Acceptor::CloseSessions() {
+  while (!state_->sessions.empty()) {
+    state_->sessions.begin()->second->Close();
   }
+}
 
-  void OnAccept(ErrorCode ec, tcp::socket socket) {
-    if (!acceptor_.is_open()) {
-      return;
-    }
-    if (ec) {
-      pause_.expires_after(kAcceptPause);
-      pause_.async_wait([self = shared_from_this()](ErrorCode wait_ec) {
-        if (!wait_ec) {
-          self->Accept();
-        }
+void Acceptor::Drain() {
+  state_->is_draining = true;
+  const std::map<ConnectionBudget::Id, Session*> sessions = state_->sessions;
+  for (const auto& [id, session] : sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+void Acceptor::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](ErrorCode ec, tcp::socket socket) {
+        self->OnAccept(ec, std::move(socket));
       });
-      return;
-    }
-    Serve(std::move(socket));
-    for (int i = 1; i < kMaxAcceptsPerTurn; ++i) {
-      tcp::socket next = acceptor_.accept(ec);
-      if (ec) {
-        break;
+}
+
+void Acceptor::OnAccept(ErrorCode ec, tcp::socket socket) {
+  if (!acceptor_.is_open()) {
+    return;
+  }
+  if (ec) {
+    pause_.expires_after(kAcceptPause);
+    pause_.async_wait([self = shared_from_this()](ErrorCode wait_ec) {
+      if (!wait_ec) {
+        self->Accept();
       }
-      Serve(std::move(next));
+    });
+    return;
+  }
+  Serve(std::move(socket));
+  for (int i = 1; i < kMaxAcceptsPerTurn; ++i) {
+    tcp::socket next = acceptor_.accept(ec);
+    if (ec) {
+      break;
     }
-    Accept();
+    Serve(std::move(next));
   }
+  Accept();
+}
 
-  void Serve(tcp::socket socket) {
-    if (shared_->sessions.size() < shared_->settings.maximum_connections) {
-      SetSocketOptions(socket);
-      std::make_shared<Session>(std::move(socket), shared_)->Read();
-    }
+void Acceptor::Serve(tcp::socket socket) {
+  if (state_->MakePlace()) {
+    SetSocketOptions(socket);
+    start_(std::move(socket), state_);
+    state_->MakeMemory();
+    state_->StartSweeps();
   }
+}
 
-  tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
-  const std::shared_ptr<Shared> shared_;
+class Server::Private {
+ public:
+  Private(boost::asio::io_context& loop,
+          ServerSettings settings,
+          Handler handler,
+          RefusalListener on_refused)
+      : acceptor_(std::make_shared<Acceptor>(
+            loop,
+            std::make_shared<ServerState>(loop,
+                                          std::move(settings),
+                                          HandlerOf(std::move(handler)),
+                                          std::move(on_refused)),
+            [](tcp::socket socket, const std::shared_ptr<ServerState>& state) {
+              std::make_shared<StreamSession<tcp::socket>>(state,
+                                                           std::move(socket))
+                  ->Read();
+            })) {}
+  ~Private() { acceptor_->Close(); }
+  Private(const Private&) = delete;
+  Private& operator=(const Private&) = delete;
+
+  Acceptor& acceptor() { return *acceptor_; }
+
+ private:
+  static ReplyHandler HandlerOf(Handler handler) {
+    return
+        [handler = std::move(handler)](
+            http::Request request, const std::string& /*target*/, Reply reply) {
+          handler(std::move(request),
+                  [reply = std::move(reply)](http::Response response) {
+                    reply(std::move(response), nullptr);
+                  });
+        };
+  }
+
+  const std::shared_ptr<Acceptor> acceptor_;
 };
 
 Server::Server(boost::asio::io_context& loop,
                ServerSettings settings,
-               Handler handler)
-    : private_(std::make_shared<Private>(loop,
+               Handler handler,
+               RefusalListener on_refused)
+    : private_(std::make_unique<Private>(loop,
                                          std::move(settings),
-                                         std::move(handler))) {}
+                                         std::move(handler),
+                                         std::move(on_refused))) {}
 
-Server::~Server() {
-  private_->Close();
-}
+Server::~Server() = default;
 
 bool Server::Open() {
-  return private_->Open();
+  return private_->acceptor().Open();
 }
 
 void Server::Drain() {
-  private_->Drain();
+  private_->acceptor().Drain();
 }
 
 size_t Server::requests_in_flight() const {
-  return private_->requests_in_flight();
+  return private_->acceptor().state().requests_in_flight;
 }
 
 }  // namespace papayadrift::async_http
--- a/src/libs/async_http/server.h
+++ b/src/libs/async_http/server.h
@@ -7,22 +7,36 @@
 #include <memory>
 #include <string>
 
+#include "async_http/connection_budget.h"
+#include "async_http/refusal.h"
 #include "base/instant.h"
 #include "http/message.h"
 
 // HTTP/1.1 on one thread: server and client run on the caller's event loop and
 // keep no thread, lock or timer thread of their own. For processes that have a
 // small share of one core.
+//
+// Clients may send anything. What arrives of a message is bounded in bytes and
+// in time as a whole, and so are all connections of a server together: see
+// ConnectionBudget.
 
 namespace papayadrift::async_http {
 
 struct ServerSettings {
   std::string address;  // "ip:port".
+  // Of the request line and of the header fields, each.
   size_t maximum_header_bytes = 16 * 1024;
   size_t maximum_body_bytes = 1 << 20;
-  size_t maximum_connections = 2048;
-  // A connection that brings no whole request for so long is closed.
+  ConnectionLimits connections;
+  // A connection on which no request begins for this long is closed.
   milliseconds idle_timeout{30000};
+  // From the first byte of a request to the end of its header. Peers may take
+  // 3 s by the platform's limits.
+  milliseconds header_timeout{5000};
+  // From the first byte of a request to its end.
+  milliseconds message_timeout{30000};
+  // For reading a whole response.
+  milliseconds response_timeout{30000};
 
   friend bool operator==(const ServerSettings&,
                          const ServerSettings&) = default;
@@ -36,7 +50,8 @@
  public:
   Server(boost::asio::io_context& loop,
          ServerSettings settings,
-         Handler handler);
+         Handler handler,
+         RefusalListener on_refused = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
@@ -49,7 +64,7 @@
 
  private:
   class Private;
-  std::shared_ptr<Private> private_;
+  std::unique_ptr<Private> private_;
 };
 
 }  // namespace papayadrift::async_http
--- a/src/libs/jobs/pace_plan.cpp
+++ b/src/libs/jobs/pace_plan.cpp
@@ -115,6 +115,12 @@
 
 }  // namespace
 
+bool StopsAllFillers(const Runner& runner,
+                     const PaceSettings& settings,
+                     Instant now) {
+  return LongestOverTarget(runner, now) >= settings.long_overrun;
+}
+
 double SlackOf(const Run& run) {
   return static_cast<double>(run.tail_target_ms) /
          static_cast<double>(std::max<int64_t>(1, run.gauge));
@@ -173,8 +179,7 @@
                                       const PaceSettings& settings,
                                       Instant now,
                                       int64_t unix_ms) {
-  const milliseconds over = LongestOverTarget(runner, now);
-  if (over >= settings.long_overrun) {
+  if (StopsAllFillers(runner, settings, now)) {
     std::map<TaskKey, uint32_t> none;
     for (const auto& [task, run] : runner.runs) {
       if (run.is_filler && run.is_accepted && !run.is_withdrawn) {
@@ -183,9 +188,10 @@
     }
     return none;
   }
-  const double harmless = over >= settings.short_overrun
-                              ? settings.strict_harmless_weight
-                              : settings.harmless_weight;
+  const double harmless =
+      LongestOverTarget(runner, now) >= settings.short_overrun
+          ? settings.strict_harmless_weight
+          : settings.harmless_weight;
   std::vector<const std::pair<const TaskKey, Run>*> fillers;
   for (const auto& it : runner.runs) {
     if (it.second.is_filler && it.second.is_accepted &&
--- a/src/libs/jobs/pace_plan.h
+++ b/src/libs/jobs/pace_plan.h
@@ -24,6 +24,14 @@
   double baseline_slack = 0;  // Expected slack without any filler.
 };
 
+// Returns whether a serving task of the runner has been over its target for so
+// long that all fillers there are stopped. None is started there either: each
+// works until the next report, and a series of them keeps the task over its
+// target.
+bool StopsAllFillers(const Runner& runner,
+                     const PaceSettings& settings,
+                     Instant now);
+
 // Returns the slack of a serving task according to its gauge.
 double SlackOf(const Run& run);
 
--- a/src/libs/jobs/runner_choice.cpp
+++ b/src/libs/jobs/runner_choice.cpp
@@ -200,8 +200,10 @@
         !HasRoom(runner, step, request.has_waited) ||
         (best != nullptr && step.tail_target_ms == 0 &&
          LoadCost(runner, step) >= best_cost) ||
-        (step.is_filler && !request.has_waited &&
-         Excess(runner, interference, policy.pacing, step) > 0) ||
+        (step.is_filler &&
+         (StopsAllFillers(runner, policy.pacing, now) ||
+          (!request.has_waited &&
+           Excess(runner, interference, policy.pacing, step) > 0))) ||
         !CanAttributeCrash(runner, request, now)) {
       continue;
     }
--- a/src/libs/logging/event.h
+++ b/src/libs/logging/event.h
@@ -16,6 +16,7 @@
   kAppendUnanswered,
   kConfigurationInForce,
   kConfigurationRefused,
+  kConnectionRefused,
   kEntryJoined,
   kEntryRemoved,
   kEntrySuspected,
