Jobs: Starts no filler where all of them are stopped

After 1.5 s over the target all fillers of the runner were stopped, but new ones kept being claimed there: those that are expected to do no harm, and those that had waited long. Each worked for 40 to 440 ms until the next report brought its pace, and twelve of them in 3 s kept the task over its target.

No filler starts on a runner while all fillers there are stopped. The test shows a filler that seems harmless.

--- a/tests/auto/jobs/runner_choice_test.cpp
+++ b/tests/auto/jobs/runner_choice_test.cpp
@@ -22,10 +22,10 @@
     step_.need = {2000, 100, 0};
   }
 
-  const Runner* Choose() {
+  const Runner* Choose(Instant now = Instant()) {
     return ChooseRunner(fleet_, interference_, {},
                         {TaskKey{JobId("a"), 0, 0, 0}, &step_, "s", avoided_},
-                        Instant());
+                        now);
   }
 
   void AddServing(const RunnerIncarnation& incarnation,
@@ -97,6 +97,25 @@
   EXPECT_EQ(Choose(), nullptr);
 }
 
+// Guards against a service that stays over its target in a burst of batch work:
+// each new filler worked until the next report told to stop it, and the next
+// one followed. Fillers that seem harmless count, too.
+TEST_F(RunnerChoiceTest, NoFillerStartsWhereAllOfThemAreStopped) {
+  const PaceSettings pacing;
+  AddServing(kFirst, "x", 60);
+  fleet_.Get(kFirst).runs.at({JobId("b"), 0, 0, 0}).over_target_since =
+      Instant();
+  fleet_.Get(kSecond).report.state = RunnerState::kDraining;
+  step_.is_filler = true;
+  step_.image = "f";
+  interference_.ImportWeights({{"x", "f", 0.0, 0.1}});
+  const Instant before = Instant() + pacing.long_overrun - milliseconds(1);
+  EXPECT_NE(Choose(before), nullptr);
+  EXPECT_EQ(Choose(Instant() + pacing.long_overrun), nullptr);
+  step_.is_filler = false;
+  EXPECT_NE(Choose(Instant() + pacing.long_overrun), nullptr);
+}
+
 // In a burst of batch work while all services are near their targets, fillers
 // wait for a runner where they can make progress; only the longest wait
 // overrides that.
