Jobs: Counts a crash once across changes of leaders

The runner's next process tells each leader of the crash before it (earlier_crash in its reports), and the run stays claimed until that process has stopped it; three leaders in a row counted three crashes.

The progress of a task stores the last run that its crashes count. The history is a named test; it fails without the change.

--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -27,7 +27,7 @@
 static auto Fields(TaskProgress& value) {
   return std::tie(value.phase, value.run, value.failures, value.incarnation,
                   value.checkpoint, value.crashes, value.lone_crashes,
-                  value.failed_run, value.has_started);
+                  value.failed_run, value.has_started, value.crashed_run);
 }
 static auto Fields(StoredOutcome& value) {
   return std::tie(value.outcome);
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -107,6 +107,9 @@
   // Whether a run of the task has been started, and not only claimed. Stored
   // with the next change of the task; see JobScheduler::StoreOverdueStarts().
   bool has_started = false;
+  // The last run that `crashes` counts. Each leader is told of the same crash
+  // while the runner's next process has to stop the run.
+  uint32_t crashed_run = 0;
 
   static constexpr size_t kRequiredFields = 5;  // Before `crashes`.
 
--- a/src/libs/jobs/job_scheduler_crashes.cpp
+++ b/src/libs/jobs/job_scheduler_crashes.cpp
@@ -22,9 +22,11 @@
   crashes_.Add(suspects, now);
   for (const TaskKey& task : suspects) {
     TaskProgress* record = TaskOf(task);
-    if (record == nullptr || !open_.contains(task.job)) {
+    if (record == nullptr || !open_.contains(task.job) ||
+        record->crashed_run == record->run) {
       continue;
     }
+    record->crashed_run = record->run;
     ++record->crashes;
     record->lone_crashes += suspects.size() == 1 ? 1 : 0;
     Change(task);
--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -72,6 +72,27 @@
   });
 }
 
+// Guards against a sound job that is given up after one crash of a runner: each
+// of three leaders was told of the crash by the runner's next process and
+// counted it.
+TEST(RunHistoryTest, CrashCountsOnceAcrossChangesOfLeaders) {
+  ExpectSound({
+      Submit{2, 0},
+      Pass{milliseconds(150)},
+      Cut{Link{LinkKind::kStoreRead, 0}, milliseconds(8000)},
+      CrashRunner{0, true, milliseconds(0)},
+      Pass{milliseconds(400)},
+      RestartFront{0},
+      Pass{milliseconds(150)},
+      Pass{milliseconds(400)},
+      Pass{milliseconds(1000)},
+      Pass{milliseconds(150)},
+      RestartFront{1},
+      Pass{milliseconds(500)},
+      Query{2, 1},
+  });
+}
+
 // A stopped run stays in the leader's table for as long as the agent waits for
 // the answer to a report, which is lost: its timeout has grown to 2.4 s.
 TEST(RunHistoryTest, StoppedRunIsReleasedAfterALostAnswer) {
