--- a/tests/auto/platform/settings_file_test.cpp
+++ b/tests/auto/platform/settings_file_test.cpp
@@ -123,12 +123,12 @@
 // Guards against listeners whose bounds follow from limits that make no sense.
 TEST(SettingsFileTest, RefusesLimitsOfTheVmThatAreTooLowOrNoNumbers) {
   for (const std::string bad : {"8", "-1", "\"many\"", "99.5", "true"}) {
-    for (const auto& [key, value] :
-         {std::pair<std::string, std::string>{"memory_mb", "160"},
-          {"max_fds", "1024"}}) {
+    for (const auto& [key, line] :
+         {std::pair<std::string, std::string>{"memory_mb", "memory_mb = 160"},
+          {"max_fds", "max_fds = 1024"}}) {
       std::string text = kText;
-      const std::string line = key + " = " + value;
-      text.replace(text.find(line), line.size(), key + " = " + bad);
+      text.replace(text.find(line), line.size(), key);
+      text.insert(text.find(key) + key.size(), " = " + bad);
       std::vector<SettingsProblem> problems;
       EXPECT_FALSE(ReadSettings(text, problems)) << key << " = " << bad;
       ASSERT_EQ(problems.size(), 1U);
