Cluster: Takes no late departure for the end of a later process

What callers saw: a task that ran twice. A runner announced that it leaves, was not answered, ended and started again under its name; the departure arrived late, while the later process drained, and the leader started its tasks elsewhere beside their runs (TWICE). The same happened without draining if two connections to the later process were refused before it had answered a call.

Cause: a departure names the runner, not the process, and OnRunnerLeaving() took it for one of the announced process.

Change: a departure is the announced process's own if no earlier one of its name can have sent it: the agent has seen none and was there before the process, or the process has been known for 12 s, as long as an unanswered call may take effect. Any other one ends nothing.

Why it works: what still ends a process then is a later process or the lease, which hold whoever has sent the departure. A runner that leaves within 12 s of its start keeps its last runs claimed until its lease has ended.

The soak plays refused connections and late departures, too.

--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -23,6 +23,10 @@
 // Processes of the runner whose late announcements are recognized: those of
 // more than a minute, also if each one crashes at once.
 constexpr size_t kMaxFormerProcesses = 64;
+// Time after the first announcement of a process in which a departure that an
+// earlier one of its name has sent may still arrive: as long as an order that
+// was not answered may take effect.
+constexpr milliseconds kLateDepartureLimit(12'000);
 // Announcements by which the sequence number of one process may advance at
 // once: two weeks of them.
 constexpr uint64_t kMaxSequenceStep = 1'000'000;
@@ -129,6 +133,7 @@
     }
   }
   announced_ = announcement;
+  announced_at_ = now;
   std::erase(former_processes_, incarnation());
   has_ended_ = false;
   ++generation_;
@@ -155,7 +160,8 @@
   if (!IsRunnerUp() || announced_->instance != instance) {
     return false;
   }
-  if (announced_->state != jobs::RunnerState::kDraining) {
+  if (announced_->state != jobs::RunnerState::kDraining ||
+      !IsOwnDeparture(now)) {
     left_at_ = now;
     return false;
   }
@@ -163,6 +169,15 @@
   return true;
 }
 
+bool RunnerSession::IsOwnDeparture(Instant at) const {
+  const bool may_have_predecessor =
+      announced_->start_unix_ms < agent_start_unix_ms_ ||
+      std::ranges::find(former_processes_, announced_->instance,
+                        &jobs::RunnerIncarnation::instance) !=
+          former_processes_.end();
+  return !may_have_predecessor || at - announced_at_ > kLateDepartureLimit;
+}
+
 void RunnerSession::OnRunnerEnded() {
   has_ended_ = true;
   is_unreachable_ = false;
@@ -258,7 +273,7 @@
   if (refused_calls_ < kRefusedCallsUntilUnreachable) {
     return outcome;
   }
-  if (left_at_) {
+  if (left_at_ && IsOwnDeparture(*left_at_)) {
     OnRunnerEnded();
     return {.has_runner_ended = true, .is_report_due = true};
   }
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -84,7 +84,9 @@
 // count as evidence that a process has ended:
 // - the announcement of a later process of the runner;
 // - its own announcement that it is leaving, after it has announced that it
-//   drains or while its address refuses connections;
+//   drains or while its address refuses connections. A departure tells the name
+//   of the runner only: right after a process has announced itself, that of an
+//   earlier one of its name may arrive late, and ends nothing;
 // - the end of its lease, which the leader keeps.
 // A refused connection shows only that nobody listens at the address at that
 // moment. The process may be alive behind a cut path, and so may its runs. It
@@ -104,8 +106,8 @@
                                      Instant now,
                                      WallInstant wall_now);
   // Returns whether the announced process has ended: a planned end comes after
-  // it has announced that it drains. Otherwise it may be an earlier one of the
-  // same name that left, and calls will show.
+  // it has announced that it drains. Otherwise, and where it may be an earlier
+  // one of the same name that left, calls will show.
   bool OnRunnerLeaving(const std::string& instance, Instant now);
   // Takes over `leader` and returns true if its term is later than that of the
   // known one, whose answer is then no longer waited for.
@@ -171,6 +173,9 @@
   bool HasReplacedAnnounced(const Announcement& announcement) const;
   void OnRunnerStarted(const Announcement& announcement, Instant now);
   void OnRunnerEnded();
+  // Whether a departure under the name of the announced process that arrives
+  // `at` that time can't be one of an earlier process.
+  bool IsOwnDeparture(Instant at) const;
   // When the announced process may have crashed; nothing if it announced that
   // it drains or leaves.
   std::optional<jobs::CrashTime> SuspectedCrash() const;
@@ -208,6 +213,7 @@
   RunnerAgentSettings settings_;
   int64_t agent_start_unix_ms_;
   std::optional<Announcement> announced_;
+  Instant announced_at_;  // When this agent heard of that process first.
   // Processes before it, the last ones.
   std::deque<jobs::RunnerIncarnation> former_processes_;
   bool has_ended_ = false;  // Whether the announced process has ended.
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -203,6 +203,58 @@
   EXPECT_EQ(session_.StartReport(now_).report.crash, std::nullopt);
 }
 
+// Guards against a task that runs twice: the departure of an earlier process of
+// the name arrives late, while the later one drains and its runs go on.
+TEST_F(RunnerSessionTest, LateDepartureDoesNotEndADrainingProcess) {
+  session_.OnTerm(kTerm);
+  Announcement next{"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"};
+  Announce(next);
+  next.sequence = 2;
+  next.state = jobs::RunnerState::kDraining;
+  Announce(next);
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_TRUE(session_.IsRunnerUp());
+  EXPECT_EQ(session_.StartReport(now_).report.state,
+            jobs::RunnerState::kDraining);
+}
+
+// The same for one whose path is cut before it has answered a call.
+TEST_F(RunnerSessionTest, LateDepartureAndRefusalsDoNotEndTheNextProcess) {
+  session_.OnTerm(kTerm);
+  Announce({"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"});
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  FailToRenew(RunnerFailure::kNotListening);
+  EXPECT_FALSE(FailToRenew(RunnerFailure::kNotListening).has_runner_ended);
+  EXPECT_TRUE(session_.IsRunnerUp());
+  const jobs::RunnerReport report = session_.StartReport(now_).report;
+  EXPECT_TRUE(report.is_unreachable);
+  EXPECT_EQ(report.crash, std::nullopt);
+}
+
+// An agent that has started again doesn't know of earlier processes.
+TEST_F(RunnerSessionTest, LateDepartureAfterARestartOfTheAgentEndsNoProcess) {
+  session_ = RunnerSession({.node = "agent", .address = "a:1", .service = "s"},
+                           kStartUnixMs + 1);
+  Announcement draining{"own", kStartUnixMs, 2, "127.0.0.1:3", "s"};
+  draining.state = jobs::RunnerState::kDraining;
+  Announce(draining);
+  EXPECT_FALSE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_TRUE(session_.IsRunnerUp());
+}
+
+// Otherwise the runs of a runner that has ever started again under its name
+// would wait for its lease after each planned end.
+TEST_F(RunnerSessionTest, DepartureLongAfterTheStartIsItsOwn) {
+  Announcement next{"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"};
+  Announce(next);
+  now_ += milliseconds(12'001);
+  next.sequence = 2;
+  next.state = jobs::RunnerState::kDraining;
+  Announce(next);
+  EXPECT_TRUE(session_.OnRunnerLeaving("own", now_));
+  EXPECT_FALSE(session_.IsRunnerUp());
+}
+
 // Its announcement that it drains may be lost. No task is to blame.
 TEST_F(RunnerSessionTest, RunnerThatLeavesWithoutDrainingHasNotCrashed) {
   session_.OnTerm(kTerm);
--- a/tests/auto/deployment/relayed_deployment.py
+++ b/tests/auto/deployment/relayed_deployment.py
@@ -19,6 +19,7 @@
 import store as standin_store
 from relay import Relay
 
+UNUSED_ADDRESS = "127.0.0.1:9"
 BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build/release"))
 deployment.FRONT = str(BUILD / "platform/papayadrift-front")
 deployment.AGENT = str(BUILD / "platform/papayadrift-agent")
@@ -66,6 +67,20 @@
         await self.start()
         self.instance = instance
 
+    def cut_off(self):
+        """Cuts the paths between the runner and its agent: connections are refused
+        both ways. What runs goes on."""
+        self.agent_before_cut, self.agent = self.agent, UNUSED_ADDRESS
+        self.server.stop()
+
+    async def heal(self):
+        self.agent = self.agent_before_cut
+        if self.is_up and self.server.server is None:
+            await self.server.start()
+
+    async def announce_departure(self, instance):
+        await http_peer.call(self.agent, "DELETE", f"/v1/instances/{instance}")
+
     async def _announce(self):
         await asyncio.sleep(self.silence_s)
         await super()._announce()
--- a/tests/auto/deployment/soak.py
+++ b/tests/auto/deployment/soak.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 
-from relayed_deployment import RelayedDeployment
+from relayed_deployment import UNUSED_ADDRESS, RelayedDeployment
 
 TASKS_PER_JOB = 6
 JOB_PERIOD_S = 0.12
@@ -74,6 +74,29 @@
             await asyncio.sleep(gap_s)
             await runner.start()
 
+    async def refuse(self):
+        runner = self.random.choice(self.it.runners)
+        if runner.is_up and runner.agent != UNUSED_ADDRESS:
+            runner.cut_off()
+            await asyncio.sleep(self.random.uniform(0.1, LONGEST_SILENCE_S))
+            await runner.heal()
+
+    async def depart_late(self):
+        """The departure of an earlier process under the name of a later one."""
+        runner = self.random.choice(self.it.runners)
+        if not runner.is_up:
+            return
+        instance = runner.instance
+        await runner.restart(self.random.uniform(0.02, 0.5), 0)
+        await asyncio.sleep(self.random.uniform(0, 4))
+        if self.random.random() < 0.5:
+            runner.state = "draining"
+            await asyncio.sleep(self.random.uniform(0.1, 2.5))
+        await runner.announce_departure(instance)
+        await asyncio.sleep(self.random.uniform(0, 2))
+        if runner.is_up and runner.state == "draining":
+            await runner.restart(0.1, 0)
+
     async def lose_answers(self):
         runner = self.random.choice(self.it.runners)
         runner.lost_part = self.random.uniform(0.05, 0.5)
@@ -87,7 +110,8 @@
 
     async def disturb(self, seconds):
         kinds = [self.cut, self.pause, self.kill, self.crash, self.crash,
-                 self.lose_answers, self.stop_store]
+                 self.refuse, self.refuse, self.depart_late, self.lose_answers,
+                 self.stop_store]
         until = self.it.now() + seconds
         while self.it.now() < until:
             kind = self.random.choice(kinds)
