Jobs: Keeps the runs that an earlier agent reports as ended after refusals

What callers could see: a task that runs twice while a system is brought to this version.

Cause: OnReport() believed each report of an end.

With the change taken out, both new tests fail.

Change: an earlier agent gives the time of a crash with an end that it has concluded from refused connections, and agents of this version report no end with one. The leader takes such a report for one of an unreachable runner.

Why it works: the runs are kept until the runner is reached again, its next process reports or its lease ends, as with agents of this version. An end without the time of a crash (a runner that drains) is still believed.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -30,6 +30,15 @@
 }
 
 bool JobScheduler::OnReport(const RunnerReport& report, Instant now) {
+  if (report.state == RunnerState::kGone && report.crash) {
+    // Agents of the earlier version take refused connections for the end of the
+    // runner. They give the time of a crash then, and none if it announced that
+    // it leaves.
+    RunnerReport unreachable = report;
+    unreachable.state = RunnerState::kReady;
+    unreachable.is_unreachable = true;
+    return OnReport(unreachable, now);
+  }
   const RunnerIncarnation& incarnation = report.incarnation;
   if (fleet_.IsSuperseded(report)) {
     return false;
--- a/tests/auto/jobs/unreachable_runners_test.cpp
+++ b/tests/auto/jobs/unreachable_runners_test.cpp
@@ -84,6 +84,39 @@
   EXPECT_EQ(CountStarts(Orders(1000)), 1U);
 }
 
+// Agents of the earlier version report that the runner has ended after two
+// refused connections, while its runs go on.
+TEST_F(UnreachableRunnersTest, RefusalsToAnEarlierAgentAreNoEndOfTheRunner) {
+  StartTask();
+  Report(kSecond, kReportMs);
+  RunnerReport ended = ReportOf(kFirst);
+  ended.state = RunnerState::kGone;
+  ended.crash = CrashTime{600, 700};
+  EXPECT_TRUE(Send(scheduler_, ended, 700));
+  EXPECT_FALSE(scheduler_.MayLease(kFirst, At(700)));
+  EXPECT_TRUE(Orders(700).empty());
+  ASSERT_NE(RunOnFirst(), nullptr);
+  // Its next process is known at once, and the crash with it.
+  Send(scheduler_, ReportOf({"node-1", "i-9", 2000}), 1100);
+  EXPECT_TRUE(HasEvent(JobSchedulerEvent::Kind::kRunnerCrashed));
+  Report(kSecond, 1100);
+  EXPECT_EQ(CountStarts(Orders(1100)), 1U);
+}
+
+// The agent is restarted in a later version, or the path is whole again.
+TEST_F(UnreachableRunnersTest, RunsGoOnAfterTheEndThatAnEarlierAgentReported) {
+  StartTask();
+  RunnerReport ended = ReportOf(kFirst);
+  ended.state = RunnerState::kGone;
+  ended.crash = CrashTime{600, 700};
+  Send(scheduler_, ended, 700);
+  Report(kFirst, 3000, {{Task(0), 1, {}, 40}});
+  EXPECT_TRUE(scheduler_.MayLease(kFirst, At(3000)));
+  EXPECT_TRUE(Orders(3000).empty());
+  ASSERT_NE(RunOnFirst(), nullptr);
+  EXPECT_FALSE(RunOnFirst()->is_withdrawn);
+}
+
 // A runner that has crashed for good is lost, and its tasks that had just
 // started are suspected, once its lease has ended.
 TEST_F(UnreachableRunnersTest, RunnerThatStaysUnreachableIsLostWithItsLease) {
