Jobs: Takes no silence of a runner for a stall of its runs

What callers could see: work that is thrown away. While calls to a runner get no answer for some seconds, its agent repeats the last lists; after 1.5 to 3 s the leader took the runs for stalled, and stopped them when the runner answered again.

Cause: CheckProgress() compared the time of each report, with new lists or without, with that of the last progress.

RunsGoOnWhenCallsAreAnsweredAgain fails with the change taken out.

Why it works: a run whose runner lists nothing can't be released before its lease ends in either case, so that the early stop only cost work. Stalls that new lists show are found as before: RepeatedListsDoNotHideAStall.

--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -74,6 +74,10 @@
   }
   ProcessTimes(runner, report, now);
   const bool was_ready = is_new || runner.report.state == RunnerState::kReady;
+  const bool has_new_lists =
+      is_new ||
+      report.agent_start_unix_ms != runner.report.agent_start_unix_ms ||
+      report.listed_at_ms > runner.report.listed_at_ms;
   runner.report = report;
   runner.report.active.clear();
   runner.report.ended.clear();
@@ -95,13 +99,16 @@
   if (report.listed_at_ms > 0) {
     ProcessLists(runner, report, now);
     WithdrawStartsBeyondCapacity(runner, now);
-    if (report.is_unreachable) {
-      // The lists are old: no progress since then doesn't mean a stall.
+    if (report.is_unreachable ||
+        now - *runner.listed_at > settings_.list_limit) {
+      // No progress since the last lists doesn't mean a stall.
       for (Run& run : runner.runs | std::views::values) {
         run.progressed_at = now;
       }
-    } else {
+    } else if (has_new_lists) {
       CheckProgress(runner, now);
+    }
+    if (!report.is_unreachable) {
       UpdatePaces(runner, now);
     }
     fleet_.MarkChanged(runner);
--- a/tests/auto/jobs/unreachable_runners_test.cpp
+++ b/tests/auto/jobs/unreachable_runners_test.cpp
@@ -75,6 +75,42 @@
   EXPECT_EQ(scheduler_.fleet().Find(kFirst)->suspended_until, Instant());
 }
 
+// The same for a path on which calls get no answer: the agent repeats the last
+// lists, which tell nothing of progress since then.
+TEST_F(UnreachableRunnersTest, RunsGoOnWhenCallsAreAnsweredAgain) {
+  StartTask();
+  constexpr int64_t kCutEndMs = 5500;
+  int64_t now_ms = kReportMs;
+  while ((now_ms += kReportMs) < kCutEndMs) {
+    RunnerReport report = ReportOf(kFirst);
+    report.listed_at_ms = kReportMs;
+    report.active = {{Task(0), 1, {}, 10}};
+    Send(scheduler_, report, now_ms);
+    EXPECT_TRUE(Orders(now_ms).empty());
+  }
+  Report(kFirst, now_ms, {{Task(0), 1, {}, 10}});
+  EXPECT_TRUE(Orders(now_ms).empty());
+  ASSERT_NE(RunOnFirst(), nullptr);
+  EXPECT_FALSE(RunOnFirst()->is_withdrawn);
+}
+
+// Lists that are answered and show no progress are evidence of a stall, also if
+// each report but every other one repeats the last.
+TEST_F(UnreachableRunnersTest, RepeatedListsDoNotHideAStall) {
+  StartTask();
+  int64_t now_ms = kReportMs;
+  constexpr int64_t kLimitMs = 5000;  // 3 s without an estimate, and reports.
+  while (now_ms < kLimitMs && !RunOnFirst()->is_withdrawn) {
+    RunnerReport report = ReportOf(kFirst);
+    report.listed_at_ms = now_ms;
+    report.active = {{Task(0), 1, {}, 10}};
+    Send(scheduler_, report, now_ms);
+    Send(scheduler_, report, now_ms + kReportMs);
+    now_ms += 2 * kReportMs;
+  }
+  EXPECT_TRUE(RunOnFirst()->is_withdrawn);
+}
+
 TEST_F(UnreachableRunnersTest, UnreachableRunnerGetsNoStarts) {
   StartTask();
   Send(scheduler_, Unreachable(kReportMs, 600), 700);
