Jobs: Counts no suspicion of a crash as a start

What callers could see: jobs that wait, are shown as running and are left out of `pending` (MIXED): their starts were sent to a runner that had crashed and didn't answer.

Cause: HasStarted() takes a recorded crash for the effect of a run, for records of versions that don't store whether a run was started. A task is suspected of a crash also if its start only may have arrived.

Evidence: by reading; no play shows it. Both new tests fail with the change taken out.

Change: crashes count as a start only in records without `crashed_run`, which earlier versions have written.

Why it works: this version stores `has_started` with each record, and sets `crashed_run` with each crash that it counts.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -59,8 +59,11 @@
 }
 
 bool HasStarted(const TaskProgress& task) {
+  // Versions that store `crashed_run` suspect a task of a crash also if its
+  // start was sent and may not have been executed.
+  const bool has_crashed = task.crashes > 0 && task.crashed_run == 0;
   return task.has_started || task.phase == TaskPhase::kDone ||
-         task.failures > 0 || task.crashes > 0 || !task.checkpoint.empty();
+         task.failures > 0 || has_crashed || !task.checkpoint.empty();
 }
 
 TaskProgress* FindTask(JobProgress& progress, const TaskKey& task) {
--- a/tests/auto/jobs/begun_jobs_test.cpp
+++ b/tests/auto/jobs/begun_jobs_test.cpp
@@ -42,6 +42,35 @@
   EXPECT_GT(refused, 2U);
 }
 
+// The same for starts that a runner has not answered when it crashes: their
+// tasks are suspected of the crash, but may not have begun.
+TEST_F(BegunJobsTest, SuspicionOfACrashIsNoStart) {
+  Report(kFirst, 0);
+  scheduler_.AddJob(JobId("a"), JobOf(2, 1000));
+  ASSERT_EQ(CountStarts(Orders(0)), 2U);
+  RunnerReport next = ReportOf({"node-1", "i-1", 2000});
+  next.sent_at_ms = 100;
+  next.earlier_crash = CrashTime{0, 50};
+  scheduler_.OnReport(next, At(100));
+  Store();
+  EXPECT_EQ(stored_.at(JobId("a")).tasks.at(Task(0)).crashes, 1U);
+  EXPECT_FALSE(IsStoredAsStarted());
+}
+
+// Records of the earlier version don't tell whether a run was started.
+TEST(HasStartedTest, EarlierRecordsCountOnceARunHasHadAnEffect) {
+  TaskProgress task;
+  task.phase = TaskPhase::kClaimed;
+  task.run = 1;
+  EXPECT_FALSE(HasStarted(task));
+  task.crashes = 1;
+  EXPECT_TRUE(HasStarted(task));
+  task.crashed_run = 1;
+  EXPECT_FALSE(HasStarted(task));
+  task.failures = 1;
+  EXPECT_TRUE(HasStarted(task));
+}
+
 // Writes are priced: short tasks cost no record more, and a job whose tasks
 // take longer costs one.
 TEST_F(BegunJobsTest, StartIsStoredWithTheNextChangeOrAfterASecond) {
