Jobs: Keeps a window of the occurrences of jobs that repeat often

What callers saw: 400 for a job that repeats more than 65,536 times, which one that is due each minute reaches in 46 days. The users' page sets no limit for `repeat_count` and has no 400 for jobs.

Cause: the progress of a job was a list of all its occurrences, in memory and in the store.

Change: a job of more than 65,536 tasks keeps occurrences of 16,384 tasks, and two at least. When a quarter of them, from the first on, is done, they are dropped: the outcome's record says where the window begins and is stored before the records of the tasks before it are deleted. The next leader begins there and deletes what is left over. Smaller jobs are kept as before. CloseJob() moves to job_scheduler_completion.cpp, where occurrences are dropped.

Why it works: an occurrence is dropped only when all its tasks are done, and is known as done from the same record that lets go of its tasks.

--- a/src/libs/cluster/job_replica.cpp
+++ b/src/libs/cluster/job_replica.cpp
@@ -108,8 +108,10 @@
     content_.progress.erase(id);
   } else if (const auto stored =
                  jobs::Decode<jobs::StoredOutcome>(record.value)) {
-    directory_.OnOutcome(id, stored->outcome);
-    content_.progress[id].outcome = stored->outcome;
+    directory_.OnOutcome(id, *stored);
+    jobs::StoredProgress& progress = content_.progress[id];
+    progress.outcome = stored->outcome;
+    progress.first_occurrence = stored->first_occurrence;
   } else {
     LogUnreadable(record);
   }
--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -301,8 +301,7 @@
   // would run a job again of which only the end of the tasks' records was
   // stored.
   for (const auto& [id, outcome] : changes.outcomes) {
-    records.push_back({KeyOf(kOutcomePrefix, id),
-                       jobs::Encode(jobs::StoredOutcome{outcome})});
+    records.push_back({KeyOf(kOutcomePrefix, id), jobs::Encode(outcome)});
   }
   for (const auto& [task, progress] : changes.tasks) {
     records.push_back(progress ? RecordOf(task, *progress)
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -30,7 +30,7 @@
                   value.failed_run, value.has_started, value.crashed_run);
 }
 static auto Fields(StoredOutcome& value) {
-  return std::tie(value.outcome);
+  return std::tie(value.outcome, value.first_occurrence);
 }
 static auto Fields(LeaderRecord& value) {
   return std::tie(value.term, value.node, value.address, value.heartbeats,
--- a/src/libs/jobs/directory.cpp
+++ b/src/libs/jobs/directory.cpp
@@ -19,8 +19,11 @@
   jobs_[id].has_started = true;
 }
 
-void Directory::OnOutcome(const JobId& id, JobOutcome outcome) {
-  jobs_[id].outcome = outcome;
+void Directory::OnOutcome(const JobId& id, const StoredOutcome& stored) {
+  Entry& entry = jobs_[id];
+  entry.outcome = stored.outcome;
+  // The records of tasks that were started may have been deleted.
+  entry.has_started = entry.has_started || stored.first_occurrence > 0;
 }
 
 JobState Directory::StateOf(const Entry& entry) {
--- a/src/libs/jobs/directory.h
+++ b/src/libs/jobs/directory.h
@@ -22,7 +22,7 @@
   // A run of one of its tasks has been started. A claim alone doesn't count:
   // its start may still be refused.
   void OnStarted(const JobId& id);
-  void OnOutcome(const JobId& id, JobOutcome outcome);
+  void OnOutcome(const JobId& id, const StoredOutcome& stored);
   void Forget(const JobId& id) { jobs_.erase(id); }
 
   // Returns std::nullopt if no such job was accepted for that queue.
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -49,13 +49,43 @@
          std::to_string(incarnation.start_unix_ms);
 }
 
+uint32_t MaxOccurrencesKept(const Job& job) {
+  // Each round of decisions looks at all that are kept. Two occurrences may
+  // overlap, however large they are.
+  constexpr uint64_t kMaxTasksOfManyKept = 16'384;
+  constexpr uint64_t kMinOccurrencesKept = 2;
+  uint64_t tasks = 0;  // Of one occurrence.
+  for (const Step& step : job.steps) {
+    tasks += step.count;
+  }
+  if (tasks * job.occurrences <= kMaxTasksKept) {
+    return job.occurrences;
+  }
+  return static_cast<uint32_t>(std::min<uint64_t>(
+      std::max(kMinOccurrencesKept, kMaxTasksOfManyKept / tasks),
+      job.occurrences));
+}
+
 JobProgress InitialProgress(const Job& job) {
+  JobProgress progress;
+  DropOccurrences(job, 0, progress);
+  return progress;
+}
+
+void DropOccurrences(const Job& job, uint32_t first, JobProgress& progress) {
+  const uint32_t dropped =
+      std::min(first, job.occurrences) - progress.first_occurrence;
+  auto& kept = progress.occurrences;
+  kept.erase(kept.begin(),
+             kept.begin() + std::min<ptrdiff_t>(dropped, std::ssize(kept)));
+  progress.first_occurrence += dropped;
   OccurrenceProgress occurrence;
   std::ranges::transform(
       job.steps, std::back_inserter(occurrence.steps),
       [](const Step& step) { return std::vector<TaskProgress>(step.count); });
-  return JobProgress{JobOutcome::kOpen, std::vector<OccurrenceProgress>(
-                                            job.occurrences, occurrence)};
+  kept.resize(std::min(MaxOccurrencesKept(job),
+                       job.occurrences - progress.first_occurrence),
+              occurrence);
 }
 
 bool HasStarted(const TaskProgress& task) {
@@ -66,11 +96,22 @@
          task.failures > 0 || has_crashed || !task.checkpoint.empty();
 }
 
+bool IsKept(const JobProgress& progress, uint32_t occurrence) {
+  return occurrence >= progress.first_occurrence &&
+         occurrence - progress.first_occurrence < progress.occurrences.size();
+}
+
+bool HasMoreOccurrences(const Job& job, const JobProgress& progress) {
+  return progress.first_occurrence + progress.occurrences.size() <
+         job.occurrences;
+}
+
 TaskProgress* FindTask(JobProgress& progress, const TaskKey& task) {
-  if (task.occurrence >= progress.occurrences.size()) {
+  if (!IsKept(progress, task.occurrence)) {
     return nullptr;
   }
-  auto& steps = progress.occurrences[task.occurrence].steps;
+  auto& steps =
+      progress.occurrences[task.occurrence - progress.first_occurrence].steps;
   if (task.step >= steps.size() || task.index >= steps[task.step].size()) {
     return nullptr;
   }
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -128,17 +128,22 @@
                          const OccurrenceProgress&) = default;
 };
 
-// The progress of a job.
+// The progress of a job: of the occurrences that are kept. All tasks of those
+// before them are done, and none of those after them has begun.
 struct JobProgress {
   JobOutcome outcome = JobOutcome::kOpen;
+  uint32_t first_occurrence = 0;  // The first one that is kept.
   std::vector<OccurrenceProgress> occurrences;
 
   friend bool operator==(const JobProgress&, const JobProgress&) = default;
 };
 
-// The stored outcome of a job.
+// The stored outcome of a job, and how far it is.
 struct StoredOutcome {
   JobOutcome outcome = JobOutcome::kOpen;
+  uint32_t first_occurrence = 0;  // See JobProgress.
+
+  static constexpr size_t kRequiredFields = 1;  // Before `first_occurrence`.
 
   friend bool operator==(const StoredOutcome&, const StoredOutcome&) = default;
 };
@@ -148,15 +153,39 @@
 struct StoredProgress {
   JobOutcome outcome = JobOutcome::kOpen;
   std::map<TaskKey, TaskProgress> tasks;
+  uint32_t first_occurrence = 0;  // See JobProgress.
 
   friend bool operator==(const StoredProgress&,
                          const StoredProgress&) = default;
 };
 
+// Number of tasks up to which all occurrences of a job are kept until it ends.
+inline constexpr uint64_t kMaxTasksKept = 65'536;
+
+// Returns how many occurrences of the job are kept at once. A job with more
+// tasks than `kMaxTasksKept` may repeat for ever: those that are done are
+// dropped, and later ones begin once there is space.
+uint32_t MaxOccurrencesKept(const Job& job);
 // Returns the progress of a job that has not started.
 JobProgress InitialProgress(const Job& job);
-// Returns the task, or null if the job has no such task.
+// Drops the occurrences before `first` and adds later ones in their place.
+void DropOccurrences(const Job& job, uint32_t first, JobProgress& progress);
+bool IsKept(const JobProgress& progress, uint32_t occurrence);
+// Returns whether the job has occurrences after those that are kept.
+bool HasMoreOccurrences(const Job& job, const JobProgress& progress);
+// Returns the task, or null if it is not kept or the job has no such task.
 TaskProgress* FindTask(JobProgress& progress, const TaskKey& task);
+// Returns the tasks of the step of `task`, whose occurrence must be kept.
+inline std::vector<TaskProgress>& TasksOfStep(JobProgress& progress,
+                                              const TaskKey& task) {
+  return progress.occurrences[task.occurrence - progress.first_occurrence]
+      .steps[task.step];
+}
+inline const std::vector<TaskProgress>& TasksOfStep(const JobProgress& progress,
+                                                    const TaskKey& task) {
+  return progress.occurrences[task.occurrence - progress.first_occurrence]
+      .steps[task.step];
+}
 
 }  // namespace papayadrift::jobs
 
--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -24,20 +24,6 @@
   return run;
 }
 
-template <typename Visit>
-void ForEachTask(const JobProgress& progress,
-                 const JobId& id,
-                 const Visit& visit) {
-  for (uint32_t k = 0; k < progress.occurrences.size(); ++k) {
-    const auto& steps = progress.occurrences[k].steps;
-    for (uint32_t s = 0; s < steps.size(); ++s) {
-      for (uint32_t i = 0; i < steps[s].size(); ++i) {
-        visit(TaskKey{id, k, s, i}, steps[s][i]);
-      }
-    }
-  }
-}
-
 }  // namespace
 
 std::string_view ToText(JobSchedulerEvent::Kind kind) {
@@ -190,6 +176,8 @@
     return;
   }
   entry->progress.outcome = stored.outcome;
+  DropOccurrences(entry->job, stored.first_occurrence, entry->progress);
+  entry->is_start_stored = stored.first_occurrence > 0;
   entry->tally.reset();
   if (stored.outcome != JobOutcome::kOpen) {
     open_.erase(id);
@@ -198,6 +186,10 @@
   for (const auto& [key, task] : stored.tasks) {
     TaskProgress* known = FindTask(entry->progress, key);
     if (known == nullptr) {
+      if (key.occurrence < entry->progress.first_occurrence) {
+        // The last leader ended before it had stored that it isn't needed.
+        Change(key);
+      }
       continue;
     }
     *known = task;
@@ -227,9 +219,13 @@
     runner.runs[key] = std::move(run);
   }
   SettlePartialGangs(id, *entry);
+  if (stored.outcome == JobOutcome::kOpen) {
+    DropDoneOccurrences(id, *entry);
+  }
 }
 
 void JobScheduler::SettlePartialGangs(const JobId& id, Entry& entry) {
+  const uint32_t first = entry.progress.first_occurrence;
   for (uint32_t k = 0; k < entry.progress.occurrences.size(); ++k) {
     auto& steps = entry.progress.occurrences[k].steps;
     for (uint32_t s = 0; s < steps.size(); ++s) {
@@ -247,7 +243,7 @@
         for (uint32_t i = 0; i < steps[s].size(); ++i) {
           if (std::exchange(steps[s][i].phase, TaskPhase::kDone) !=
               TaskPhase::kDone) {
-            Change({id, k, s, i});
+            Change({id, first + k, s, i});
           }
         }
       }
@@ -255,7 +251,7 @@
           std::ranges::any_of(steps[s], has_phase(TaskPhase::kWaiting))) {
         // Not the name of a member, so that none is left out.
         const auto end = static_cast<uint32_t>(steps[s].size());
-        WithdrawGang({id, k, s, end}, created_at_);
+        WithdrawGang({id, first + k, s, end}, created_at_);
       }
     }
   }
@@ -318,55 +314,6 @@
   });
 }
 
-void JobScheduler::CheckCompletion(const JobId& id, Instant now) {
-  const Entry& entry = jobs_.at(id);
-  const bool is_done = std::ranges::all_of(
-      entry.progress.occurrences, [](const OccurrenceProgress& occurrence) {
-        return std::ranges::all_of(occurrence.steps, [](const auto& tasks) {
-          return std::ranges::all_of(tasks, [](const TaskProgress& task) {
-            return task.phase == TaskPhase::kDone;
-          });
-        });
-      });
-  if (is_done) {
-    CloseJob(id, JobOutcome::kCompleted, now);
-  }
-}
-
-void JobScheduler::CloseJob(const JobId& id, JobOutcome outcome, Instant now) {
-  Entry& entry = jobs_.at(id);
-  entry.progress.outcome = outcome;
-  entry.ended_at = now;
-  open_.erase(id);
-  unstored_starts_.erase(id);
-  changed_outcomes_.insert(id);
-  entry.ended_version = ++version_;
-  ForEachTask(entry.progress, id, [this](const TaskKey& key, const auto& task) {
-    if (task.run > 0) {
-      changed_tasks_.insert(key);
-    }
-  });
-  Emit(JobSchedulerEvent::Kind::kJobEnded, id.text(), 0, {},
-       outcome == JobOutcome::kCompleted   ? "completed"
-       : outcome == JobOutcome::kCancelled ? "cancelled"
-                                           : "failed");
-  for (Runner& runner : fleet_.runners() | std::views::values) {
-    for (auto it = runner.runs.lower_bound(TaskKey{id, 0, 0, 0});
-         it != runner.runs.end() && it->first.job == id; ++it) {
-      Withdraw(runner, it->first, it->second, "The job has ended.", now);
-    }
-    if (runner.reserved_for && runner.reserved_for->job == id) {
-      runner.reserved_until = Instant();
-      fleet_.MarkChanged(runner);
-    }
-    if (runner.capacity_reservation &&
-        runner.capacity_reservation->step.job == id) {
-      EndReservation(runner, &ReservationCounts::released,
-                     "The job has ended.");
-    }
-  }
-}
-
 void JobScheduler::OnStored(uint64_t version) {
   stored_version_ = std::max(stored_version_, version);
   for (Runner& runner : fleet_.runners() | std::views::values) {
@@ -392,12 +339,18 @@
   if (!entry.tally) {
     entry.tally = TallyOf(entry.job, entry.progress);
     for (const Step& step : entry.job.steps) {
-      tallied_tasks_ += uint64_t{step.count} * entry.job.occurrences;
+      tallied_tasks_ += step.count * entry.progress.occurrences.size();
     }
   }
   return *entry.tally;
 }
 
+const OccurrenceTally& JobScheduler::OccurrenceTallyOf(Entry& entry,
+                                                       uint32_t occurrence) {
+  return TallyOfEntry(entry)
+      .occurrences[occurrence - entry.progress.first_occurrence];
+}
+
 void JobScheduler::AddReadySteps(const JobId& id,
                                  Entry& entry,
                                  const Queue& queue,
@@ -410,8 +363,9 @@
   }
   const std::vector<int64_t> chains = CriticalPathsMs(job, expected_ms);
   const int64_t longest_ms = std::ranges::max(chains);
-  for (uint32_t k = 0; k < job.occurrences; ++k) {
-    const OccurrenceTally& tally = entry.tally->occurrences[k];
+  for (uint32_t i = 0; i < entry.tally->occurrences.size(); ++i) {
+    const uint32_t k = entry.progress.first_occurrence + i;
+    const OccurrenceTally& tally = entry.tally->occurrences[i];
     const bool is_due = job.first_due_ms <= 0 || DueMs(job, k) <= unix_ms;
     if (!is_due || std::ranges::none_of(tally, &StepTally::may_start)) {
       continue;
@@ -555,8 +509,8 @@
 
 void JobScheduler::PlaceStep(const ReadyStep& ready, Instant now) {
   const Step& step = ready.entry->job.steps[ready.step];
-  auto& tasks =
-      ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
+  auto& tasks = TasksOfStep(ready.entry->progress,
+                            {*ready.id, ready.occurrence, ready.step, 0});
   const std::pair position(ready.occurrence, ready.step);
   WaitingStep& waiting =
       ready.entry->waiting.try_emplace(position, WaitingStep{now})
@@ -661,8 +615,8 @@
     return false;
   }
   const Step& step = ready.entry->job.steps[ready.step];
-  auto& tasks =
-      ready.entry->progress.occurrences[ready.occurrence].steps[ready.step];
+  auto& tasks = TasksOfStep(ready.entry->progress,
+                            {*ready.id, ready.occurrence, ready.step, 0});
   uint32_t number = 0;
   std::string checkpoint;
   for (const TaskProgress& task : tasks) {
@@ -728,7 +682,9 @@
   taken_version_ = version_;
   for (const JobId& id : changed_outcomes_) {
     if (const Entry* entry = FindOrNull(jobs_, id)) {
-      changes.outcomes.emplace_back(id, entry->progress.outcome);
+      changes.outcomes.emplace_back(
+          id, StoredOutcome{entry->progress.outcome,
+                            entry->progress.first_occurrence});
     }
   }
   for (const TaskKey& key : changed_tasks_) {
--- a/src/libs/jobs/job_scheduler.h
+++ b/src/libs/jobs/job_scheduler.h
@@ -229,7 +229,7 @@
   // Values to be stored, and the version that they bring the store to.
   struct Changes {
     uint64_t version = 0;
-    std::vector<std::pair<JobId, JobOutcome>> outcomes;
+    std::vector<std::pair<JobId, StoredOutcome>> outcomes;
     // std::nullopt: the stored value can be deleted.
     std::vector<std::pair<TaskKey, std::optional<TaskProgress>>> tasks;
   };
@@ -622,7 +622,11 @@
   bool HasGangSurvivedStart(const TaskKey& task) const;
   // Forgets crashes under a task that did not crash the runner this time.
   void ClearCrashes(const TaskKey& task);
+  // Returns the tally of an occurrence that is kept.
+  const OccurrenceTally& OccurrenceTallyOf(Entry& entry, uint32_t occurrence);
   void CheckCompletion(const JobId& id, Instant now);
+  // Drops the first occurrences of a job that are done if it has more to begin.
+  void DropDoneOccurrences(const JobId& id, Entry& entry);
   void CloseJob(const JobId& id, JobOutcome outcome, Instant now);
   // Notes that a run of the task has been started.
   void OnStarted(const TaskKey& task, Instant now);
--- a/src/libs/jobs/job_scheduler_ends.cpp
+++ b/src/libs/jobs/job_scheduler_ends.cpp
@@ -43,7 +43,11 @@
   }
   const TaskProgress* progress = TaskOf(ended.task);
   if (progress == nullptr) {
-    return EndSettlement::kUnknownTask;
+    const Entry* entry = FindOrNull(jobs_, ended.task.job);
+    const bool is_dropped =
+        entry != nullptr &&
+        ended.task.occurrence < entry->progress.first_occurrence;
+    return is_dropped ? EndSettlement::kTaskDone : EndSettlement::kUnknownTask;
   }
   if (!open_.contains(ended.task.job)) {
     return EndSettlement::kJobEnded;  // Its tasks may have been deleted.
@@ -163,7 +167,7 @@
 
 void JobScheduler::CompleteTask(const TaskKey& task, Instant now) {
   Entry& entry = jobs_.at(task.job);
-  auto& tasks = entry.progress.occurrences[task.occurrence].steps[task.step];
+  auto& tasks = TasksOfStep(entry.progress, task);
   if (entry.job.steps[task.step].is_gang) {
     // The end of one member completes all members.
     for (uint32_t i = 0; i < tasks.size(); ++i) {
@@ -186,8 +190,7 @@
                                  Instant now) {
   Entry& entry = jobs_.at(task.job);
   const bool is_gang = entry.job.steps[task.step].is_gang;
-  const auto& members =
-      entry.progress.occurrences[task.occurrence].steps[task.step];
+  const auto& members = TasksOfStep(entry.progress, task);
   TaskProgress* progress = TaskOf(task);
   // A gang runs as a whole: members that fail in one run are one failed
   // attempt. Its record is stored, so that the next leader doesn't count the
--- a/src/libs/jobs/job_scheduler_moves.cpp
+++ b/src/libs/jobs/job_scheduler_moves.cpp
@@ -65,8 +65,10 @@
 
 bool JobScheduler::IsWholeStepServing(const TaskKey& task, Instant now) const {
   const Entry& entry = jobs_.at(task.job);
-  const auto& tasks =
-      entry.progress.occurrences[task.occurrence].steps[task.step];
+  if (!IsKept(entry.progress, task.occurrence)) {
+    return false;
+  }
+  const auto& tasks = TasksOfStep(entry.progress, task);
   return std::ranges::all_of(tasks, [&](const TaskProgress& it) {
     if (it.phase != TaskPhase::kClaimed) {
       return false;
--- a/src/libs/jobs/job_scheduler_reservations.cpp
+++ b/src/libs/jobs/job_scheduler_reservations.cpp
@@ -139,11 +139,11 @@
   CapacityReservation& reservation = *runner.capacity_reservation;
   const TaskKey& step = reservation.step;
   Entry* entry = FindOrNull(jobs_, step.job);
-  const uint32_t waiting = entry == nullptr || !open_.contains(step.job)
-                               ? 0
-                               : TallyOfEntry(*entry)
-                                     .occurrences[step.occurrence][step.step]
-                                     .waiting;
+  const bool is_kept = entry != nullptr && open_.contains(step.job) &&
+                       IsKept(entry->progress, step.occurrence);
+  const uint32_t waiting =
+      is_kept ? OccurrenceTallyOf(*entry, step.occurrence)[step.step].waiting
+              : 0;
   if (waiting == 0 ||
       entry->waiting[{step.occurrence, step.step}].reservations > waiting) {
     EndReservation(runner, &ReservationCounts::released,
@@ -304,7 +304,7 @@
       continue;
     }
     const uint32_t tasks =
-        TallyOfEntry(*it.entry).occurrences[it.occurrence][it.step].waiting;
+        OccurrenceTallyOf(*it.entry, it.occurrence)[it.step].waiting;
     if (tasks <= waiting->reservations) {
       continue;
     }
--- a/src/libs/jobs/job_scheduler_runs.cpp
+++ b/src/libs/jobs/job_scheduler_runs.cpp
@@ -1,8 +1,8 @@
 // The part of JobScheduler that deals with runs: runner reports, and orders to
-// runners. Jobs and placement are in job_scheduler.cpp, ends of runs in
-// job_scheduler_ends.cpp, their speed in job_scheduler_paces.cpp, leases and
-// ends of runners in job_scheduler_leases.cpp, crashes of runners in
-// job_scheduler_crashes.cpp.
+// runners. Jobs and placement are in job_scheduler.cpp, ends of jobs in
+// job_scheduler_completion.cpp, ends of runs in job_scheduler_ends.cpp, their
+// speed in job_scheduler_paces.cpp, leases and ends of runners in
+// job_scheduler_leases.cpp, crashes of runners in job_scheduler_crashes.cpp.
 
 #include <algorithm>
 #include <ranges>
--- a/src/libs/jobs/job_tally.h
+++ b/src/libs/jobs/job_tally.h
@@ -24,8 +24,8 @@
 // What decides which steps of a job are ready; it changes only with the job's
 // progress.
 struct JobTally {
-  std::vector<OccurrenceTally> occurrences;
-  bool may_start = false;  // One of the steps may.
+  std::vector<OccurrenceTally> occurrences;  // Those that are kept.
+  bool may_start = false;                    // One of the steps may.
 
   friend bool operator==(const JobTally&, const JobTally&) = default;
 };
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -10,6 +10,15 @@
 // time.
 constexpr int64_t kCutoffTargets = 3;
 
+// Returns the time from the first occurrence to this one.
+int64_t OffsetMs(const Job& job, uint32_t occurrence) {
+  // Later than any time that is given; sums with durations don't overflow.
+  constexpr int64_t kNeverMs = int64_t{1} << 60;
+  return job.interval_ms > 0 && occurrence > kNeverMs / job.interval_ms
+             ? kNeverMs
+             : job.interval_ms * static_cast<int64_t>(occurrence);
+}
+
 }  // namespace
 
 std::vector<int64_t> CriticalPathsMs(const Job& job,
@@ -39,7 +48,7 @@
 
 int64_t DueMs(const Job& job, uint32_t occurrence) {
   return (job.first_due_ms > 0 ? job.first_due_ms : job.accepted_ms) +
-         job.interval_ms * static_cast<int64_t>(occurrence);
+         OffsetMs(job, occurrence);
 }
 
 double SlackShare(const WorkRank& rank,
--- a/tests/auto/cluster/job_replica_test.cpp
+++ b/tests/auto/cluster/job_replica_test.cpp
@@ -83,6 +83,20 @@
   EXPECT_EQ(directory_.StateOf("q", other), jobs::JobState::kRunning);
 }
 
+// The records of the tasks that were started have been deleted.
+TEST_F(JobReplicaTest, JobWhoseFirstOccurrencesWereDroppedHasBegun) {
+  jobs::Job job;
+  job.queue = "q";
+  Store(kJobsTopic, {KeyOf(kJobPrefix, kId), jobs::Encode(job)});
+  Store(kProgressTopic,
+        {KeyOf(kOutcomePrefix, kId),
+         jobs::Encode(jobs::StoredOutcome{jobs::JobOutcome::kOpen, 9})});
+  CatchUp();
+  EXPECT_EQ(directory_.StateOf("q", kId), jobs::JobState::kRunning);
+  EXPECT_EQ(directory_.CountQueued("q"), 0U);
+  EXPECT_EQ(replica_.content().progress.at(kId).first_occurrence, 9U);
+}
+
 // Records of other software or of an earlier format are skipped.
 TEST_F(JobReplicaTest, SkipsUnreadableRecords) {
   Store(kProgressTopic, {"p/" + kId.text(), "whole progress of a job"});
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -146,6 +146,15 @@
   EXPECT_EQ(DueMs(job, 3), 1600);
 }
 
+TEST(WorkOrderTest, OccurrencesInTheFarFutureAreNeverDue) {
+  Job job = JobOf(500, 10);
+  job.first_due_ms = 1000;
+  job.interval_ms = int64_t{1} << 40;
+  for (const uint32_t occurrence : {1U << 20, 1U << 24, 4'294'967'295U}) {
+    EXPECT_GT(DueMs(job, occurrence), int64_t{1} << 53);
+  }
+}
+
 // Guards against a schedule that is late as a whole since its job was accepted
 // late: occurrences catch up.
 TEST(WorkOrderTest, LateAcceptanceDelaysNoLaterOccurrence) {
