Jobs: Starts no occurrence before it is due for want of a start time

Cause: AddReadySteps() took a start time of 0 for "at once", for all occurrences.

Evidence: by reading; WithoutAStartTimeOccurrencesAreDueFrom1970 fails with the condition as before.

Change: IsDue() compares each occurrence's own time.

Why it works: the time is that of the page for each occurrence; those that were due in the past start at once, as before.

--- a/src/libs/jobs/job_scheduler.cpp
+++ b/src/libs/jobs/job_scheduler.cpp
@@ -366,8 +366,8 @@
   for (uint32_t i = 0; i < entry.tally->occurrences.size(); ++i) {
     const uint32_t k = entry.progress.first_occurrence + i;
     const OccurrenceTally& tally = entry.tally->occurrences[i];
-    const bool is_due = job.first_due_ms <= 0 || DueMs(job, k) <= unix_ms;
-    if (!is_due || std::ranges::none_of(tally, &StepTally::may_start)) {
+    if (!IsDue(job, k, unix_ms) ||
+        std::ranges::none_of(tally, &StepTally::may_start)) {
       continue;
     }
     const int64_t work = RemainingWork(job, tally, expected_ms);
--- a/src/libs/jobs/work_order.cpp
+++ b/src/libs/jobs/work_order.cpp
@@ -46,6 +46,10 @@
   return work;
 }
 
+bool IsDue(const Job& job, uint32_t occurrence, int64_t now_unix_ms) {
+  return job.first_due_ms + OffsetMs(job, occurrence) <= now_unix_ms;
+}
+
 int64_t DueMs(const Job& job, uint32_t occurrence) {
   return (job.first_due_ms > 0 ? job.first_due_ms : job.accepted_ms) +
          OffsetMs(job, occurrence);
--- a/src/libs/jobs/work_order.h
+++ b/src/libs/jobs/work_order.h
@@ -55,7 +55,12 @@
                       const OccurrenceTally& tally,
                       const std::vector<int64_t>& expected_ms);
 
-// Unix time from which an occurrence may start.
+// Whether an occurrence may start. The first one of a job without a start time
+// was due in 1970, and so were those that follow at short intervals.
+bool IsDue(const Job& job, uint32_t occurrence, int64_t now_unix_ms);
+
+// Unix time from which the time counts that an occurrence may take. Without a
+// start time, the first one counts from the acceptance of its job.
 int64_t DueMs(const Job& job, uint32_t occurrence);
 
 }  // namespace papayadrift::jobs
--- a/tests/auto/jobs/work_order_test.cpp
+++ b/tests/auto/jobs/work_order_test.cpp
@@ -146,11 +146,27 @@
   EXPECT_EQ(DueMs(job, 3), 1600);
 }
 
+// Guards against occurrences that start years before they are due, since their
+// job has no start time: theirs count from 1970.
+TEST(WorkOrderTest, WithoutAStartTimeOccurrencesAreDueFrom1970) {
+  constexpr int64_t kDayMs = 86'400'000;
+  constexpr int64_t kNowMs = 20'000 * kDayMs;
+  Job job = JobOf(500, 10);
+  job.interval_ms = kDayMs;
+  job.accepted_ms = kNowMs;
+  EXPECT_TRUE(IsDue(job, 0, kNowMs));
+  EXPECT_TRUE(IsDue(job, 20'000, kNowMs));
+  EXPECT_FALSE(IsDue(job, 20'001, kNowMs));
+  job.interval_ms = 0;
+  EXPECT_TRUE(IsDue(job, 4'294'967'295, kNowMs));
+}
+
 TEST(WorkOrderTest, OccurrencesInTheFarFutureAreNeverDue) {
   Job job = JobOf(500, 10);
   job.first_due_ms = 1000;
   job.interval_ms = int64_t{1} << 40;
   for (const uint32_t occurrence : {1U << 20, 1U << 24, 4'294'967'295U}) {
+    EXPECT_FALSE(IsDue(job, occurrence, int64_t{1} << 53));
     EXPECT_GT(DueMs(job, occurrence), int64_t{1} << 53);
   }
 }
