Cluster: Fences calls of one process of a runner off from the next

The task of a job that was shown as completed ran again (TWICE): the first start of it wasn't answered, was held up for 8 s, and reached the next process of the runner under the same id.

Cause: a call names its runner by the id, which a later process keeps, and the fencing token was the leader's term, the same for both processes. So nothing separated calls for one process from those for the next while one leader led. The later process knows of no runs that have ended or were stopped before.

Change: the token consists of the term and a call epoch. The agent begins a new epoch with each call that may be the first one to a later process: after a failed call, another announcement, an answer of another process, 1.5 s of silence. The leader keeps the epochs of each VM for its term and gives an agent that starts again a higher one; such an agent calls its runner only after a report was answered. A process that answers in place of the announced one is called again at once instead of after 150 ms, and so is a runner once its new agent may call it.

Why it works: the runner does nothing for a token below the highest one that it has got. Starts and leases go only to a process that has answered a call of their epoch, and the next process's first call has a later one. That needs no memory of runs, at the leader or at the agent.

The simulated runner lost calls that it held up when it crashed; now the process that is up by then carries them out, so that the search can see this. Tests that called the runner without any leader now have a report answered first; what they expect is unchanged.

--- a/src/libs/cluster/leader.cpp
+++ b/src/libs/cluster/leader.cpp
@@ -499,8 +499,14 @@
     respond(ReportRejection::kNotTaken);
     return;
   }
-  PendingReport pending{
-      report->incarnation, 0, {}, report->sent_at_ms, now, started_at, respond};
+  PendingReport pending{report->incarnation,
+                        0,
+                        {},
+                        report->sent_at_ms,
+                        call_epochs_.OnReport(*report),
+                        now,
+                        started_at,
+                        respond};
   if (report->state == jobs::RunnerState::kGone) {
     pending.gone_version = scheduler_->version();
   }
@@ -536,8 +542,9 @@
         std::chrono::floor<milliseconds>(lease_end - report.received_at);
     lease_until_ms = report.sent_at_ms + remaining.count();
   }
-  report.respond(jobs::ReportAnswer{
-      term(), scheduler_->RecordedEnds(report.incarnation), lease_until_ms});
+  report.respond(
+      jobs::ReportAnswer{term(), scheduler_->RecordedEnds(report.incarnation),
+                         lease_until_ms, report.call_epoch});
 }
 
 void Leader::AnswerReports() {
--- a/src/libs/cluster/leader.h
+++ b/src/libs/cluster/leader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "cluster/arrived_report.h"
+#include "cluster/call_epochs.h"
 #include "cluster/frontend_list.h"
 #include "cluster/job_replica.h"
 #include "cluster/leader_monitor.h"
@@ -114,6 +115,7 @@
     // may exit after it.
     std::optional<uint64_t> gone_version;
     int64_t sent_at_ms = 0;
+    uint64_t call_epoch = 0;  // For the answer.
     Instant received_at;
     Instant processed_at;
     RespondToReport respond;
@@ -186,6 +188,7 @@
   const std::unique_ptr<Timer> step_timer_;
   Instant step_due_;
   bool is_step_due_ = false;
+  CallEpochs call_epochs_;
   ReportQueue waiting_reports_;
   size_t reports_since_round_ = 0;
   std::vector<PendingReport> pending_reports_;
--- a/src/libs/cluster/runner_agent.cpp
+++ b/src/libs/cluster/runner_agent.cpp
@@ -133,13 +133,14 @@
   if (!session_.CanRenewLease()) {
     return;
   }
-  if (session_.term() == 0) {
-    // The runner would refuse a call without a term.
+  if (!session_.CanCallRunner()) {
     ScheduleLeaseRenewal(RunnerSession::kRetryDelay);
     return;
   }
   const Instant now = context_.clock.Now();
+  const FencingToken last = session_.fencing_token();
   const RenewalCall call = session_.StartRenewal(now);
+  LogFencing(last);
   runner_.RenewLease(session_.announced().address,
                      session_.announced().instance, call.request,
                      now + call.request.wait + settings_.runner_timeout,
@@ -148,6 +149,22 @@
                      });
 }
 
+void RunnerAgent::LogFencing(const FencingToken& last) const {
+  const FencingToken& token = session_.fencing_token();
+  if (token == last) {
+    return;
+  }
+  context_.logger.Log(
+      Event::kRunnerChanged,
+      {{"change", "fenced"},
+       {"subject", ToText(session_.incarnation())},
+       {"term", static_cast<int64_t>(token.term)},
+       {"call_epoch", static_cast<int64_t>(token.call_epoch)},
+       {"reason",
+        "The process that answers next may be a later one. Calls that were "
+        "sent before are void once it has got this one."}});
+}
+
 void RunnerAgent::OnLeaseRenewed(const RenewalCall& call,
                                  LeaseRenewalResult result) {
   const RenewalOutcome outcome =
@@ -395,9 +412,12 @@
       finish(*known);
       continue;
     }
+    const FencingToken last = session_.fencing_token();
+    const FencingToken token = session_.NextFencingToken(now);
+    LogFencing(last);
     runner_.SendOrder(
         session_.announced().address, session_.announced().instance, orders[i],
-        call->batch.term, session_.LeaseEndOnRunnerClock(),
+        token.value(), session_.LeaseEndOnRunnerClock(),
         now + settings_.order_timeout,
         [this, call, finish,
          generation = session_.generation()](jobs::OrderVerdict verdict) {
--- a/src/libs/cluster/runner_agent.h
+++ b/src/libs/cluster/runner_agent.h
@@ -49,6 +49,8 @@
   void OnRunnerStarted();
   void OnRunnerEnded(std::string_view reason);
   void RenewLease();
+  // Logs it if the call that is sent now has a higher token than `last`.
+  void LogFencing(const FencingToken& last) const;
   void OnLeaseRenewed(const RenewalCall& call, LeaseRenewalResult result);
   void ScheduleLeaseRenewal(milliseconds delay);
   void Report();
--- a/src/libs/cluster/runner_api.h
+++ b/src/libs/cluster/runner_api.h
@@ -33,7 +33,7 @@
 // Renews the lease, which all active runs share, and lists the runs. Times of
 // the runner are milliseconds on its own clock.
 struct LeaseRenewalRequest {
-  uint64_t term = 0;
+  uint64_t fencing_token = 0;
   std::optional<int64_t> lease_until_ms;
   uint64_t recorded_ends = 0;
   milliseconds wait{0};  // The response may be delayed until a run ends.
@@ -58,7 +58,7 @@
 enum class RunnerFailure {
   kNotListening,  // The connection was refused.
   kOtherIncarnation,
-  kSuperseded,  // The runner has received a call of a later term.
+  kSuperseded,  // The runner has got a call with a higher fencing token.
   kUnanswered,
 };
 
@@ -77,7 +77,7 @@
   virtual void SendOrder(const std::string& address,
                          const std::string& instance,
                          const jobs::Order& order,
-                         uint64_t term,
+                         uint64_t fencing_token,
                          int64_t lease_until_ms,
                          Instant deadline,
                          std::function<void(jobs::OrderVerdict)> done) = 0;
--- a/src/libs/cluster/runner_session.cpp
+++ b/src/libs/cluster/runner_session.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "cluster/call_epochs.h"
+
 namespace papayadrift::cluster {
 namespace {
 
@@ -220,10 +222,21 @@
   return confirmed_at_ && now - *confirmed_at_ <= kConfirmationTimeout;
 }
 
+FencingToken RunnerSession::NextFencingToken(Instant now) {
+  if (IsProcessConfirmed(now)) {
+    is_epoch_used_ = true;
+  } else if (std::exchange(is_epoch_used_, false)) {
+    // This call may reach a later process. Starts and leases of the announced
+    // one that are still on their way must not take effect there after it.
+    ++fencing_token_.call_epoch;
+  }
+  return fencing_token_;
+}
+
 RenewalCall RunnerSession::StartRenewal(Instant now) {
   is_renewing_ = true;
   RenewalCall call;
-  call.request.term = term_;
+  call.request.fencing_token = NextFencingToken(now).value();
   call.generation = generation_;
   call.sent_at = now;
   if (!IsProcessConfirmed(now)) {
@@ -262,6 +275,7 @@
   // A refusal does not tell which process it is from.
   confirmed_at_.reset();
   if (is_superseded) {
+    is_fenced_ = true;
     suspected_crash_.reset();
   } else if (!suspected_crash_) {
     suspected_crash_ = CrashTimeFor(failure, sent_at, now);
@@ -302,11 +316,12 @@
       renewal.start_unix_ms != announced_->start_unix_ms) {
     // Another process of the runner has the same name; its announcement is
     // still to come. It must not be granted a lease on the clock of the earlier
-    // one, nor start what was meant for that.
+    // one, nor start what was meant for that: the next call has a higher token.
     confirmed_at_.reset();
     runner_clock_ms_.reset();
+    const bool is_new = replaced_by_start_ms_ != renewal.start_unix_ms;
     replaced_by_start_ms_ = renewal.start_unix_ms;
-    return {.next_renewal = kRetryDelay};
+    return {.next_renewal = is_new ? milliseconds(0) : kRetryDelay};
   }
   confirmed_at_ = call.sent_at;
   replaced_by_start_ms_.reset();
@@ -363,6 +378,7 @@
   report.sent_at_ms = ToMs(now);
   report.agent_start_unix_ms = agent_start_unix_ms_;
   report.earlier_crash = earlier_crash_;
+  report.call_epoch = fencing_token_.call_epoch;
   if (!has_ended_) {
     report.is_unreachable = is_unreachable_;
     if (is_unreachable_) {
@@ -391,8 +407,10 @@
     return {};
   }
   term_ = answer->term;
+  const bool is_first = !CanCallRunner();
+  UpdateFencingToken(*answer);
   if (ticket.generation != generation_) {
-    return {.is_accepted = true};
+    return {.is_accepted = true, .is_renewal_due = is_first};
   }
   is_end_recorded_ = has_ended_;
   lease_until_ms_ = std::max(lease_until_ms_, answer->lease_until_ms);
@@ -400,10 +418,20 @@
   const auto ignored_ends = OnEndsRecorded(*answer, ticket.last_end);
   return {.is_accepted = true,
           .is_end_recorded = is_end_recorded_,
-          .is_renewal_due = RecordedEnds() > known_ends,
+          .is_renewal_due = is_first || RecordedEnds() > known_ends,
           .ignored_ends = ignored_ends};
 }
 
+void RunnerSession::UpdateFencingToken(const jobs::ReportAnswer& answer) {
+  fencing_token_ = {answer.term,
+                    std::max(fencing_token_.call_epoch, answer.call_epoch)};
+  if (std::exchange(is_fenced_, false)) {
+    // The leader takes this agent's reports, so that the calls with a higher
+    // token are those of an agent before it that the leader didn't know.
+    fencing_token_.call_epoch += CallEpochs::kMaxLead;
+  }
+}
+
 std::optional<uint64_t> RunnerSession::OnEndsRecorded(
     const jobs::ReportAnswer& answer,
     uint64_t last_reported_end) {
@@ -429,7 +457,7 @@
   if (batch.term < term_) {
     return jobs::OrderVerdict::kSuperseded;
   }
-  if (!IsRunnerUp() || batch.incarnation != incarnation() ||
+  if (!CanCallRunner() || !IsRunnerUp() || batch.incarnation != incarnation() ||
       (is_start && announced_->state != jobs::RunnerState::kReady)) {
     return jobs::OrderVerdict::kRefused;
   }
--- a/src/libs/cluster/runner_session.h
+++ b/src/libs/cluster/runner_session.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/instant.h"
+#include "cluster/fencing_token.h"
 #include "cluster/runner_agent_settings.h"
 #include "cluster/runner_api.h"
 #include "jobs/leader_record.h"
@@ -69,7 +70,8 @@
   // Whether it was an answer, and not one of a former leader.
   bool is_accepted = false;
   bool is_end_recorded = false;  // The leader knows that the runner has ended.
-  bool is_renewal_due = false;   // The runner may drop more ends.
+  // The runner may be called from now on, or may drop more ends.
+  bool is_renewal_due = false;
   // A count of recorded ends that is not used, since the leader was not told of
   // that many; set once for each such count.
   std::optional<uint64_t> ignored_ends;
@@ -115,9 +117,17 @@
   // To be called with the term of each batch of orders.
   void OnTerm(uint64_t term);
 
-  // Whether a lease renewal may be sent once a term is known.
+  // Whether the runner may be called: a leader has answered a report and has
+  // said from which call epoch on.
+  bool CanCallRunner() const { return fencing_token_.term > 0; }
+  // Returns the fencing token of a call that is sent now.
+  FencingToken NextFencingToken(Instant now);
+  // That of the last call, or a lower bound for the first one.
+  const FencingToken& fencing_token() const { return fencing_token_; }
+
+  // Whether a lease renewal may be sent once the runner may be called.
   bool CanRenewLease() const;
-  // Requires CanRenewLease() and a term.
+  // Requires CanRenewLease() and CanCallRunner().
   RenewalCall StartRenewal(Instant now);
   RenewalOutcome OnLeaseRenewed(const RenewalCall& call,
                                 LeaseRenewalResult result,
@@ -182,6 +192,7 @@
   RenewalOutcome OnRenewalFailed(RunnerFailure failure,
                                  Instant sent_at,
                                  Instant now);
+  void UpdateFencingToken(const jobs::ReportAnswer& answer);
   // Takes over what the leader of the latest term says of recorded ends.
   // Returns the count if it is to be ignored and was not so before.
   std::optional<uint64_t> OnEndsRecorded(const jobs::ReportAnswer& answer,
@@ -244,6 +255,10 @@
   uint64_t dropped_ends_ = 0;  // The runner was told, and has answered.
   uint64_t ignored_ends_ = 0;
   uint64_t term_ = 0;
+  FencingToken fencing_token_;
+  // Whether a call of this epoch may have reached the announced process.
+  bool is_epoch_used_ = false;
+  bool is_fenced_ = false;      // The runner has got a higher token.
   int64_t lease_until_ms_ = 0;  // On the agent's clock.
   jobs::LeaderRecord leader_;
   bool is_renewing_ = false;
--- a/src/libs/jobs/codec.cpp
+++ b/src/libs/jobs/codec.cpp
@@ -69,10 +69,11 @@
                   value.labels, value.sent_at_ms, value.listed_at_ms,
                   value.active, value.ended, value.crash, value.has_all_ends,
                   value.agent_start_unix_ms, value.is_unreachable,
-                  value.earlier_crash);
+                  value.earlier_crash, value.call_epoch);
 }
 static auto Fields(ReportAnswer& value) {
-  return std::tie(value.term, value.recorded_ends, value.lease_until_ms);
+  return std::tie(value.term, value.recorded_ends, value.lease_until_ms,
+                  value.call_epoch);
 }
 static auto Fields(StartOrder& value) {
   return std::tie(value.task, value.run, value.payload, value.checkpoint,
--- a/src/libs/jobs/runner.h
+++ b/src/libs/jobs/runner.h
@@ -88,6 +88,9 @@
   bool is_unreachable = false;
   // When the process before it may have crashed, if calls to that had failed.
   std::optional<CrashTime> earlier_crash;
+  // The latest one in which it has called the runner; see
+  // cluster::FencingToken.
+  uint64_t call_epoch = 0;
 
   static constexpr size_t kRequiredFields = 12;  // Before `crash`.
 
@@ -101,6 +104,11 @@
   // Leases of the runner may last until this time on the agent's clock; 0: no
   // lease is granted yet.
   int64_t lease_until_ms = 0;
+  // The agent calls its runner in this epoch or later ones; see
+  // cluster::FencingToken.
+  uint64_t call_epoch = 0;
+
+  static constexpr size_t kRequiredFields = 3;  // Before that.
 
   friend bool operator==(const ReportAnswer&, const ReportAnswer&) = default;
 };
@@ -151,7 +159,7 @@
 
 enum class OrderVerdict {
   kDone,          // Executed, now or before.
-  kSuperseded,    // A leader of a later term has sent orders to the runner.
+  kSuperseded,    // The runner has got a call with a higher fencing token.
   kStaleRun,      // This run or a later one was stopped or has ended there.
   kLeaseExpired,  // The lease that came with it had expired.
   kNoRoom,
--- a/tests/auto/cluster/leader_test.cpp
+++ b/tests/auto/cluster/leader_test.cpp
@@ -101,6 +101,32 @@
   first->Stop({});
 }
 
+// Guards against a task that runs twice: a start that an agent has sent reaches
+// the runner's next process after the agent has started again, too.
+TEST_F(LeaderTest, AgentThatStartsAgainCallsInALaterEpoch) {
+  const auto leader = MakeLeader("node-1");
+  leader->Campaign();
+  log_.Settle();
+  jobs::RunnerReport report;
+  report.incarnation = {"agent", "instance", 1};
+  report.agent_start_unix_ms = 1;
+  report.call_epoch = 5;
+  const auto epoch_of_answer = [&] {
+    http::Request request;
+    request.body = jobs::Encode(report);
+    std::optional<jobs::ReportAnswer> answer;
+    Report(*leader, request, [&](const http::Response& it) {
+      answer = jobs::Decode<jobs::ReportAnswer>(it.body);
+    });
+    return answer ? answer->call_epoch : 0;
+  };
+  EXPECT_EQ(epoch_of_answer(), 5U);
+  report.agent_start_unix_ms = 2;
+  report.call_epoch = 0;
+  EXPECT_GT(epoch_of_answer(), 5U);
+  leader->Stop({});
+}
+
 // Guards against a leader without connection to the store that keeps its agents
 // until their leases have expired, although another one was elected.
 TEST_F(LeaderTest, UnconfirmedLeaderRejectsReports) {
--- a/tests/auto/cluster/runner_agent_test.cpp
+++ b/tests/auto/cluster/runner_agent_test.cpp
@@ -26,7 +26,9 @@
                   const std::string& /*instance*/,
                   const LeaseRenewalRequest& /*call*/,
                   Instant /*deadline*/,
-                  std::function<void(LeaseRenewalResult)> /*done*/) override {}
+                  std::function<void(LeaseRenewalResult)> /*done*/) override {
+    is_called = true;
+  }
   void SendOrder(const std::string& /*address*/,
                  const std::string& /*instance*/,
                  const jobs::Order& /*order*/,
@@ -34,6 +36,8 @@
                  int64_t /*lease_until_ms*/,
                  Instant /*deadline*/,
                  std::function<void(jobs::OrderVerdict)> /*done*/) override {}
+
+  bool is_called = false;
 };
 
 // Records which addresses are called.
@@ -110,6 +114,23 @@
     announcement.service = "s";
     agent_.OnAnnouncement(announcement);
   }
+  // Has a leader of term 1 answer the report of `agent`, which calls its runner
+  // from then on.
+  void LetCallRunner(RunnerAgent& agent, const SilentRunner& runner) {
+    const std::string address = FreeAddress();
+    async_http::Server leader(
+        loop_, {address},
+        [](const http::Request& /*request*/,
+           const async_http::Respond& respond) {
+          respond({200, {}, jobs::Encode(jobs::ReportAnswer{1, 0, 0})});
+        });
+    ASSERT_TRUE(leader.Open());
+    agent.HandleLeader({1, "node-1", address});
+    while (!runner.is_called) {
+      ASSERT_GT(loop_.run_one(), 0U);
+    }
+  }
+
   SilentRunner runner_;
   RunnerAgent agent_;
   bool has_stopped_ = false;
@@ -466,6 +487,7 @@
 // Guards against starts and paces that were held up on their way and take
 // effect when they have been given up. A stop is right at any time.
 TEST_F(RunnerAgentTest, OrderThatComesTooLateIsNotPassedOn) {
+  LetCallRunner(agent_, runner_);
   const jobs::TaskKey task{JobId("a"), 0, 0, 0};
   clock_.Advance(milliseconds(1000));
   jobs::OrderBatch batch{
@@ -554,6 +576,7 @@
   RunnerAgent agent({.node = "agent", .address = "127.0.0.1:1", .service = "s"},
                     context(), runner);
   agent.OnAnnouncement({"own", 0, 1, "127.0.0.1:3", "s"});
+  LetCallRunner(agent, runner);
   const jobs::StopOrder stop{{JobId("a"), 0, 0, 0}, 1};
   std::optional<jobs::OrderAnswer> answer;
   agent.HandleOrders(
--- a/tests/auto/cluster/runner_session_test.cpp
+++ b/tests/auto/cluster/runner_session_test.cpp
@@ -269,7 +269,7 @@
 
 // Guards against a process that is granted what was meant for the one before.
 TEST_F(RunnerSessionTest, IgnoresAnswersToCallsToAnEarlierProcess) {
-  session_.OnTerm(kTerm);
+  Report({kTerm, 0, 0});
   const RenewalCall renewal = session_.StartRenewal(now_);
   const ReportTicket report = session_.StartReport(now_).ticket;
   EXPECT_EQ(Announce({"next", kStartUnixMs + 1, 1, "127.0.0.1:4", "s"}),
@@ -506,6 +506,89 @@
   EXPECT_FALSE(session_.StartRenewal(now_).request.lease_until_ms);
 }
 
+// The following guard against a task that runs twice: a start that was held up
+// on its way, after the task was done, or a lease is carried out by a later
+// process of the runner.
+TEST_F(RunnerSessionTest, NextProcessIsCalledWithAHigherToken) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  const FencingToken last = session_.NextFencingToken(now_);
+  EXPECT_EQ(session_.NextFencingToken(now_), last);
+  ASSERT_EQ(Announce({"own", kStartUnixMs + 1, 1, "127.0.0.1:3", "s"}),
+            AnnouncementVerdict::kStarted);
+  EXPECT_GT(session_.NextFencingToken(now_), last);
+}
+
+TEST_F(RunnerSessionTest, CallAfterAFailureHasAHigherToken) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  for (const auto failure :
+       {RunnerFailure::kUnanswered, RunnerFailure::kNotListening,
+        RunnerFailure::kOtherIncarnation, RunnerFailure::kSuperseded}) {
+    const FencingToken last = session_.NextFencingToken(now_);
+    FailToRenew(failure);
+    const FencingToken next = session_.NextFencingToken(now_);
+    EXPECT_GT(next, last);
+    // Calls to a process that may not be the announced one grant nothing.
+    FailToRenew(failure);
+    EXPECT_EQ(session_.NextFencingToken(now_), next);
+    Renew();
+    EXPECT_EQ(session_.NextFencingToken(now_), next);
+  }
+}
+
+TEST_F(RunnerSessionTest, CallAfterAPauseHasAHigherToken) {
+  Report({kTerm, 0, 20'000});
+  Renew();
+  const FencingToken last = session_.NextFencingToken(now_);
+  now_ += milliseconds(1600);
+  EXPECT_GT(session_.NextFencingToken(now_), last);
+}
+
+TEST_F(RunnerSessionTest, ProcessThatAnswersInPlaceIsCalledAgainAtOnce) {
+  Report({kTerm, 0, 20'000});
+  RenewAs(kStartUnixMs);
+  const FencingToken last = session_.NextFencingToken(now_);
+  EXPECT_EQ(RenewAs(kStartUnixMs + 1).next_renewal, milliseconds(0));
+  EXPECT_GT(session_.NextFencingToken(now_), last);
+  EXPECT_EQ(RenewAs(kStartUnixMs + 1).next_renewal, RunnerSession::kRetryDelay);
+}
+
+// The agent doesn't know which calls the one before it has made.
+TEST_F(RunnerSessionTest, RunnerIsNotCalledBeforeALeaderHasAnswered) {
+  session_.OnTerm(kTerm);
+  EXPECT_FALSE(session_.CanCallRunner());
+  EXPECT_EQ(VerdictOn(jobs::StopOrder{kTask, 1}), jobs::OrderVerdict::kRefused);
+  EXPECT_TRUE(Report({kTerm, 0, 0, 1024}).is_renewal_due);
+  EXPECT_TRUE(session_.CanCallRunner());
+  EXPECT_EQ(VerdictOn(jobs::StopOrder{kTask, 1}), std::nullopt);
+  EXPECT_EQ(session_.NextFencingToken(now_), (FencingToken{kTerm, 1024}));
+  EXPECT_EQ(session_.StartReport(now_).report.call_epoch, 1024U);
+}
+
+TEST_F(RunnerSessionTest, TokenRisesWithTheTerm) {
+  Report({kTerm, 0, 0, 7});
+  const FencingToken last = session_.NextFencingToken(now_);
+  Report({kTerm + 1, 0, 0, 0});
+  EXPECT_GT(session_.NextFencingToken(now_), last);
+  EXPECT_GT(session_.NextFencingToken(now_).value(), last.value());
+}
+
+// Guards against a runner that refuses all calls until the next election, since
+// the leader doesn't know how far the agent before had come.
+TEST_F(RunnerSessionTest, AgentThatIsFencedOffAdvancesOnceALeaderTakesReports) {
+  Report({kTerm, 0, 0});
+  FailToRenew(RunnerFailure::kSuperseded);
+  const FencingToken refused = session_.NextFencingToken(now_);
+  session_.OnReported(session_.StartReport(now_).ticket, std::nullopt);
+  EXPECT_EQ(session_.NextFencingToken(now_), refused);
+  Report({kTerm, 0, 0});
+  const FencingToken next = session_.NextFencingToken(now_);
+  EXPECT_GT(next, refused);
+  Report({kTerm, 0, 0});
+  EXPECT_EQ(session_.NextFencingToken(now_), next);
+}
+
 // Guards against a runner that isn't followed since its VM's time of day was
 // set back before it started again under its name.
 TEST_F(RunnerSessionTest,
@@ -594,7 +677,7 @@
 // Guards against a count for which there can be no reason: the leader has been
 // told of three ends.
 TEST_F(RunnerSessionTest, IgnoresACountOfEndsThatItHasNotReported) {
-  session_.OnTerm(kTerm);
+  Report({kTerm, 0, 0});
   Renew(3);
   const ReportOutcome outcome = Report({kTerm, 4, 20'000});
   EXPECT_TRUE(outcome.is_accepted);
--- a/tests/auto/deployment/relayed_deployment.py
+++ b/tests/auto/deployment/relayed_deployment.py
@@ -35,6 +35,9 @@
         self.late_s = 0  # How long ago what is recorded happened.
         self.silence_s = 0  # Before the first heartbeat.
         self.lost_part = 0  # Of the answers to calls.
+        # Seconds after which the next start is carried out, without an answer; 0: at
+        # once.
+        self.start_delay_s = 0
 
     def _expire(self):
         late_ms = self.clock_ms() - self.lease_until_ms
@@ -51,6 +54,10 @@
     async def handle(self, request):
         if not self.is_up:
             raise http_peer.Reset()
+        if request.path.endswith("/run-start") and self.start_delay_s > 0:
+            asyncio.ensure_future(self._carry_out_late(request, self.start_delay_s))
+            self.start_delay_s = 0
+            raise http_peer.Drop()
         life = self.lives
         self._expire()
         answer = await super().handle(request)
@@ -58,6 +65,13 @@
             raise http_peer.Drop()
         return answer
 
+    async def _carry_out_late(self, request, delay_s):
+        """By the process that is up by then."""
+        await asyncio.sleep(delay_s)
+        if self.is_up:
+            self._expire()
+            await super().handle(request)
+
     async def restart(self, gap_s, silence_s):
         """Starts again under the same name, first heard of after `silence_s`."""
         self.crash()
--- a/tests/auto/deployment/test_runs_once.py
+++ b/tests/auto/deployment/test_runs_once.py
@@ -16,6 +16,7 @@
 JOB_PERIOD_S = 0.1
 CUT_S = 7.5  # Longer than the longest lease with its margins.
 LATEST_ARRIVAL_S = 8  # Of what was sent during the cut, after it.
+START_DELAY_S = 5  # Longer than its task takes and its runner is down.
 
 
 class RunsOnceTest(unittest.IsolatedAsyncioTestCase):
@@ -70,6 +71,19 @@
 
         await self.play(disturb, fronts=2, runners=3)
 
+    # A start that is held up reaches its runner after the task was done and the runner
+    # has started again under its name.
+    async def test_late_starts_after_a_restart(self):
+        async def disturb(it):
+            for runner in it.runners:
+                runner.start_delay_s = START_DELAY_S
+            await asyncio.sleep(2.5)
+            for runner in it.runners:
+                await runner.restart(0.2, 0)
+            await asyncio.sleep(START_DELAY_S)
+
+        await self.play(disturb, fronts=2, runners=3)
+
     # A runner whose agent can't connect to it runs on, and so does what it runs.
     async def test_refused_connections(self):
         async def disturb(it):
--- a/tests/auto/run_histories/model_runner.cpp
+++ b/tests/auto/run_histories/model_runner.cpp
@@ -34,7 +34,7 @@
   started_at_ = simulation_.Now();
   born_ms_ = simulation_.UnixMs() + wall_lead_.count();
   announcements_ = 0;
-  term_ = 0;
+  fencing_token_ = 0;
   lease_until_ms_ = 0;
   end_count_ = 0;
 }
@@ -104,26 +104,25 @@
     execute();
     return;
   }
-  simulation_.After(held_up,
-                    [this, life = life_, execute = std::move(execute)] {
-                      if (life == life_) {
-                        execute();
-                      }
-                    });
+  simulation_.After(held_up, [this, execute = std::move(execute)] {
+    if (is_up_) {
+      execute();
+    }
+  });
 }
 
 jobs::OrderVerdict ModelRunner::Execute(const std::string& instance,
                                         const jobs::Order& order,
-                                        uint64_t term,
+                                        uint64_t fencing_token,
                                         int64_t lease_until_ms,
                                         Instant sent_at) {
   if (!is_up_ || instance != instance_) {
     return jobs::OrderVerdict::kRefused;
   }
-  if (term < term_) {
+  if (fencing_token < fencing_token_) {
     return jobs::OrderVerdict::kSuperseded;
   }
-  term_ = term;
+  fencing_token_ = fencing_token;
   if (const auto* start = std::get_if<jobs::StartOrder>(&order)) {
     return StartRun(*start, lease_until_ms, sent_at);
   }
@@ -228,11 +227,11 @@
     done(cluster::RunnerFailure::kOtherIncarnation);
     return;
   }
-  if (call.term < term_) {
+  if (call.fencing_token < fencing_token_) {
     done(cluster::RunnerFailure::kSuperseded);
     return;
   }
-  term_ = call.term;
+  fencing_token_ = call.fencing_token;
   Forget(call.recorded_ends);
   if (call.lease_until_ms) {
     ExtendLease(*call.lease_until_ms);
--- a/tests/auto/run_histories/model_runner.h
+++ b/tests/auto/run_histories/model_runner.h
@@ -58,12 +58,13 @@
   // What its next heartbeat says.
   cluster::Announcement Announce();
 
-  // A call has arrived. It is lost with the process if that holds it up.
+  // A call has arrived. If it is held up, the process that is up by then
+  // executes it.
   void Receive(microseconds held_up, Simulation::Action execute);
   // Executes a call. Its sender learns of the answer only if it still waits.
   jobs::OrderVerdict Execute(const std::string& instance,
                              const jobs::Order& order,
-                             uint64_t term,
+                             uint64_t fencing_token,
                              int64_t lease_until_ms,
                              Instant sent_at);
   void Hold(const std::string& instance,
@@ -108,7 +109,7 @@
   int64_t born_ms_ = 0;
   uint64_t announcements_ = 0;
   Resources capacity_;
-  uint64_t term_ = 0;
+  uint64_t fencing_token_ = 0;  // The highest one seen.
   int64_t lease_until_ms_ = 0;
   std::map<jobs::TaskKey, ActiveRun> active_;
   std::map<jobs::TaskKey, uint32_t> numbers_;  // Of the active ones.
--- a/tests/auto/run_histories/network_runner.cpp
+++ b/tests/auto/run_histories/network_runner.cpp
@@ -49,7 +49,7 @@
 void NetworkRunner::SendOrder(const std::string& /*address*/,
                               const std::string& instance,
                               const jobs::Order& order,
-                              uint64_t term,
+                              uint64_t fencing_token,
                               int64_t lease_until_ms,
                               Instant deadline,
                               std::function<void(jobs::OrderVerdict)> done) {
@@ -60,13 +60,13 @@
       };
   network_.Call<OrderVerdict>(
       {LinkKind::kOrder, index_}, TimeoutOf(deadline),
-      [&runner = runner_, instance, order, term, lease_until_ms](
+      [&runner = runner_, instance, order, fencing_token, lease_until_ms](
           const Delivery& delivery,
           const Network::Respond<OrderVerdict>& respond) {
         runner.Receive(delivery.held_up,
-                       [&runner, instance, order, term, lease_until_ms, respond,
-                        sent_at = delivery.sent_at] {
-                         respond(runner.Execute(instance, order, term,
+                       [&runner, instance, order, fencing_token, lease_until_ms,
+                        respond, sent_at = delivery.sent_at] {
+                         respond(runner.Execute(instance, order, fencing_token,
                                                 lease_until_ms, sent_at));
                        });
       },
--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -93,6 +93,25 @@
   });
 }
 
+// A start reached its runner again after the task was done, that was noted, and
+// the runner had started again under its name: the task ran twice.
+TEST(RunHistoryTest, LateStartIsNotCarriedOutByTheNextProcess) {
+  for (const bool is_agent_restarted : {false, true}) {
+    History history{
+        Disturb{Link{LinkKind::kOrder, 0},
+                Fault{Fault::Kind::kDelayRequest, milliseconds(5000)}},
+        Submit{0, 0},
+        Pass{milliseconds(2500)},
+        CrashRunner{0, true, milliseconds(400)},
+    };
+    if (is_agent_restarted) {
+      history.emplace_back(RestartAgent{0, milliseconds(0)});
+    }
+    history.emplace_back(Pass{milliseconds(7000)});
+    ExpectSound(history);
+  }
+}
+
 // A stopped run stays in the leader's table for as long as the agent waits for
 // the answer to a report, which is lost: its timeout has grown to 2.4 s.
 TEST(RunHistoryTest, StoppedRunIsReleasedAfterALostAnswer) {
