Tests: Holds starts up in the soak

The soak had restarts under the same name and unanswered calls, but no start that is carried out seconds later. Now a drawn start is held up for 0.5 to 12 s, and its runner often starts again under its name meanwhile; agents and fronts are killed and frozen beside it as before.

--- a/tests/auto/deployment/soak.py
+++ b/tests/auto/deployment/soak.py
@@ -14,6 +14,7 @@
 JOB_PERIOD_S = 0.12
 CANCELLED_PART = 0.15
 LONGEST_SILENCE_S = 9
+LONGEST_START_DELAY_S = 12
 
 
 class Soak:
@@ -97,6 +98,15 @@
         if runner.is_up and runner.state == "draining":
             await runner.restart(0.1, 0)
 
+    async def hold_up_start(self):
+        """A start that is carried out late, often by the next process of its runner."""
+        runner = self.random.choice(self.it.runners)
+        runner.start_delay_s = self.random.uniform(0.5, LONGEST_START_DELAY_S)
+        await asyncio.sleep(self.random.uniform(0, 4))
+        if runner.is_up and self.random.random() < 0.7:
+            await runner.restart(self.random.uniform(0.02, 1.5),
+                                 self.random.uniform(0, 1.5))
+
     async def lose_answers(self):
         runner = self.random.choice(self.it.runners)
         runner.lost_part = self.random.uniform(0.05, 0.5)
@@ -110,8 +120,8 @@
 
     async def disturb(self, seconds):
         kinds = [self.cut, self.pause, self.kill, self.crash, self.crash,
-                 self.refuse, self.refuse, self.depart_late, self.lose_answers,
-                 self.stop_store]
+                 self.refuse, self.refuse, self.depart_late, self.hold_up_start,
+                 self.hold_up_start, self.lose_answers, self.stop_store]
         until = self.it.now() + seconds
         while self.it.now() < until:
             kind = self.random.choice(kinds)
