Known red: Lists a late start that comes before the agent's first call

What callers would see: a task that is done runs again (TWICE). While the agent is frozen or down, or within 150 ms of the process's start, a late start reaches the runner's next process before any call with a higher token, and brings the lease that it needs.

--- a/tests/auto/run_histories/run_histories_test.cpp
+++ b/tests/auto/run_histories/run_histories_test.cpp
@@ -112,6 +112,20 @@
   }
 }
 
+// The same while the agent is frozen: the start comes before its first call to
+// the later process, and brings the lease that it needs.
+TEST(RunHistoryTest, LateStartBeforeTheFirstCallIsNotCarriedOut) {
+  ExpectSound({
+      Disturb{Link{LinkKind::kOrder, 0},
+              Fault{Fault::Kind::kDelayRequest, milliseconds(5000)}},
+      Submit{0, 0},
+      Pass{milliseconds(2500)},
+      FreezeAgent{0, milliseconds(4000)},
+      CrashRunner{0, true, milliseconds(400)},
+      Pass{milliseconds(7000)},
+  });
+}
+
 // A stopped run stays in the leader's table for as long as the agent waits for
 // the answer to a report, which is lost: its timeout has grown to 2.4 s.
 TEST(RunHistoryTest, StoppedRunIsReleasedAfterALostAnswer) {
